--- /dev/null
+++ b/src/base/event_type.hpp
@@ -0,0 +1,75 @@
+// Numbered log events.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace guavawick {
+
+/// How much an event matters.
+enum class severity : std::uint8_t { debug, info, warning, error };
+
+/// The number of each event; numbers are stable, append only.
+enum class event : std::uint16_t {
+    process_started = 1000,
+    process_stopping = 1001,
+    process_stopped = 1002,
+    settings_refused = 1003,
+    internal_fault = 1004,
+    link_silent = 1100,
+    link_refused_peer = 1101,
+    group_started = 2000,
+    leader_elected = 2001,
+    leader_lost = 2002,
+    snapshot_written = 2003,
+    snapshot_installed = 2004,
+    log_tail_cut = 2005,
+    disk_blank = 2006,
+    member_joining = 2007,
+    membership_changed = 2008,
+    leadership_handed_over = 2009,
+    storage_failed = 2010,
+    configuration_published = 3000,
+    configuration_refused = 3001,
+    configuration_in_force = 3002,
+    configuration_stale = 3003,
+    upstream_announced = 3100,
+    upstream_lost = 3101,
+    upstream_leaving = 3102,
+    request_quarantined = 3103,
+    call_opened = 4000,
+    call_closed = 4001,
+    call_refused = 4002,
+    call_retried = 4003,
+    call_unknown = 4004,
+    call_joined = 4005,
+    caller_left = 4006,
+    attempt_started = 5000,
+    attempt_finished = 5001,
+    attempt_tombstoned = 5002,
+    attempt_adopted = 5003,
+    order_dropped = 5004,
+    window_reset = 5005,
+    memory_freed = 5006,
+};
+
+/// One field of an event.
+struct event_field {
+    std::string_view name; ///< field name in snake case
+    std::string value;     ///< the value as text; never a key
+
+    event_field(std::string_view field, std::string text) : name(field), value(std::move(text)) {}
+    event_field(std::string_view field, const char* text) : name(field), value(text) {}
+    event_field(std::string_view field, std::uint64_t number) : name(field), value(std::to_string(number)) {}
+};
+
+/// Writes one line with the event's number, name, and fields. Thread safety: any thread.
+void log_event(event what, const std::vector<event_field>& fields = {});
+
+/// Sets where log lines go and the least severity that is written.
+/// @param file path of the log file; empty for standard error.
+void start_logging(const std::string& file, severity least);
+
+} // namespace guavawick
--- /dev/null
+++ b/src/caller/chat.hpp
@@ -0,0 +1,76 @@
+// Chat completion requests and answers in OpenAI's shape.
+#pragma once
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace guavawick::caller {
+
+/// A parsed chat completion request.
+struct chat_call {
+    std::string model;
+    bool stream = false;               ///< the caller wants server-sent events
+    bool include_usage = false;        ///< the caller wants the usage event of a stream
+    std::uint64_t most_tokens = 0;     ///< the caller's limit of the answer; 0: none
+    std::vector<std::string> messages; ///< each new message as JSON text
+    boost::json::object rest;          ///< everything but the messages
+};
+
+/// Reads a request body. @throw refusal_error telling which member is wrong.
+chat_call parse_chat(const std::string& body);
+/// Builds the body for an upstream: stored history, then the new messages; always streamed, with usage.
+std::string build_body(const chat_call& call, const std::vector<std::string>& history);
+/// @return the role of a message given as JSON text; "user" if it has none.
+std::string role_of(const std::string& message);
+/// @return a rough number of tokens of a text.
+std::uint64_t estimate_tokens(std::uint64_t bytes);
+
+/// Puts an answer together from the events of a stream.
+class answer_builder {
+public:
+    /// Takes in the payload of one event. @return false if it is no JSON object.
+    bool feed(const std::string& payload);
+    /// @return the whole answer as a `chat.completion` body.
+    [[nodiscard]] std::string body() const;
+    /// @return the assistant's message as JSON text, for the history.
+    [[nodiscard]] std::string message() const;
+    [[nodiscard]] std::uint64_t prompt_tokens() const { return prompt_tokens_; }
+    [[nodiscard]] std::uint64_t completion_tokens() const { return completion_tokens_; }
+    [[nodiscard]] std::uint64_t cached_tokens() const { return cached_tokens_; }
+
+private:
+    void feed_choice(const boost::json::object& choice);
+    void feed_usage(const boost::json::object& usage);
+    [[nodiscard]] boost::json::object message_object() const;
+
+    std::string id_;
+    std::string model_;
+    std::int64_t created_ = 0;
+    std::string content_;
+    std::string finish_reason_;
+    boost::json::array tool_calls_;
+    std::uint64_t prompt_tokens_ = 0;
+    std::uint64_t completion_tokens_ = 0;
+    std::uint64_t cached_tokens_ = 0;
+};
+
+/// Cuts a stream of server-sent events into payloads.
+class event_splitter {
+public:
+    /// Takes in bytes. @return the payloads of the events that are complete.
+    std::vector<std::string> feed(const std::string& bytes);
+    /// @return whether the closing event "[DONE]" was seen.
+    [[nodiscard]] bool done() const { return done_; }
+
+private:
+    std::string pending_;
+    bool done_ = false;
+};
+
+/// @return a payload as one server-sent event.
+std::string to_event(const std::string& payload);
+
+} // namespace guavawick::caller
--- /dev/null
+++ b/src/configuration/directory_cmd.cpp
@@ -0,0 +1,88 @@
+// Commands on the upstream directory and on quarantined requests.
+#include "configuration/directory_func.hpp"
+
+#include <algorithm>
+
+namespace guavawick::configuration {
+namespace {
+
+void forget_removed(directory_state& state)
+{
+    const auto removed = std::count_if(state.upstreams.begin(), state.upstreams.end(),
+                                       [](const auto& item) { return item.second.removed; });
+    if (static_cast<std::size_t>(removed) <= kept_removed_upstreams) {
+        return;
+    }
+    std::erase_if(state.upstreams, [](const auto& item) { return item.second.removed; });
+    state.forgotten = state.version;
+}
+
+} // namespace
+
+bool announce(directory_state& state, upstream_record record)
+{
+    const auto found = state.upstreams.find(record.name);
+    const bool known = found != state.upstreams.end();
+    if (record.removed && (!known || found->second.incarnation != record.incarnation)) {
+        return false; // it came back under a new incarnation meanwhile
+    }
+    if (known && found->second.says_same(record)) {
+        return false;
+    }
+    record.version = ++state.version;
+    const upstream_name name = record.name;
+    state.upstreams[name] = std::move(record);
+    forget_removed(state);
+    return true;
+}
+
+std::vector<body_hash> note_loss(directory_state& state, const upstream_name& who, incarnation_id incarnation, const std::vector<body_hash>& running)
+{
+    std::vector<body_hash> quarantined;
+    for (const body_hash body : running) {
+        suspicion& one = state.suspicions[body];
+        if (!one.lost.insert(incarnation).second) {
+            continue;
+        }
+        one.since = state.now;
+        ++state.version;
+        if (one.lost.size() == quarantine_losses) {
+            quarantined.push_back(body);
+        }
+    }
+    const auto found = state.upstreams.find(who);
+    if (found != state.upstreams.end() && found->second.incarnation == incarnation) {
+        found->second.version = ++state.version;
+    }
+    return quarantined;
+}
+
+void clear_suspicion(directory_state& state, body_hash body)
+{
+    const auto found = state.suspicions.find(body);
+    if (found != state.suspicions.end() && found->second.lost.size() < quarantine_losses) {
+        state.suspicions.erase(found);
+        ++state.version;
+    }
+}
+
+void lift_quarantine(directory_state& state, body_hash body)
+{
+    if (state.suspicions.erase(body) != 0) {
+        ++state.version;
+    }
+}
+
+bool has_lapsed_quarantine(const directory_state& state)
+{
+    return std::any_of(state.suspicions.begin(), state.suspicions.end(),
+                       [&](const auto& item) { return item.second.since + quarantine_limit <= state.now; });
+}
+
+void drop_lapsed_quarantines(directory_state& state)
+{
+    const std::size_t dropped = std::erase_if(state.suspicions, [&](const auto& item) { return item.second.since + quarantine_limit <= state.now; });
+    state.version += dropped != 0 ? 1 : 0;
+}
+
+} // namespace guavawick::configuration
--- /dev/null
+++ b/src/consensus/membership_cmd.cpp
@@ -0,0 +1,144 @@
+// Changes of a group's members: checked first, then proposed. One change at a time.
+#include "base/failure_type.hpp"
+#include "consensus/consensus_func.hpp"
+#include "wire.pb.h"
+
+#include <algorithm>
+
+namespace guavawick::consensus {
+namespace {
+
+/// A change may be proposed once the leader's own term has a committed entry and no change is under way.
+change_result check_change(const group_state& state)
+{
+    if (state.role != role_type::leader || state.transfer_to) {
+        return change_result::not_leader;
+    }
+    const bool term_committed = term_at(state, state.commit) == state.term;
+    const bool pending = state.memberships.back().index > state.commit;
+    return term_committed && !pending ? change_result::proposed : change_result::change_pending;
+}
+
+change_result propose_members(group_state& state, const membership& next, effects& out)
+{
+    propose(state, entry_kind::membership, encode_membership(next), out);
+    return change_result::proposed;
+}
+
+} // namespace
+
+change_result add_learner(group_state& state, const member& joining, time_point now, effects& out)
+{
+    const change_result allowed = check_change(state);
+    if (allowed != change_result::proposed) {
+        return allowed;
+    }
+    membership next = current_members(state);
+    if (find_member(next, joining.id) != nullptr) {
+        return change_result::already_done;
+    }
+    for (const member& other : next.members) {
+        const bool alive = other.id == state.self || in_touch(state, other.id, now);
+        if (other.name == joining.name && alive) {
+            return change_result::name_in_use;
+        }
+    }
+    // A learner of that name that went away again makes room for the new one.
+    std::erase_if(next.members, [&](const member& m) { return m.name == joining.name && !m.voter; });
+    member learner = joining;
+    learner.voter = false;
+    learner.learner_target = state.commit;
+    next.members.push_back(learner);
+    return propose_members(state, next, out);
+}
+
+change_result promote_learner(group_state& state, member_id id, effects& out)
+{
+    const change_result allowed = check_change(state);
+    if (allowed != change_result::proposed) {
+        return allowed;
+    }
+    membership next = current_members(state);
+    const auto found = std::find_if(next.members.begin(), next.members.end(), [id](const member& m) { return m.id == id; });
+    if (found == next.members.end()) {
+        return change_result::unknown_member;
+    }
+    if (found->voter) {
+        return change_result::already_done;
+    }
+    const auto peer = state.peers.find(id);
+    const log_index synced = peer == state.peers.end() ? 0 : peer->second.match;
+    if (synced < state.commit || synced < found->learner_target) {
+        return change_result::not_caught_up;
+    }
+    found->voter = true;
+    return propose_members(state, next, out);
+}
+
+change_result remove_member(group_state& state, member_id id, effects& out)
+{
+    const change_result allowed = check_change(state);
+    if (allowed != change_result::proposed) {
+        return allowed;
+    }
+    membership next = current_members(state);
+    if (id == state.self) {
+        return change_result::not_leader;
+    }
+    if (std::erase_if(next.members, [id](const member& m) { return m.id == id; }) == 0) {
+        return change_result::already_done;
+    }
+    state.peers.erase(id);
+    return propose_members(state, next, out);
+}
+
+bool continue_repair(group_state& state, time_point now, effects& out)
+{
+    if (check_change(state) != change_result::proposed) {
+        return false;
+    }
+    const membership members = current_members(state);
+    for (const member& one : members.members) {
+        if (!one.voter && promote_learner(state, one.id, out) == change_result::proposed) {
+            return true;
+        }
+    }
+    for (const member& lost : members.members) {
+        const bool replaced = std::any_of(members.members.begin(), members.members.end(), [&](const member& other) {
+            return other.name == lost.name && other.id != lost.id && other.voter && in_touch(state, other.id, now);
+        });
+        if (lost.voter && replaced && lost.id != state.self && !in_touch(state, lost.id, now)) {
+            return remove_member(state, lost.id, out) == change_result::proposed;
+        }
+    }
+    return false;
+}
+
+std::string encode_membership(const membership& members)
+{
+    wire::membership encoded;
+    for (const member& one : members.members) {
+        wire::member* into = encoded.add_members();
+        into->set_id(one.id.value);
+        into->set_name(one.name);
+        into->set_endpoint(one.endpoint);
+        into->set_voter(one.voter);
+        into->set_learner_target(one.learner_target);
+    }
+    return encoded.SerializeAsString();
+}
+
+membership decode_membership(const std::string& bytes)
+{
+    wire::membership encoded;
+    if (!encoded.ParseFromString(bytes)) {
+        throw decode_error("a membership record does not decode");
+    }
+    membership members;
+    for (const wire::member& one : encoded.members()) {
+        members.members.push_back({member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target()});
+    }
+    return members;
+}
+
+} // namespace guavawick::consensus
--- /dev/null
+++ b/src/entry/rate_gate.cpp
@@ -0,0 +1,162 @@
+// Borrows rate tokens from the owners and hands them to requests in order of arrival.
+#include "entry/rate_gate.hpp"
+
+#include "base/failure_type.hpp"
+#include "ledger/ledger_func.hpp"
+#include "wire.pb.h"
+
+#include <boost/asio/experimental/concurrent_channel.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace guavawick::entry {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr duration borrow_interval = 20ms;
+constexpr duration borrow_limit = 1s;
+constexpr duration idle_account = 60s; ///< an organisation that asked nothing for this long is forgotten
+constexpr duration renew_margin = 700ms; ///< tokens are renewed this long before they lapse
+
+} // namespace
+
+/// A request that waits for a token.
+struct token_waiter {
+    explicit token_waiter(const asio::any_io_executor& pool) : answer(pool, 1) {}
+
+    asio::experimental::concurrent_channel<void(boost::system::error_code, bool)> answer;
+    time_point deadline{};
+};
+
+rate_gate::rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards) : client_(client), entry_(entry), shards_(shards) {}
+
+rate_gate::~rate_gate() = default;
+
+asio::awaitable<void> rate_gate::pass(configuration::organisation who, duration limit)
+{
+    const auto pool = co_await asio::this_coro::executor;
+    auto waiter = std::make_shared<token_waiter>(pool);
+    {
+        const std::lock_guard lock(mutex_);
+        const time_point now = runtime_clock::now();
+        account& one = accounts_[who.name.value];
+        one.allowed = {who.rate, who.burst};
+        limit::note_demand(one.purse, now);
+        if (one.waiting.empty() && limit::spend(one.purse, now)) {
+            co_return;
+        }
+        // Whoever comes after more waiting requests than the rate serves in time is told at once.
+        const double expected = static_cast<double>(one.waiting.size()) / std::max(who.rate, 1e-9);
+        if (expected > to_seconds(limit)) {
+            ++refused_;
+            throw refusal_error(failure::rate_exceeded, "the organisation's rate is used up", static_cast<std::uint32_t>(expected * 1000));
+        }
+        waiter->deadline = now + limit;
+        one.waiting.push_back(waiter);
+    }
+    const bool granted = co_await waiter->answer.async_receive(asio::use_awaitable);
+    if (!granted) {
+        const auto retry_ms = static_cast<std::uint32_t>(1000.0 / std::max(who.rate, 1e-3));
+        throw refusal_error(failure::rate_exceeded, "no token of the organisation's rate came free in time", std::max<std::uint32_t>(retry_ms, 1000));
+    }
+}
+
+void rate_gate::serve_waiters(account& one, time_point now)
+{
+    while (!one.waiting.empty()) {
+        const auto& first = one.waiting.front();
+        const bool granted = limit::spend(one.purse, now);
+        if (!granted && now < first->deadline) {
+            return;
+        }
+        refused_ += granted ? 0 : 1;
+        first->answer.try_send(boost::system::error_code{}, granted);
+        one.waiting.pop_front();
+    }
+}
+
+wire::envelope rate_gate::make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, std::map<std::string, double>& spent)
+{
+    const std::lock_guard lock(mutex_);
+    wire::envelope question;
+    wire::borrow_request* body = question.mutable_borrow();
+    body->set_entry_incarnation(entry_.value);
+    body->set_sequence(sequence);
+    for (auto entry = accounts_.begin(); entry != accounts_.end();) {
+        auto& [name, one] = *entry;
+        if (ledger::shard_of(organisation_name{name}, program_name{}, shards_) != shard) {
+            ++entry;
+            continue;
+        }
+        if (one.waiting.empty() && now - one.purse.used_at > idle_account) {
+            entry = accounts_.erase(entry);
+            continue;
+        }
+        const limit::purse_request wish = limit::prepare_request(one.purse, one.waiting.size(), now);
+        const bool renews = one.purse.tokens > 0 && one.purse.lapses_at - now < renew_margin;
+        const bool reports = wish.spent > 0 && one.purse.lapses_at - now < renew_margin;
+        if (wish.wanted != 0 || renews || reports) {
+            wire::borrow_item* item = body->add_items();
+            item->set_organisation(name);
+            item->set_wanted(wish.wanted);
+            item->set_spent(wish.spent);
+            item->set_rate(one.allowed.rate);
+            item->set_burst(one.allowed.burst);
+            spent[name] = wish.spent;
+        }
+        ++entry;
+    }
+    return question;
+}
+
+void rate_gate::take_reply(const wire::envelope& reply, const std::map<std::string, double>& spent, time_point asked_at)
+{
+    const std::lock_guard lock(mutex_);
+    const time_point now = runtime_clock::now();
+    for (const wire::grant_item& item : reply.borrowed().items()) {
+        const auto found = accounts_.find(item.organisation());
+        const auto reported = spent.find(item.organisation());
+        if (found == accounts_.end() || reported == spent.end()) {
+            continue;
+        }
+        limit::receive_tokens(found->second.purse, item.tokens(), reported->second, asked_at, now);
+        found->second.retry_ms = item.retry_ms();
+        serve_waiters(found->second, now);
+    }
+}
+
+asio::awaitable<void> rate_gate::borrow_loop(std::uint32_t shard, std::function<bool()> running)
+{
+    std::uint64_t sequence = 0;
+    while (running()) {
+        co_await platform::wait_for(borrow_interval);
+        std::map<std::string, double> spent;
+        const time_point asked_at = runtime_clock::now();
+        wire::envelope question = make_request(shard, ++sequence, asked_at, spent);
+        if (!spent.empty()) {
+            try {
+                const wire::envelope_ptr reply = co_await client_.call(shard + 1, std::move(question), borrow_limit);
+                take_reply(*reply, spent, asked_at);
+            }
+            catch (const link_error&) {
+                // Waiters stay until their deadline; the next round asks again.
+            }
+        }
+        const std::lock_guard lock(mutex_);
+        for (auto& [name, one] : accounts_) {
+            if (ledger::shard_of(organisation_name{name}, program_name{}, shards_) == shard) {
+                serve_waiters(one, runtime_clock::now());
+            }
+        }
+    }
+}
+
+std::uint64_t rate_gate::refused() const
+{
+    const std::lock_guard lock(mutex_);
+    return refused_;
+}
+
+} // namespace guavawick::entry
--- /dev/null
+++ b/src/entry/rate_gate.hpp
@@ -0,0 +1,50 @@
+// Borrows rate tokens from the owners and hands them to requests in order of arrival.
+#pragma once
+
+#include "configuration/configuration_type.hpp"
+#include "limit/bucket_func.hpp"
+#include "platform/worker_pool.hpp"
+#include "wire/group_client.hpp"
+
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+
+namespace guavawick::entry {
+
+struct token_waiter;
+
+/// The entry's side of fleet-wide rate limits. Thread safety: every function from any thread.
+/// Lock order: its mutex is a leaf.
+class rate_gate {
+public:
+    rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards);
+    ~rate_gate();
+    /// Waits for one token of an organisation. @throw refusal_error `rate_exceeded` if none comes within the limit.
+    boost::asio::awaitable<void> pass(configuration::organisation who, duration limit);
+    /// Keeps borrowing for the organisations of one shard until `running` says no.
+    boost::asio::awaitable<void> borrow_loop(std::uint32_t shard, std::function<bool()> running);
+    /// @return requests that waited in vain.
+    [[nodiscard]] std::uint64_t refused() const;
+
+private:
+    struct account {
+        limit::limits allowed;
+        limit::purse purse;
+        std::deque<std::shared_ptr<token_waiter>> waiting;
+        std::uint32_t retry_ms = 0;
+    };
+
+    void serve_waiters(account& one, time_point now);
+    wire::envelope make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, std::map<std::string, double>& spent);
+    void take_reply(const wire::envelope& reply, const std::map<std::string, double>& spent, time_point asked_at);
+
+    wire::group_client& client_;
+    incarnation_id entry_;
+    std::uint32_t shards_;
+    mutable std::mutex mutex_; ///< guards everything below
+    std::unordered_map<std::string, account> accounts_;
+    std::uint64_t refused_ = 0;
+};
+
+} // namespace guavawick::entry
--- /dev/null
+++ b/src/ledger/ledger_codec.cpp
@@ -0,0 +1,264 @@
+// Encodes a shard's state for snapshots.
+#include "ledger/ledger_codec.hpp"
+
+#include "ledger/ledger_func.hpp"
+#include "ledger/program_func.hpp"
+#include "wire.pb.h"
+
+namespace guavawick::ledger {
+
+void to_wire(const std::vector<chat_message>& from, google::protobuf::RepeatedPtrField<wire::chat_message>* into)
+{
+    for (const chat_message& one : from) {
+        wire::chat_message* made = into->Add();
+        made->set_role(one.role);
+        made->set_content(one.content);
+    }
+}
+
+std::vector<chat_message> from_wire(const google::protobuf::RepeatedPtrField<wire::chat_message>& from)
+{
+    std::vector<chat_message> messages;
+    messages.reserve(static_cast<std::size_t>(from.size()));
+    for (const wire::chat_message& one : from) {
+        messages.push_back({one.role(), one.content()});
+    }
+    return messages;
+}
+
+void to_wire(const stored_answer& from, wire::stored_answer* into)
+{
+    into->set_status(from.status);
+    into->set_content_type(from.content_type);
+    into->set_body(from.body);
+    into->set_prompt_tokens(from.prompt_tokens);
+    into->set_completion_tokens(from.completion_tokens);
+}
+
+stored_answer from_wire(const wire::stored_answer& from)
+{
+    return {from.status(), from.content_type(), from.body(), from.prompt_tokens(), from.completion_tokens()};
+}
+
+void to_wire(const budget_limits& from, wire::budget_limits* into)
+{
+    into->set_calls(from.calls);
+    into->set_tokens(from.tokens);
+    into->set_seconds(from.seconds);
+    into->set_idle_seconds(from.idle_seconds);
+}
+
+budget_limits from_wire(const wire::budget_limits& from)
+{
+    return {from.calls(), from.tokens(), from.seconds(), from.idle_seconds()};
+}
+
+open_request from_wire(const wire::open_call_request& from)
+{
+    open_request wish;
+    wish.key = {organisation_name{from.organisation()}, program_name{from.program()}};
+    wish.parent = program_name{from.parent()};
+    wish.root = program_name{from.root()};
+    wish.request = request_name{from.request_id()};
+    wish.wanted = {attempt_id{from.attempt()}, upstream_name{from.upstream()}, incarnation_id{from.upstream_incarnation()},
+                   from.upstream_endpoint(), incarnation_id{from.entry_incarnation()}};
+    wish.body = body_hash{from.body_hash()};
+    wish.most_tokens = from.most_tokens();
+    wish.repeatable = from.repeatable();
+    wish.ephemeral = from.ephemeral();
+    wish.keep_answer = from.keep_answer();
+    wish.alias_only = from.alias_only();
+    wish.budget = from_wire(from.budget());
+    wish.replaces = attempt_id{from.replaces_attempt()};
+    wish.messages = from_wire(from.messages());
+    return wish;
+}
+
+void to_wire(const open_result& from, wire::open_call_reply* into)
+{
+    into->set_outcome(static_cast<std::uint32_t>(from.outcome));
+    into->set_failure(static_cast<std::uint32_t>(from.why));
+    into->set_attempt(from.bound.attempt.value);
+    into->set_upstream(from.bound.upstream.value);
+    into->set_upstream_incarnation(from.bound.upstream_incarnation.value);
+    into->set_upstream_endpoint(from.bound.upstream_endpoint);
+    into->set_entry_incarnation(from.bound.entry.value);
+    into->set_repeatable(from.repeatable);
+    to_wire(from.history, into->mutable_history());
+    into->set_attained_tokens(from.attained_tokens);
+    if (from.outcome == open_outcome::stored) {
+        to_wire(from.answer, into->mutable_answer());
+    }
+    into->set_root(from.root.value);
+}
+
+close_request from_wire(const wire::close_call_request& from)
+{
+    close_request report;
+    report.key = {organisation_name{from.organisation()}, program_name{from.program()}};
+    report.attempt = attempt_id{from.attempt()};
+    report.outcome = static_cast<call_outcome>(from.outcome());
+    report.prompt_tokens = from.prompt_tokens();
+    report.completion_tokens = from.completion_tokens();
+    report.answer = from_wire(from.answer());
+    report.messages = from_wire(from.messages());
+    return report;
+}
+
+namespace {
+
+void encode_call(const call_state& call, wire::call_record* into)
+{
+    into->set_request_id(call.request.value);
+    into->set_status(static_cast<std::uint32_t>(call.status));
+    into->set_attempt(call.bound.attempt.value);
+    into->set_upstream(call.bound.upstream.value);
+    into->set_upstream_incarnation(call.bound.upstream_incarnation.value);
+    into->set_upstream_endpoint(call.bound.upstream_endpoint);
+    into->set_entry_incarnation(call.bound.entry.value);
+    into->set_repeatable(call.repeatable);
+    into->set_keep_answer(call.keep_answer);
+    into->set_body_hash(call.body.value);
+    into->set_most_tokens(call.reserved_tokens);
+    to_wire(call.messages, into->mutable_messages());
+    into->set_outcome(static_cast<std::uint32_t>(call.outcome));
+    to_wire(call.answer, into->mutable_answer());
+}
+
+call_state decode_call(const wire::call_record& from)
+{
+    call_state call;
+    call.request = request_name{from.request_id()};
+    call.status = static_cast<call_status>(from.status());
+    call.bound = {attempt_id{from.attempt()}, upstream_name{from.upstream()}, incarnation_id{from.upstream_incarnation()},
+                  from.upstream_endpoint(), incarnation_id{from.entry_incarnation()}};
+    call.repeatable = from.repeatable();
+    call.keep_answer = from.keep_answer();
+    call.body = body_hash{from.body_hash()};
+    call.reserved_tokens = from.most_tokens();
+    call.messages = from_wire(from.messages());
+    call.outcome = static_cast<call_outcome>(from.outcome());
+    call.answer = from_wire(from.answer());
+    return call;
+}
+
+void encode_program(const program_state& program, wire::program_record* into)
+{
+    into->set_organisation(program.key.organisation.value);
+    into->set_program(program.key.program.value);
+    into->set_parent(program.parent.value);
+    into->set_root(program.root.value);
+    into->set_ephemeral(program.ephemeral);
+    to_wire(program.budget, into->mutable_budget());
+    into->set_calls(program.calls);
+    into->set_tokens(program.tokens);
+    into->set_reserved_tokens(program.reserved_tokens);
+    into->set_attained(program.attained_tokens);
+    into->set_opened_at_ms(program.opened_at.count());
+    into->set_used_at_ms(program.used_at.count());
+    to_wire(program.history, into->mutable_history());
+    for (const call_state& call : program.open) {
+        encode_call(call, into->add_calls_open());
+    }
+    for (const call_state& call : program.closed) {
+        encode_call(call, into->add_calls_closed());
+    }
+    for (const upstream_name& holder : program.held_by) {
+        into->add_held_by(holder.value);
+    }
+}
+
+program_state decode_program(const wire::program_record& from)
+{
+    program_state program;
+    program.key = {organisation_name{from.organisation()}, program_name{from.program()}};
+    program.parent = program_name{from.parent()};
+    program.root = program_name{from.root()};
+    program.ephemeral = from.ephemeral();
+    program.budget = from_wire(from.budget());
+    program.calls = from.calls();
+    program.tokens = from.tokens();
+    program.reserved_tokens = from.reserved_tokens();
+    program.attained_tokens = from.attained();
+    program.opened_at = group_time{from.opened_at_ms()};
+    program.used_at = group_time{from.used_at_ms()};
+    program.history = from_wire(from.history());
+    for (const wire::call_record& call : from.calls_open()) {
+        program.open.push_back(decode_call(call));
+    }
+    for (const wire::call_record& call : from.calls_closed()) {
+        program.closed.push_back(decode_call(call));
+    }
+    for (const std::string& holder : from.held_by()) {
+        program.held_by.insert(upstream_name{holder});
+    }
+    return program;
+}
+
+} // namespace
+
+std::string encode_state(const ledger_state& state)
+{
+    wire::ledger_snapshot encoded;
+    encoded.set_group_time_ms(state.now.count());
+    std::map<program_key, const program_state*> sorted;
+    for (const auto& [key, program] : state.programs) {
+        sorted[key] = &program;
+    }
+    for (const auto& [key, program] : sorted) {
+        encode_program(*program, encoded.add_programs());
+    }
+    for (const auto& [key, upstreams] : state.to_free) {
+        wire::freed_program* freed = encoded.add_freed();
+        freed->set_organisation(key.organisation.value);
+        freed->set_program(key.program.value);
+        for (const upstream_name& upstream : upstreams) {
+            freed->add_upstreams(upstream.value);
+        }
+    }
+    for (const auto& [key, alias] : state.aliases) {
+        wire::alias_record* into = encoded.add_aliases();
+        into->set_organisation(key.organisation.value);
+        into->set_program(key.program.value);
+        into->set_root(alias.root.value);
+        into->set_used_at_ms(alias.used_at.count());
+    }
+    return encoded.SerializeAsString();
+}
+
+ledger_state decode_state(const std::string& bytes)
+{
+    wire::ledger_snapshot encoded;
+    if (!encoded.ParseFromString(bytes)) {
+        throw decode_error("a ledger snapshot does not decode");
+    }
+    ledger_state state;
+    state.now = group_time{encoded.group_time_ms()};
+    for (const wire::program_record& record : encoded.programs()) {
+        program_state program = decode_program(record);
+        const program_key key = program.key;
+        const group_time used_at = program.used_at;
+        program_state& placed = state.programs.emplace(key, std::move(program)).first->second;
+        const group_time now = state.now;
+        state.now = used_at;
+        touch_program(state, placed);
+        state.now = now;
+    }
+    for (auto& [key, program] : state.programs) {
+        if (program.root != key.program) {
+            state.programs[{key.organisation, program.root}].children.insert(key.program);
+        }
+    }
+    for (const wire::freed_program& freed : encoded.freed()) {
+        std::set<upstream_name>& upstreams = state.to_free[{organisation_name{freed.organisation()}, program_name{freed.program()}}];
+        for (const std::string& upstream : freed.upstreams()) {
+            upstreams.insert(upstream_name{upstream});
+        }
+    }
+    for (const wire::alias_record& alias : encoded.aliases()) {
+        state.aliases[{organisation_name{alias.organisation()}, program_name{alias.program()}}] = {program_name{alias.root()}, group_time{alias.used_at_ms()}};
+    }
+    return state;
+}
+
+} // namespace guavawick::ledger
--- /dev/null
+++ b/src/ledger/ledger_type.hpp
@@ -0,0 +1,197 @@
+// Types of the ledger: programs, their calls, histories and budgets. One shard's state; no I/O.
+#pragma once
+
+#include "base/clock_type.hpp"
+#include "base/failure_type.hpp"
+#include "base/id_type.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace guavawick::ledger {
+
+/// Time of a group: it advances only while the group has a leader, so that a lease is never too short.
+using group_time = std::chrono::milliseconds;
+
+/// Identity of a program; the organisation is part of it, so two organisations never meet in one history.
+struct program_key {
+    organisation_name organisation;
+    program_name program;
+
+    auto operator<=>(const program_key&) const = default;
+};
+
+struct program_key_hash {
+    std::size_t operator()(const program_key& key) const noexcept
+    {
+        return std::hash<organisation_name>{}(key.organisation) * 31 + std::hash<program_name>{}(key.program);
+    }
+};
+
+/// One message of a program's history.
+struct chat_message {
+    std::string role;
+    std::string content;
+
+    bool operator==(const chat_message&) const = default;
+};
+
+/// Limits of a root program and all its sub-agents; 0 means none.
+struct budget_limits {
+    std::uint64_t calls = 0;
+    std::uint64_t tokens = 0;
+    std::uint64_t seconds = 0;      ///< since the first call
+    std::uint64_t idle_seconds = 0; ///< 0: default_idle_seconds
+};
+
+constexpr std::uint64_t default_idle_seconds = 3600;
+constexpr std::size_t kept_closed_calls = 32; ///< outcomes remembered for resends, per program
+
+/// The answer of a call, kept for a resend.
+struct stored_answer {
+    std::uint32_t status = 0; ///< HTTP status
+    std::string content_type;
+    std::string body;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t completion_tokens = 0;
+};
+
+enum class call_status : std::uint8_t { waiting = 0, running = 1, closed = 2 };
+
+/// How a call ended.
+enum class call_outcome : std::uint8_t {
+    done = 0,      ///< the upstream answered
+    failed = 1,    ///< the upstream answered with an error; nothing joins the history
+    not_run = 2,   ///< it never started and never will; a resend may run
+    unknown = 3,   ///< it may have run; it never runs again
+    abandoned = 4, ///< repeatable and cut off; a resend may run
+};
+
+/// The upstream that an attempt is bound to.
+struct claim {
+    attempt_id attempt;
+    upstream_name upstream;
+    incarnation_id upstream_incarnation;
+    std::string upstream_endpoint; ///< of its sidecar
+    incarnation_id entry;          ///< entry that holds the call
+};
+
+/// One call of a program.
+struct call_state {
+    request_name request;                ///< idempotency key, or a random id
+    call_status status = call_status::waiting;
+    claim bound;                         ///< the one attempt that may run and close the call
+    bool repeatable = false;
+    bool keep_answer = false;            ///< the caller may resend it
+    body_hash body;
+    std::uint64_t reserved_tokens = 0;   ///< set aside while it runs
+    std::vector<chat_message> messages;  ///< what the caller adds to the history
+    call_outcome outcome = call_outcome::done;
+    stored_answer answer;
+};
+
+/// One program.
+struct program_state {
+    program_key key;
+    program_name parent;                ///< empty for a root
+    program_name root;                  ///< itself for a root
+    bool ephemeral = false;             ///< goes with its only call
+    budget_limits budget;               ///< roots only
+    std::uint64_t calls = 0;            ///< roots: calls of the family, running ones included
+    std::uint64_t tokens = 0;           ///< roots: tokens used by the family
+    std::uint64_t reserved_tokens = 0;  ///< roots: tokens set aside by running calls
+    std::uint64_t attained_tokens = 0;  ///< own work served, for the order of queues
+    group_time opened_at{};
+    group_time used_at{};
+    std::vector<chat_message> history;
+    std::deque<call_state> open;        ///< the first one runs, the others wait in order of arrival
+    std::deque<call_state> closed;      ///< newest last
+    std::set<upstream_name> held_by;    ///< upstreams whose engine may hold its memory
+    std::set<program_name> children;    ///< roots: the programs that live with it
+};
+
+/// A program that lives in the shard of its root.
+struct alias_state {
+    program_name root;
+    group_time used_at{};
+};
+
+/// One shard.
+struct ledger_state {
+    group_time now{};
+    std::unordered_map<program_key, program_state, program_key_hash> programs;
+    std::unordered_map<program_key, alias_state, program_key_hash> aliases;
+    std::set<std::pair<group_time, program_key>> expiries;        ///< when each program lapses if unused
+    std::map<program_key, std::set<upstream_name>> to_free;       ///< engine memory of programs that are gone
+    group_time aliases_checked_at{};                              ///< when unused aliases were last dropped
+};
+
+/// A wish to open a call.
+struct open_request {
+    program_key key;
+    program_name parent;
+    program_name root;        ///< empty for a program that lives in its own shard
+    request_name request;
+    claim wanted;
+    body_hash body;
+    std::uint64_t most_tokens = 0;
+    bool repeatable = false;
+    bool ephemeral = false;
+    bool keep_answer = false;
+    bool alias_only = false;  ///< only records that `key` lives with `root`
+    budget_limits budget;
+    attempt_id replaces;      ///< a settled attempt of the same call that this one takes over from
+    std::vector<chat_message> messages;
+};
+
+enum class open_outcome : std::uint8_t {
+    granted = 0, ///< run it at the claimed upstream
+    waiting = 1, ///< an earlier call of the program runs
+    stored = 2,  ///< here is the answer of the same request
+    running = 3, ///< the same request runs; join it
+    refused = 4, ///< see `why`
+    moved = 5,   ///< the program lives in the shard of `root`
+    settle = 6,  ///< an earlier call's entry is gone; settle its attempt first
+};
+
+struct open_result {
+    open_outcome outcome = open_outcome::refused;
+    failure why = failure::none;
+    claim bound;                             ///< granted, running, settle: the attempt
+    bool repeatable = false;                 ///< settle, running: of the bound call
+    std::vector<chat_message> history;       ///< granted: messages before the new ones
+    std::uint64_t attained_tokens = 0;
+    stored_answer answer;                    ///< stored
+    program_name root;                       ///< moved
+};
+
+/// A report of how an attempt ended.
+struct close_request {
+    program_key key;
+    attempt_id attempt;
+    call_outcome outcome = call_outcome::done;
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t completion_tokens = 0;
+    stored_answer answer;
+    std::vector<chat_message> messages; ///< the answer's messages
+};
+
+/// A call that a close let through.
+struct promotion {
+    program_key key;
+    request_name request;
+    open_result result;
+};
+
+struct close_result {
+    bool accepted = false; ///< this attempt's report counts, now or earlier
+    std::vector<promotion> promoted;
+};
+
+} // namespace guavawick::ledger
--- /dev/null
+++ b/src/limit/bucket_func.cpp
@@ -0,0 +1,143 @@
+// The owner's bucket and the entry's purse.
+#include "limit/bucket_func.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace guavawick::limit {
+namespace {
+
+constexpr double demand_window_seconds = 1.0; ///< time constant of the demand average
+constexpr double held_seconds = 0.25;         ///< an entry holds tokens for this much of its demand
+constexpr double largest_share = 0.5;         ///< of the burst, what one request may take
+constexpr double rounding = 1e-9;
+
+double decay(const purse& held, time_point now)
+{
+    return std::exp(-to_seconds(now - held.demand_at) / demand_window_seconds);
+}
+
+} // namespace
+
+bucket make_bucket(const limits& allowed, time_point now)
+{
+    bucket made;
+    made.allowed = allowed;
+    made.filled_at = now;
+    return made;
+}
+
+double lent(const bucket& owned)
+{
+    double sum = 0;
+    for (const auto& [entry, one] : owned.loans) {
+        sum += one.tokens;
+    }
+    return sum;
+}
+
+void refill(bucket& owned, time_point now)
+{
+    for (auto entry = owned.loans.begin(); entry != owned.loans.end();) {
+        entry = now >= entry->second.lapses_at ? owned.loans.erase(entry) : std::next(entry);
+    }
+    const double room = std::max(0.0, owned.allowed.burst - lent(owned));
+    const double filled = owned.level + owned.allowed.rate * to_seconds(now - owned.filled_at);
+    owned.level = std::min(filled, room);
+    owned.filled_at = std::max(owned.filled_at, now);
+}
+
+void set_limits(bucket& owned, const limits& allowed, time_point now)
+{
+    refill(owned, now);
+    owned.allowed = allowed;
+    owned.level = std::min(owned.level, std::max(0.0, allowed.burst - lent(owned)));
+}
+
+double borrow(bucket& owned, const borrow_request& wish, time_point now)
+{
+    refill(owned, now);
+    loan& one = owned.loans[wish.entry];
+    if (one.sequence != 0 && wish.sequence <= one.sequence) {
+        return wish.sequence == one.sequence ? one.last_grant : 0.0;
+    }
+    one.sequence = wish.sequence;
+    one.tokens = std::max(0.0, one.tokens - wish.spent);
+    one.lapses_at = now + giver_lease(token_lease);
+    if (wish.wanted < 0) {
+        const double returned = std::min(one.tokens, -wish.wanted);
+        one.tokens -= returned;
+        owned.level += returned;
+        one.last_grant = -returned;
+        return one.last_grant;
+    }
+    const double most = std::max(1.0, std::floor(owned.allowed.burst * largest_share));
+    const double granted = std::floor(std::min({wish.wanted, owned.level + rounding, most}));
+    owned.level = std::max(0.0, owned.level - granted);
+    one.tokens += granted;
+    one.last_grant = granted;
+    return granted;
+}
+
+duration wait_for_token(const bucket& owned)
+{
+    if (owned.level >= 1.0 || owned.allowed.rate <= 0) {
+        return duration{};
+    }
+    return from_seconds((1.0 - owned.level) / owned.allowed.rate);
+}
+
+bool spend(purse& held, time_point now)
+{
+    drop_lapsed(held, now);
+    if (held.tokens < 1.0) {
+        return false;
+    }
+    held.tokens -= 1.0;
+    held.spent += 1.0;
+    return true;
+}
+
+void note_demand(purse& held, time_point now)
+{
+    held.demand = held.demand * decay(held, now) + 1.0 / demand_window_seconds;
+    held.demand_at = now;
+    held.used_at = now;
+}
+
+purse_request prepare_request(purse& held, std::size_t waiting, time_point now)
+{
+    drop_lapsed(held, now);
+    const double recent = held.demand * decay(held, now);
+    const double target = static_cast<double>(waiting) + std::ceil(recent * held_seconds);
+    const double missing = target - held.tokens;
+    const bool surplus = missing < -1.0 && held.tokens > 2.0 * target;
+    purse_request request;
+    request.wanted = missing > 0 || surplus ? std::trunc(missing) : 0.0;
+    request.spent = held.spent;
+    if (request.wanted < 0) {
+        held.tokens += request.wanted; // what is given back must not be spent meanwhile
+    }
+    return request;
+}
+
+void receive_tokens(purse& held, double granted, double reported_spent, time_point asked_at, time_point now)
+{
+    drop_lapsed(held, now); // an answer never revives tokens of an earlier lease
+    held.tokens += std::max(0.0, granted);
+    held.spent = std::max(0.0, held.spent - reported_spent);
+    held.lapses_at = std::max(held.lapses_at, asked_at + holder_lease(token_lease));
+    drop_lapsed(held, now);
+}
+
+double drop_lapsed(purse& held, time_point now)
+{
+    if (held.tokens == 0 || now < held.lapses_at) {
+        return 0;
+    }
+    const double dropped = held.tokens;
+    held.tokens = 0;
+    return dropped;
+}
+
+} // namespace guavawick::limit
--- /dev/null
+++ b/src/limit/bucket_func.hpp
@@ -0,0 +1,46 @@
+// Decisions of fleet-wide rate limits. Pure; the caller names the time.
+#pragma once
+
+#include "limit/bucket_type.hpp"
+
+namespace guavawick::limit {
+
+/// What an entry asks of an owner.
+struct borrow_request {
+    incarnation_id entry;
+    std::uint64_t sequence = 0; ///< rises with each new request; equal for a resend
+    double spent = 0;           ///< tokens spent since the last request
+    double wanted = 0;          ///< whole tokens that it would like; negative gives tokens back
+};
+
+/// Makes an empty bucket. @pre all leases of an earlier owner have lapsed.
+bucket make_bucket(const limits& allowed, time_point now);
+/// Brings the level up to date and writes off lapsed loans as spent.
+void refill(bucket& owned, time_point now);
+/// Changes rate and burst. Tokens above a smaller burst are dropped.
+void set_limits(bucket& owned, const limits& allowed, time_point now);
+/// Lends whole tokens. @return how many; a resend gets the same answer.
+double borrow(bucket& owned, const borrow_request& wish, time_point now);
+/// @return tokens lent and not reported as spent.
+double lent(const bucket& owned);
+/// @return time until the bucket has a token for someone new.
+duration wait_for_token(const bucket& owned);
+
+/// Spends one token. @return false if there is none or the lease has ended.
+bool spend(purse& held, time_point now);
+/// Notes one request of the organisation, whether it got a token or not.
+void note_demand(purse& held, time_point now);
+/// What an entry puts into its next request to an owner.
+struct purse_request {
+    double wanted = 0; ///< negative gives tokens back
+    double spent = 0;  ///< spent since the last answered request
+};
+
+/// Decides what to ask for, with `waiting` requests in the entry's queue. Tokens given back leave the purse at once.
+purse_request prepare_request(purse& held, std::size_t waiting, time_point now);
+/// Takes an answer of the owner in. @param asked_at when the entry asked, before the request was sent.
+void receive_tokens(purse& held, double granted, double reported_spent, time_point asked_at, time_point now);
+/// Drops tokens whose lease has ended. @return how many were dropped.
+double drop_lapsed(purse& held, time_point now);
+
+} // namespace guavawick::limit
--- /dev/null
+++ b/src/main/main.cpp
@@ -0,0 +1,142 @@
+// The guavawick binary: the first word of the command line picks the role or the operator's command.
+#include "base/event_type.hpp"
+#include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
+#include "base/settings_type.hpp"
+#include "operator/client_cmd.hpp"
+#include "standalone/roles.hpp"
+#include "table/command_table.hpp"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+
+#include <cstdlib>
+#include <iostream>
+
+ABSL_FLAG(std::string, settings, "", "TOML settings file of the role");
+ABSL_FLAG(bool, check_settings, false, "check the settings file, print its faults and exit");
+ABSL_FLAG(std::string, operator_address, "http://127.0.0.1:8090", "operator address of a replica");
+ABSL_FLAG(std::string, operator_key, "", "the operator's key; GUAVAWICK_OPERATOR_KEY is used if this is empty");
+ABSL_FLAG(std::string, file, "", "configuration set file");
+ABSL_FLAG(int64_t, expect_revision, -1, "publish only if this is the present revision; -1 takes the present one");
+ABSL_FLAG(std::string, request_id, "", "the same for a resend of a publication; empty makes a new one");
+ABSL_FLAG(bool, dry_run, false, "tell what would change, without effect");
+ABSL_FLAG(bool, json, false, "print JSON instead of tables");
+ABSL_FLAG(int64_t, after, 0, "audit: only revisions after this one");
+
+namespace guavawick {
+namespace {
+
+operators::client_options make_client_options()
+{
+    operators::client_options options;
+    options.address = absl::GetFlag(FLAGS_operator_address);
+    options.key = absl::GetFlag(FLAGS_operator_key);
+    const char* from_environment = std::getenv("GUAVAWICK_OPERATOR_KEY");
+    if (options.key.empty() && from_environment != nullptr) {
+        options.key = from_environment;
+    }
+    options.file = absl::GetFlag(FLAGS_file);
+    options.request_id = absl::GetFlag(FLAGS_request_id);
+    options.expect_revision = absl::GetFlag(FLAGS_expect_revision);
+    options.after = static_cast<std::uint64_t>(std::max<std::int64_t>(0, absl::GetFlag(FLAGS_after)));
+    options.dry_run = absl::GetFlag(FLAGS_dry_run);
+    options.json = absl::GetFlag(FLAGS_json);
+    return options;
+}
+
+void print_help(std::ostream& out)
+{
+    out << "guavawick schedules agent programs.\n\nusage: guavawick COMMAND [FLAGS]\n\n";
+    for (const command_row& row : command_table) {
+        out << "  " << row.name << std::string(14 - std::string(row.name).size(), ' ') << row.summary << "\n";
+    }
+    out << "\n`guavawick COMMAND --help` tells a command's flags.\n"
+           "exit codes: 0 done, 1 refused, 2 wrong command line or settings, 3 the disk failed, 4 no replica answered\n";
+}
+
+void print_command_help(const command_row& row, std::ostream& out)
+{
+    out << "usage: guavawick " << row.name << " " << row.usage << "\n\n" << row.summary << "\n\n" << row.help << "\n";
+}
+
+int run_role(role_kind role)
+{
+    const std::string path = absl::GetFlag(FLAGS_settings);
+    if (path.empty()) {
+        std::cerr << "--settings FILE is needed\n";
+        return operators::exit_usage;
+    }
+    settings given;
+    try {
+        given = read_settings(path, role);
+    }
+    catch (const settings_error& fault) {
+        std::cerr << fault.what() << "\n";
+        return operators::exit_usage;
+    }
+    if (absl::GetFlag(FLAGS_check_settings)) {
+        std::cout << path << ": no faults\n";
+        return operators::exit_done;
+    }
+    return run_process(given, role);
+}
+
+int run_command(const command_row& row, const std::vector<std::string>& words)
+{
+    if (row.role) {
+        return run_role(*row.role);
+    }
+    if (std::string(row.name) == "hash-key") {
+        std::string key;
+        std::getline(std::cin, key);
+        std::cout << sha256_hex(key) << "\n";
+        return operators::exit_done;
+    }
+    operators::client_options options = make_client_options();
+    if (row.needs_file && options.file.empty()) {
+        std::cerr << "--file FILE is needed\n";
+        return operators::exit_usage;
+    }
+    return operators::run_client(row.name, words, options);
+}
+
+int run_main(int argc, char** argv)
+{
+    const std::string name = argc > 1 ? argv[1] : "";
+    if (name.empty() || name == "--help" || name == "help") {
+        print_help(name.empty() ? std::cerr : std::cout);
+        return name.empty() ? operators::exit_usage : operators::exit_done;
+    }
+    const command_row* row = find_command(name);
+    if (row == nullptr) {
+        std::cerr << "unknown command \"" << name << "\"; see `guavawick --help`\n";
+        return operators::exit_usage;
+    }
+    for (int i = 2; i < argc; ++i) {
+        if (std::string(argv[i]) == "--help") {
+            print_command_help(*row, std::cout);
+            return operators::exit_done;
+        }
+    }
+    std::vector<char*> rest(argv + 1, argv + argc);
+    const std::vector<char*> left = absl::ParseCommandLine(static_cast<int>(rest.size()), rest.data());
+    const std::vector<std::string> words(left.begin() + 1, left.end());
+    return run_command(*row, words);
+}
+
+} // namespace
+} // namespace guavawick
+
+int main(int argc, char** argv)
+{
+    try {
+        return guavawick::run_main(argc, argv);
+    }
+    catch (const std::exception& fault) {
+        std::cerr << "guavawick: " << fault.what() << "\n";
+        return guavawick::operators::exit_refused;
+    }
+}
--- /dev/null
+++ b/src/operator/operator_json.cpp
@@ -0,0 +1,202 @@
+// JSON forms of the operators' API.
+#include "operator/operator_json.hpp"
+
+#include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
+#include "configuration/configuration_codec.hpp"
+#include "configuration/configuration_func.hpp"
+#include "wire.pb.h"
+
+#include <boost/json.hpp>
+
+namespace guavawick::operators {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object parse_object(const std::string& body)
+{
+    boost::system::error_code wrong;
+    json::value parsed = json::parse(body, wrong);
+    if (wrong || !parsed.is_object()) {
+        throw refusal_error(failure::bad_request, "the body is no JSON object");
+    }
+    return std::move(parsed.as_object());
+}
+
+const json::value& need(const json::object& body, const char* name)
+{
+    const json::value* found = body.if_contains(name);
+    if (found == nullptr) {
+        throw refusal_error(failure::bad_request, std::string("the body lacks \"") + name + "\"");
+    }
+    return *found;
+}
+
+void read_object(const std::string& kind, const json::object& objects, wire::apply_request* into)
+{
+    const auto known = configuration::to_object_kind(kind);
+    if (!known) {
+        throw refusal_error(failure::bad_request, "\"" + kind + "\" is no kind of object");
+    }
+    for (const auto& [name, fields] : objects) {
+        wire::config_object* made = into->add_objects();
+        made->set_kind(static_cast<std::uint32_t>(*known));
+        made->set_name(std::string(name));
+        if (!fields.is_object()) {
+            throw refusal_error(failure::bad_request, kind + "." + std::string(name) + ": expected an object of texts");
+        }
+        for (const auto& [field, value] : fields.as_object()) {
+            if (!value.is_string()) {
+                throw refusal_error(failure::bad_request, kind + "." + std::string(name) + "." + std::string(field) + ": expected a text");
+            }
+            wire::object_field* placed = made->add_fields();
+            placed->set_name(std::string(field));
+            placed->set_value(std::string(value.as_string()));
+        }
+    }
+}
+
+std::uint64_t to_number(const json::value& value, const char* name)
+{
+    if (value.is_uint64()) {
+        return value.as_uint64();
+    }
+    if (value.is_int64() && value.as_int64() >= 0) {
+        return static_cast<std::uint64_t>(value.as_int64());
+    }
+    throw refusal_error(failure::bad_request, std::string("\"") + name + "\": expected a whole number");
+}
+
+json::array texts(const google::protobuf::RepeatedPtrField<std::string>& from)
+{
+    json::array list;
+    for (const std::string& one : from) {
+        list.emplace_back(one);
+    }
+    return list;
+}
+
+const char* role_name(std::uint32_t role)
+{
+    constexpr std::array names{"follower", "pre_candidate", "candidate", "leader"};
+    return role < names.size() ? names[role] : "unknown";
+}
+
+json::object group_json(const wire::group_status& from)
+{
+    json::array members;
+    for (const wire::member& one : from.members()) {
+        members.push_back(json::object{{"name", one.name()}, {"endpoint", one.endpoint()}, {"voter", one.voter()}, {"disk", to_hex(one.id())}});
+    }
+    return {{"group", from.group()},     {"role", role_name(from.role())}, {"leader", from.leader()}, {"term", from.term()},
+            {"commit", from.commit()},   {"applied", from.applied()},      {"last", from.last()},     {"members", members}};
+}
+
+} // namespace
+
+void read_apply(const std::string& body, wire::apply_request* into)
+{
+    const json::object parsed = parse_object(body);
+    into->set_expect_revision(to_number(need(parsed, "expect_revision"), "expect_revision"));
+    const json::value& request_id = need(parsed, "request_id");
+    if (!request_id.is_string()) {
+        throw refusal_error(failure::bad_request, "\"request_id\": expected a text");
+    }
+    into->set_request_id(std::string(request_id.as_string()));
+    const json::value* dry_run = parsed.if_contains("dry_run");
+    into->set_dry_run(dry_run != nullptr && dry_run->is_bool() && dry_run->as_bool());
+    const json::value& objects = need(parsed, "objects");
+    if (!objects.is_object()) {
+        throw refusal_error(failure::bad_request, "\"objects\": expected an object");
+    }
+    for (const auto& [kind, named] : objects.as_object()) {
+        if (!named.is_object()) {
+            throw refusal_error(failure::bad_request, std::string(kind) + ": expected an object");
+        }
+        read_object(std::string(kind), named.as_object(), into);
+    }
+}
+
+std::string read_text(const std::string& body, const char* name)
+{
+    const json::object parsed = parse_object(body);
+    const json::value& value = need(parsed, name);
+    if (!value.is_string()) {
+        throw refusal_error(failure::bad_request, std::string("\"") + name + "\": expected a text");
+    }
+    return std::string(value.as_string());
+}
+
+std::uint64_t read_number(const std::string& body, const char* name)
+{
+    return to_number(need(parse_object(body), name), name);
+}
+
+json::value to_json(const wire::apply_reply& from)
+{
+    json::array faults;
+    for (const wire::config_fault& one : from.faults()) {
+        faults.push_back(json::object{{"object", one.object()}, {"field", one.field()}, {"reason", one.reason()}});
+    }
+    return json::object{{"failure", find_failure(to_failure(from.failure())).name},
+                        {"revision", from.revision()},
+                        {"published_by", from.published_by()},
+                        {"faults", faults},
+                        {"changes", texts(from.changes())}};
+}
+
+json::value to_json(const wire::get_reply& from)
+{
+    json::object objects;
+    for (const auto& [key, fields] : configuration::set_from_wire(from.objects())) {
+        json::object made;
+        for (const auto& [name, value] : fields) {
+            made[name] = value;
+        }
+        const char* kind = configuration::to_string(key.kind);
+        if (!objects.contains(kind)) {
+            objects[kind] = json::object{};
+        }
+        objects[kind].as_object()[key.name] = std::move(made);
+    }
+    return json::object{{"revision", from.revision()}, {"objects", objects}};
+}
+
+json::value to_json(const wire::audit_reply& from)
+{
+    json::array records;
+    for (const wire::audit_record& one : from.records()) {
+        records.push_back(json::object{{"revision", one.revision()},
+                                       {"operator", one.operator_name()},
+                                       {"request_id", one.request_id()},
+                                       {"unix_ms", one.unix_ms()},
+                                       {"changes", texts(one.changes())}});
+    }
+    return json::object{{"records", records}};
+}
+
+json::value to_json(const wire::status_reply& from)
+{
+    json::array groups;
+    for (const wire::group_status& one : from.groups()) {
+        groups.push_back(group_json(one));
+    }
+    json::array upstreams;
+    for (const wire::upstream_record& one : from.upstreams()) {
+        upstreams.push_back(json::object{{"name", one.name()},
+                                         {"data_centre", one.data_centre()},
+                                         {"kind", one.kind() == 2 ? "service" : "model"},
+                                         {"serves", one.serves()},
+                                         {"leaving", one.leaving()},
+                                         {"incarnation", to_hex(one.incarnation())}});
+    }
+    json::array processes;
+    for (const wire::process_status& one : from.processes()) {
+        processes.push_back(json::object{{"name", one.name()}, {"role", one.role()}, {"revision", one.revision()}, {"silent_ms", one.silent_ms()}});
+    }
+    return json::object{{"replica", from.name()}, {"revision", from.revision()}, {"groups", groups}, {"upstreams", upstreams}, {"processes", processes}};
+}
+
+} // namespace guavawick::operators
--- /dev/null
+++ b/src/operator/table_print.cpp
@@ -0,0 +1,135 @@
+// Tables for people, from the operators' API.
+#include "operator/table_print.hpp"
+
+#include "configuration/configuration_func.hpp"
+#include "table/object_table.hpp"
+
+#include <boost/json.hpp>
+
+#include <ctime>
+#include <iomanip>
+#include <iostream>
+
+namespace guavawick::operators {
+
+namespace json = boost::json;
+
+namespace {
+
+using row = std::vector<std::string>;
+
+void print_table(const std::vector<row>& rows)
+{
+    std::vector<std::size_t> widths;
+    for (const row& one : rows) {
+        widths.resize(std::max(widths.size(), one.size()));
+        for (std::size_t i = 0; i < one.size(); ++i) {
+            widths[i] = std::max(widths[i], one[i].size());
+        }
+    }
+    for (const row& one : rows) {
+        for (std::size_t i = 0; i < one.size(); ++i) {
+            std::cout << (i == 0 ? "" : "  ") << std::left << std::setw(static_cast<int>(widths[i])) << one[i];
+        }
+        std::cout << "\n";
+    }
+}
+
+std::string cell(const json::object& from, const char* name)
+{
+    const json::value& value = from.at(name);
+    return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
+}
+
+std::string quoted_value(configuration::object_kind kind, const std::string& field, const std::string& value)
+{
+    for (const configuration::field_row& one : configuration::field_table) {
+        if (one.kind != kind || field != one.name) {
+            continue;
+        }
+        const bool bare = one.type == configuration::field_type::number || one.type == configuration::field_type::decimal || one.type == configuration::field_type::boolean;
+        if (bare) {
+            return value;
+        }
+        if (one.type == configuration::field_type::references) {
+            std::string list;
+            for (const std::string& item : configuration::split_list(value)) {
+                list += (list.empty() ? "\"" : ", \"") + item + "\"";
+            }
+            return "[" + list + "]";
+        }
+    }
+    return "\"" + value + "\"";
+}
+
+std::string time_text(std::int64_t unix_ms)
+{
+    constexpr std::int64_t ms_per_second = 1000;
+    const std::time_t seconds = unix_ms / ms_per_second;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text{};
+    std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return text.data();
+}
+
+} // namespace
+
+void print_set(const configuration::object_set& objects)
+{
+    for (const auto& [key, fields] : objects) {
+        const bool bare = key.name.find('.') == std::string::npos;
+        std::cout << "\n[" << configuration::to_string(key.kind) << "." << (bare ? key.name : "\"" + key.name + "\"") << "]\n";
+        for (const auto& [name, value] : fields) {
+            std::cout << name << " = " << quoted_value(key.kind, name, value) << "\n";
+        }
+    }
+}
+
+void print_audit(const json::object& answer)
+{
+    std::vector<row> rows{{"REVISION", "TIME", "OPERATOR", "REQUEST", "CHANGE"}};
+    for (const json::value& one : answer.at("records").as_array()) {
+        const json::object& record = one.as_object();
+        bool first = true;
+        for (const json::value& change : record.at("changes").as_array()) {
+            const std::string text(change.as_string());
+            rows.push_back(first ? row{cell(record, "revision"), time_text(record.at("unix_ms").to_number<std::int64_t>()), cell(record, "operator"), cell(record, "request_id"), text}
+                                 : row{"", "", "", "", text});
+            first = false;
+        }
+    }
+    print_table(rows);
+}
+
+void print_status(const json::object& answer)
+{
+    std::cout << "replica " << cell(answer, "replica") << ", revision " << cell(answer, "revision") << "\n\n";
+    std::vector<row> groups{{"GROUP", "ROLE", "LEADER", "TERM", "COMMIT", "APPLIED", "MEMBERS"}};
+    for (const json::value& one : answer.at("groups").as_array()) {
+        const json::object& group = one.as_object();
+        std::string members;
+        for (const json::value& item : group.at("members").as_array()) {
+            const json::object& member = item.as_object();
+            members += (members.empty() ? "" : ",") + cell(member, "name") + (member.at("voter").as_bool() ? "" : "(learner)");
+        }
+        groups.push_back({cell(group, "group"), cell(group, "role"), cell(group, "leader"), cell(group, "term"), cell(group, "commit"), cell(group, "applied"), members});
+    }
+    print_table(groups);
+    std::vector<row> upstreams{{"UPSTREAM", "DATA CENTRE", "KIND", "SERVES", "LEAVING", "INCARNATION"}};
+    for (const json::value& one : answer.at("upstreams").as_array()) {
+        const json::object& upstream = one.as_object();
+        upstreams.push_back({cell(upstream, "name"), cell(upstream, "data_centre"), cell(upstream, "kind"), cell(upstream, "serves"), cell(upstream, "leaving"), cell(upstream, "incarnation")});
+    }
+    std::cout << "\n";
+    print_table(upstreams);
+    std::vector<row> processes{{"PROCESS", "ROLE", "REVISION", "SILENT MS"}};
+    for (const json::value& one : answer.at("processes").as_array()) {
+        const json::object& process = one.as_object();
+        processes.push_back({cell(process, "name"), cell(process, "role"), cell(process, "revision"), cell(process, "silent_ms")});
+    }
+    std::cout << "\n";
+    print_table(processes);
+}
+
+} // namespace guavawick::operators
--- /dev/null
+++ b/src/replica/group.hpp
@@ -0,0 +1,123 @@
+// Drives one consensus group: a thread that steps the algorithm, syncs, sends and applies.
+#pragma once
+
+#include "consensus/consensus_func.hpp"
+#include "replica/log_store.hpp"
+#include "wire/link_type.hpp"
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace guavawick::replica {
+
+/// The state machine of a group. Every function is called by the group's thread only.
+struct state_machine {
+    std::function<wire::envelope(const std::string& command)> apply; ///< executes a committed command, gives its answer
+    std::function<std::string()> save;                               ///< encodes the state
+    std::function<void(const std::string&)> restore;                 ///< replaces the state
+    std::function<void(bool leads)> leadership_changed;
+    std::function<void(time_point)> tick;                            ///< about every tick_interval
+};
+
+/// How a proposal ended: the command's answer, or nullptr if this replica lost the lead before the commit.
+using proposal_done = std::function<void(const wire::envelope*)>;
+
+/// What people are told of a group.
+struct group_report {
+    consensus::role_type role = consensus::role_type::follower;
+    consensus::term_number term = 0;
+    consensus::log_index commit = 0;
+    consensus::log_index applied = 0;
+    consensus::log_index last = 0;
+    std::string leader;
+    std::uint64_t syncs = 0;
+    std::uint64_t proposals = 0;
+    consensus::membership members;
+};
+
+/// One group of this replica. Thread safety: post() and handle() from any thread, the rest from the group's thread.
+class group {
+public:
+    group(std::uint32_t number, const replica_settings& settings, consensus::member_id self,
+          const std::vector<replica_address>& replicas, wire::link& links);
+    ~group();
+    group(const group&) = delete;
+    group& operator=(const group&) = delete;
+
+    /// Starts the thread. @pre called once.
+    void start(state_machine machine);
+    /// Hands leadership over if this replica leads, then stops the thread.
+    void stop();
+    /// Runs a function on the group's thread.
+    void post(std::function<void()> work);
+    /// Takes in a message of another member. @param endpoint where that member listens.
+    void handle(consensus::message received, const std::string& endpoint);
+    /// Takes in a blank replica's wish to join: a leader adds it as a learner, a blank replica remembers it.
+    void handle_join(const consensus::member& joining);
+    /// Removes the members of a name.
+    void remove(const std::string& name, std::function<void(consensus::change_result)> done);
+
+    /// Proposes a command. @pre on the group's thread.
+    void propose(std::string command, proposal_done done);
+    /// Tells whether the applied state is current. @pre on the group's thread.
+    [[nodiscard]] bool may_read() const;
+    /// @return whether this replica leads. @pre on the group's thread.
+    [[nodiscard]] bool leads() const;
+    /// @return the link endpoint of the leader, empty if unknown. @pre on the group's thread.
+    [[nodiscard]] std::string leader_endpoint() const;
+    /// @return what people are told. @pre on the group's thread.
+    [[nodiscard]] group_report report() const;
+    /// @return the group's number; 0 is control.
+    [[nodiscard]] std::uint32_t number() const { return number_; }
+    /// @return whether the group holds nothing yet and knows no members. @pre on the group's thread.
+    [[nodiscard]] bool is_blank() const;
+
+private:
+    struct waiting_proposal {
+        consensus::term_number term;
+        proposal_done done;
+    };
+
+    void run();
+    void work_once(std::vector<std::function<void()>>& work);
+    void carry_out(consensus::effects& wanted);
+    void send(const std::vector<consensus::message>& messages);
+    void apply(const consensus::log_entry& entry);
+    void fail_proposals();
+    void snapshot_if_due();
+    void found_or_join(time_point now);
+    void found(const std::map<std::string, consensus::member_id>& ids);
+    [[nodiscard]] std::string endpoint_of(consensus::member_id id) const;
+
+    std::uint32_t number_;
+    replica_settings settings_;
+    std::vector<replica_address> replicas_;
+    wire::link& links_;
+    log_store store_;
+    consensus::group_state state_;
+    state_machine machine_;
+    consensus::effects pending_;                      ///< effects of the work in hand
+    std::map<consensus::log_index, waiting_proposal> proposals_;
+    std::map<consensus::member_id, std::string> learned_endpoints_;
+    std::map<std::string, consensus::member_id> blank_peers_; ///< answers of blank replicas while this one is blank
+    time_point next_probe_{};
+    time_point next_machine_tick_{};
+    time_point next_repair_{};
+    consensus::log_index snapshot_at_ = 0;
+    std::uint64_t proposal_count_ = 0;
+    bool failed_ = false;
+
+    std::mutex mutex_; ///< guards the two below; a leaf in the lock order
+    std::vector<std::function<void()>> inbox_;
+    bool stopping_ = false;
+    std::condition_variable wake_;
+    std::thread thread_;
+};
+
+} // namespace guavawick::replica
--- /dev/null
+++ b/src/replica/log_store.cpp
@@ -0,0 +1,347 @@
+// Files of one consensus group.
+#include "replica/log_store.hpp"
+
+#include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
+#include "replica/consensus_codec.hpp"
+#include "wire.pb.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+#include <unistd.h>
+
+namespace guavawick::replica {
+namespace {
+
+constexpr std::size_t frame_header_size = 8;            ///< length and CRC, 4 bytes each
+constexpr std::uint32_t max_record_size = 1U << 30U;    ///< longer lengths are damage
+constexpr mode_t file_mode = 0600;
+
+[[noreturn]] void fail(const std::string& path, const char* action)
+{
+    throw storage_error(path + ": " + action + ": " + std::strerror(errno));
+}
+
+void put_u32(std::string& into, std::uint32_t value)
+{
+    for (unsigned shift = 0; shift < 32; shift += 8) {
+        into.push_back(static_cast<char>((value >> shift) & 0xFFU));
+    }
+}
+
+std::uint32_t get_u32(const std::string& from, std::size_t at)
+{
+    std::uint32_t value = 0;
+    for (unsigned i = 0; i < 4; ++i) {
+        value |= static_cast<std::uint32_t>(static_cast<unsigned char>(from[at + i])) << (8 * i);
+    }
+    return value;
+}
+
+std::string read_file(const std::string& path)
+{
+    std::ifstream file(path, std::ios::binary);
+    if (!file) {
+        return {};
+    }
+    std::ostringstream bytes;
+    bytes << file.rdbuf();
+    return bytes.str();
+}
+
+void write_all(int fd, const std::string& bytes, const std::string& path)
+{
+    std::size_t done = 0;
+    while (done < bytes.size()) {
+        const ssize_t written = ::write(fd, bytes.data() + done, bytes.size() - done);
+        if (written < 0 && errno == EINTR) {
+            continue;
+        }
+        if (written < 0) {
+            fail(path, "write");
+        }
+        done += static_cast<std::size_t>(written);
+    }
+}
+
+void sync_folder(const std::string& folder)
+{
+    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (fd < 0 || ::fsync(fd) != 0) {
+        fail(folder, "sync");
+    }
+    ::close(fd);
+}
+
+/// Writes a file whole: to a name beside it, synced, then renamed.
+void replace_file(const std::string& folder, const std::string& name, const std::string& bytes)
+{
+    const std::string path = folder + "/" + name;
+    const std::string fresh = path + ".new";
+    const int fd = ::open(fresh.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
+    if (fd < 0) {
+        fail(fresh, "open");
+    }
+    write_all(fd, bytes, fresh);
+    if (::fsync(fd) != 0) {
+        fail(fresh, "sync");
+    }
+    ::close(fd);
+    if (::rename(fresh.c_str(), path.c_str()) != 0) {
+        fail(path, "rename");
+    }
+    sync_folder(folder);
+}
+
+void make_folder(const std::string& folder)
+{
+    std::error_code failed;
+    std::filesystem::create_directories(folder, failed);
+    if (failed) {
+        throw storage_error(folder + ": can't be made: " + failed.message());
+    }
+}
+
+/// @return whether an intact record starts at `at`.
+bool is_intact(const std::string& bytes, std::size_t at)
+{
+    if (at + frame_header_size > bytes.size()) {
+        return false;
+    }
+    const std::uint32_t size = get_u32(bytes, at);
+    if (size == 0 || size > max_record_size || at + frame_header_size + size > bytes.size()) {
+        return false;
+    }
+    return crc32c({bytes.data() + at + frame_header_size, size}) == get_u32(bytes, at + 4);
+}
+
+std::string encode_hard_state(consensus::term_number term, consensus::member_id voted_for)
+{
+    wire::log_file_record record;
+    record.mutable_hard_state()->set_term(term);
+    record.mutable_hard_state()->set_voted_for(voted_for.value);
+    return frame_record(record.SerializeAsString());
+}
+
+std::string encode_entry(const consensus::log_entry& entry)
+{
+    wire::log_file_record record;
+    to_wire(entry, record.mutable_entry());
+    return frame_record(record.SerializeAsString());
+}
+
+std::string encode_truncation(consensus::log_index after)
+{
+    wire::log_file_record record;
+    record.set_truncate_after(after);
+    return frame_record(record.SerializeAsString());
+}
+
+void load_record(const wire::log_file_record& record, consensus::persisted_state& into)
+{
+    switch (record.body_case()) {
+    case wire::log_file_record::kEntry:
+        into.entries.push_back(from_wire(record.entry()));
+        return;
+    case wire::log_file_record::kHardState:
+        into.term = record.hard_state().term();
+        into.voted_for = consensus::member_id{record.hard_state().voted_for()};
+        return;
+    case wire::log_file_record::kTruncateAfter:
+        std::erase_if(into.entries, [&](const consensus::log_entry& entry) { return entry.index > record.truncate_after(); });
+        return;
+    case wire::log_file_record::BODY_NOT_SET:
+        return;
+    }
+}
+
+} // namespace
+
+std::string frame_record(const std::string& bytes)
+{
+    std::string framed;
+    framed.reserve(bytes.size() + frame_header_size);
+    put_u32(framed, static_cast<std::uint32_t>(bytes.size()));
+    put_u32(framed, crc32c(bytes));
+    return framed + bytes;
+}
+
+std::vector<std::string> read_records(const std::string& bytes, std::size_t& valid_bytes)
+{
+    std::vector<std::string> records;
+    std::size_t at = 0;
+    while (is_intact(bytes, at)) {
+        const std::uint32_t size = get_u32(bytes, at);
+        records.push_back(bytes.substr(at + frame_header_size, size));
+        at += frame_header_size + size;
+    }
+    valid_bytes = at;
+    if (at + frame_header_size <= bytes.size()) {
+        const std::uint64_t next = at + frame_header_size + get_u32(bytes, at);
+        if (next < bytes.size() && is_intact(bytes, next)) {
+            throw storage_error("a damaged record stands before intact ones");
+        }
+    }
+    return records;
+}
+
+log_store::log_store(std::string folder) : folder_(std::move(folder))
+{
+    make_folder(folder_);
+    read_snapshot();
+    read_log();
+    open_log();
+}
+
+log_store::~log_store()
+{
+    if (log_fd_ >= 0) {
+        ::close(log_fd_);
+    }
+}
+
+void log_store::read_snapshot()
+{
+    const std::string path = folder_ + "/snapshot";
+    const std::string bytes = read_file(path);
+    if (bytes.empty()) {
+        return;
+    }
+    std::size_t valid = 0;
+    const std::vector<std::string> records = read_records(bytes, valid);
+    wire::snapshot_record record;
+    if (records.size() != 1 || valid != bytes.size() || !record.ParseFromString(records.front())) {
+        throw storage_error(path + ": damaged");
+    }
+    loaded_.newest_snapshot = from_wire(record);
+}
+
+void log_store::read_log()
+{
+    const std::string path = folder_ + "/log";
+    const std::string bytes = read_file(path);
+    std::size_t valid = 0;
+    std::vector<std::string> records;
+    try {
+        records = read_records(bytes, valid);
+    }
+    catch (const storage_error& fault) {
+        throw storage_error(path + ": " + fault.what());
+    }
+    for (const std::string& one : records) {
+        wire::log_file_record record;
+        if (!record.ParseFromString(one)) {
+            throw storage_error(path + ": a record does not decode");
+        }
+        load_record(record, loaded_);
+    }
+    if (valid < bytes.size()) {
+        tail_was_cut_ = true;
+        if (::truncate(path.c_str(), static_cast<off_t>(valid)) != 0) {
+            fail(path, "truncate");
+        }
+    }
+    log_bytes_ = valid;
+}
+
+void log_store::open_log()
+{
+    const std::string path = folder_ + "/log";
+    log_fd_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
+    if (log_fd_ < 0) {
+        fail(path, "open");
+    }
+    sync();
+    sync_folder(folder_);
+}
+
+void log_store::write_out(const std::string& bytes)
+{
+    write_all(log_fd_, bytes, folder_ + "/log");
+    log_bytes_ += bytes.size();
+}
+
+void log_store::sync()
+{
+    if (::fdatasync(log_fd_) != 0) {
+        fail(folder_ + "/log", "sync");
+    }
+    ++syncs_;
+}
+
+void log_store::persist(const consensus::group_state& state, const consensus::effects& wanted)
+{
+    if (wanted.install) {
+        write_snapshot(state);
+        return;
+    }
+    std::string bytes;
+    if (wanted.truncate_after) {
+        bytes += encode_truncation(*wanted.truncate_after);
+    }
+    for (const consensus::log_entry& entry : wanted.appended) {
+        bytes += encode_entry(entry);
+    }
+    if (wanted.hard_state_changed) {
+        bytes += encode_hard_state(state.term, state.voted_for);
+    }
+    if (bytes.empty()) {
+        return;
+    }
+    write_out(bytes);
+    sync();
+}
+
+void log_store::write_snapshot(const consensus::group_state& state)
+{
+    wire::snapshot_record record;
+    to_wire(*state.newest_snapshot, &record);
+    replace_file(folder_, "snapshot", frame_record(record.SerializeAsString()));
+    rewrite_log(state);
+}
+
+void log_store::rewrite_log(const consensus::group_state& state)
+{
+    std::string bytes = encode_hard_state(state.term, state.voted_for);
+    for (const consensus::log_entry& entry : state.entries) {
+        bytes += encode_entry(entry);
+    }
+    replace_file(folder_, "log", bytes);
+    ::close(log_fd_);
+    log_bytes_ = bytes.size();
+    open_log();
+}
+
+disk_identity open_identity(const std::string& data_folder)
+{
+    make_folder(data_folder);
+    const std::string path = data_folder + "/identity";
+    const std::string bytes = read_file(path);
+    if (!bytes.empty()) {
+        std::size_t valid = 0;
+        const std::vector<std::string> records = read_records(bytes, valid);
+        wire::hard_state_record record;
+        if (records.size() != 1 || !record.ParseFromString(records.front()) || record.voted_for() == 0) {
+            throw storage_error(path + ": damaged");
+        }
+        return {consensus::member_id{record.voted_for()}, false};
+    }
+    // Without an identity nothing else in the folder can be trusted either.
+    std::error_code ignored;
+    for (const auto& item : std::filesystem::directory_iterator(data_folder, ignored)) {
+        if (item.path().filename().string().rfind("group-", 0) == 0) {
+            throw storage_error(data_folder + ": has groups but no identity; empty the folder to join with a blank disk");
+        }
+    }
+    wire::hard_state_record record;
+    record.set_voted_for(random_id());
+    replace_file(data_folder, "identity", frame_record(record.SerializeAsString()));
+    return {consensus::member_id{record.voted_for()}, true};
+}
+
+} // namespace guavawick::replica
--- /dev/null
+++ b/src/scheduling/attempt_func.cpp
@@ -0,0 +1,133 @@
+// What may start at an upstream, and what never will.
+#include "scheduling/attempt_func.hpp"
+
+#include <cassert>
+
+namespace guavawick::scheduling {
+namespace {
+
+constexpr std::size_t kept_tombstones = 200000; ///< a duplicate older than this many refusals is stopped by its incarnation or its deadline
+
+void bury(attempt_table& table, attempt_id attempt)
+{
+    if (!table.tombstones.insert(attempt).second) {
+        return;
+    }
+    table.tombstone_order.push_back(attempt);
+    if (table.tombstone_order.size() > kept_tombstones) {
+        table.tombstones.erase(table.tombstone_order.front());
+        table.tombstone_order.pop_front();
+    }
+}
+
+/// @return why a new attempt may not be queued, or none.
+failure check_offer(const attempt_table& table, const attempt_offer& wish)
+{
+    if (wish.meant_for != table.incarnation) {
+        return failure::incarnation_mismatch;
+    }
+    if (wish.join_only) {
+        return failure::tombstoned;
+    }
+    if (table.leaving) {
+        return failure::leaving;
+    }
+    if (!table.takes_work) {
+        return failure::configuration_stale;
+    }
+    if (table.queued >= table.most_queued) {
+        return failure::overloaded;
+    }
+    // Two suspects side by side could not be told apart if the upstream were lost again.
+    if (wish.suspect && !table.suspects.empty()) {
+        return failure::busy;
+    }
+    return failure::none;
+}
+
+} // namespace
+
+offer_result offer(attempt_table& table, const attempt_offer& wish)
+{
+    if (table.attempts.count(wish.attempt) != 0) {
+        return {offer_verdict::join, failure::none};
+    }
+    if (table.tombstones.count(wish.attempt) != 0) {
+        return {offer_verdict::refuse, failure::tombstoned};
+    }
+    const failure why = check_offer(table, wish);
+    if (why != failure::none) {
+        bury(table, wish.attempt);
+        return {offer_verdict::refuse, why};
+    }
+    table.attempts[wish.attempt] = attempt_status::queued;
+    ++table.queued;
+    if (wish.suspect) {
+        table.suspects[wish.attempt] = wish.body;
+    }
+    return {offer_verdict::queue, failure::none};
+}
+
+void note_started(attempt_table& table, attempt_id attempt)
+{
+    assert(status_of(table, attempt) == attempt_status::queued);
+    table.attempts[attempt] = attempt_status::running;
+    --table.queued;
+}
+
+void note_finished(attempt_table& table, attempt_id attempt)
+{
+    assert(status_of(table, attempt) == attempt_status::running);
+    table.attempts[attempt] = attempt_status::finished;
+    table.suspects.erase(attempt);
+}
+
+void release(attempt_table& table, attempt_id attempt)
+{
+    if (status_of(table, attempt) != attempt_status::finished) {
+        return;
+    }
+    table.attempts.erase(attempt);
+    bury(table, attempt); // a delayed duplicate of its offer must not start it again
+}
+
+attempt_status tombstone(attempt_table& table, attempt_id attempt)
+{
+    const attempt_status now = status_of(table, attempt);
+    if (now == attempt_status::running || now == attempt_status::finished) {
+        return now;
+    }
+    if (now == attempt_status::queued) {
+        table.attempts.erase(attempt);
+        table.suspects.erase(attempt);
+        --table.queued;
+    }
+    bury(table, attempt);
+    return attempt_status::tombstoned;
+}
+
+attempt_status status_of(const attempt_table& table, attempt_id attempt)
+{
+    const auto found = table.attempts.find(attempt);
+    if (found != table.attempts.end()) {
+        return found->second;
+    }
+    return table.tombstones.count(attempt) != 0 ? attempt_status::tombstoned : attempt_status::unknown;
+}
+
+std::vector<attempt_id> renew_incarnation(attempt_table& table, incarnation_id fresh)
+{
+    table.incarnation = fresh;
+    std::vector<attempt_id> queued;
+    for (const auto& [attempt, status] : table.attempts) {
+        if (status == attempt_status::queued) {
+            queued.push_back(attempt);
+        }
+    }
+    for (const attempt_id attempt : queued) {
+        tombstone(table, attempt);
+    }
+    return queued;
+}
+
+} // namespace guavawick::scheduling
--- /dev/null
+++ b/src/scheduling/window_func.cpp
@@ -0,0 +1,88 @@
+// Growth and shrinking of a sidecar's window.
+#include "scheduling/window_func.hpp"
+
+#include <algorithm>
+
+namespace guavawick::scheduling {
+namespace {
+
+constexpr double shrink_factor = 0.7;        ///< of the size, at an answer over the goal
+constexpr double usual_weight = 0.1;         ///< of a new latency in the usual one
+constexpr double cold_factor = 6.0;          ///< a latency this many times the usual one means a cold upstream
+constexpr duration shrink_interval = 1s;     ///< the window shrinks at most this often
+
+void grow(window_state& window)
+{
+    // Within the goal: doubles each round of answers at first, later grows by one each round.
+    window.size += window.slow_start ? 1.0 : 1.0 / std::max(1.0, window.size);
+    const double cap = static_cast<double>(window.reported == 0 ? window.options.most : std::min(window.options.most, window.reported));
+    window.size = std::min(window.size, cap);
+}
+
+void shrink(window_state& window, time_point now)
+{
+    window.slow_start = false;
+    if (now - window.shrunk_at < shrink_interval) {
+        return;
+    }
+    window.shrunk_at = now;
+    window.size = std::max(1.0, window.size * shrink_factor);
+}
+
+} // namespace
+
+std::uint64_t window_limit(const window_state& window)
+{
+    return std::max<std::uint64_t>(1, static_cast<std::uint64_t>(window.size));
+}
+
+bool may_start(const window_state& window)
+{
+    return window.running < window_limit(window);
+}
+
+void note_start(window_state& window)
+{
+    ++window.running;
+}
+
+void note_end(window_state& window)
+{
+    window.running -= std::min<std::uint64_t>(window.running, 1);
+}
+
+void note_reported(window_state& window, std::uint64_t slots)
+{
+    window.reported = slots;
+    if (slots != 0) {
+        window.size = std::clamp(window.size, 1.0, static_cast<double>(std::max<std::uint64_t>(1, std::min(slots, window.options.most))));
+    }
+}
+
+void reset_window(window_state& window)
+{
+    window.size = 1;
+    window.slow_start = true;
+    window.usual_seconds = 0;
+    ++window.resets;
+}
+
+bool note_first_token(window_state& window, duration latency, time_point now)
+{
+    const double seconds = to_seconds(latency);
+    const double goal = to_seconds(window.options.latency_goal);
+    const bool cold = window.usual_seconds > 0 && seconds > cold_factor * window.usual_seconds && seconds > goal / 2;
+    if (cold && window.size > 1) {
+        reset_window(window);
+        return true;
+    }
+    window.usual_seconds = window.usual_seconds == 0 ? seconds : window.usual_seconds * (1 - usual_weight) + seconds * usual_weight;
+    if (latency > window.options.latency_goal) {
+        shrink(window, now);
+        return false;
+    }
+    grow(window);
+    return false;
+}
+
+} // namespace guavawick::scheduling
--- /dev/null
+++ b/src/standalone/first_set.hpp
@@ -0,0 +1,12 @@
+// Publishes the settings' configuration file at the first start of a standalone process.
+#pragma once
+
+#include "base/settings_type.hpp"
+#include "platform/worker_pool.hpp"
+
+namespace guavawick {
+
+/// Publishes the set if the revision is 0. @throw settings_error if the set has faults or is refused.
+void publish_first_set(const settings& given, platform::worker_pool& pool);
+
+} // namespace guavawick
