--- a/src/consensus/consensus_func.hpp
+++ b/src/consensus/consensus_func.hpp
@@ -54,9 +54,12 @@
 change_result promote_learner(group_state& state, member_id id, effects& out);
 /// Removes a member.
 change_result remove_member(group_state& state, member_id id, effects& out);
-/// Proposes the next change that a repair needs: promotes learners, then removes the lost member of the same name.
+/// Proposes the next change that a repair needs: removes the lost voter whose name a caught-up learner took over, then
+/// promotes the learner.
 /// @return whether something was proposed.
 bool continue_repair(group_state& state, time_point now, effects& out);
+/// Tells whether this member should ask to be taken in: the group does not know it, or forgot that it is a learner.
+bool needs_join(const group_state& state, time_point now);
 /// @return whether the leader heard from a member within the election timeout.
 bool in_touch(const group_state& state, member_id id, time_point now);
 
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -19,6 +19,14 @@
     return term_committed && !pending ? change_result::proposed : change_result::change_pending;
 }
 
+/// A learner may be counted once its synced log has reached the commit index, today's and that of its joining.
+bool has_caught_up(const group_state& state, const member& learner)
+{
+    const auto peer = state.peers.find(learner.id);
+    const log_index synced = peer == state.peers.end() ? 0 : peer->second.match;
+    return synced >= state.commit && synced >= learner.learner_target;
+}
+
 change_result propose_members(group_state& state, const membership& next, effects& out)
 {
     propose(state, entry_kind::membership, encode_membership(next), out);
@@ -66,9 +74,7 @@
     if (found->voter) {
         return change_result::already_done;
     }
-    const auto peer = state.peers.find(id);
-    const log_index synced = peer == state.peers.end() ? 0 : peer->second.match;
-    if (synced < state.commit || synced < found->learner_target) {
+    if (!has_caught_up(state, *found)) {
         return change_result::not_caught_up;
     }
     found->voter = true;
@@ -98,22 +104,32 @@
         return false;
     }
     const membership members = current_members(state);
-    for (const member& one : members.members) {
-        if (!one.voter && promote_learner(state, one.id, out) == change_result::proposed) {
-            return true;
+    for (const member& learner : members.members) {
+        if (learner.voter || !in_touch(state, learner.id, now) || !has_caught_up(state, learner)) {
+            continue;
         }
-    }
-    for (const member& lost : members.members) {
-        const bool replaced = std::any_of(members.members.begin(), members.members.end(), [&](const member& other) {
-            return other.name == lost.name && other.id != lost.id && other.voter && in_touch(state, other.id, now);
-        });
-        if (lost.voter && replaced && lost.id != state.self && !in_touch(state, lost.id, now)) {
-            return remove_member(state, lost.id, out) == change_result::proposed;
+        // The lost voter goes first: with both counted, one more loss could leave less than a quorum.
+        for (const member& lost : members.members) {
+            const bool gone = lost.id != state.self && !in_touch(state, lost.id, now);
+            if (lost.voter && lost.name == learner.name && gone) {
+                return remove_member(state, lost.id, out) == change_result::proposed;
+            }
         }
+        return promote_learner(state, learner.id, out) == change_result::proposed;
     }
     return false;
 }
 
+bool needs_join(const group_state& state, time_point now)
+{
+    const member* own = find_member(current_members(state), state.self);
+    if (own == nullptr) {
+        return true;
+    }
+    // The entry that made it a learner may have been replaced by another leader's.
+    return !own->voter && now - state.leader_seen_at > 2 * state.settings.election_timeout;
+}
+
 std::string encode_membership(const membership& members)
 {
     wire::membership encoded;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -325,8 +325,7 @@
 
 void group::found_or_join(time_point now)
 {
-    const bool member = consensus::find_member(consensus::current_members(state_), state_.self) != nullptr;
-    if (member || now < next_probe_) {
+    if (now < next_probe_ || !consensus::needs_join(state_, now)) {
         return;
     }
     next_probe_ = now + probe_interval;
