--- a/src/base/settings_func.cpp
+++ b/src/base/settings_func.cpp
@@ -293,6 +293,8 @@
     reader.text(table, at, "name", into.name, true);
     reader.text(table, at, "link", into.link, true);
     reader.address(table, at, "link", into.link, "tcp://");
+    reader.text(table, at, "listen_link", into.listen_link);
+    reader.address(table, at, "listen_link", into.listen_link, "tcp://");
     reader.texts(table, at, "entries", into.entries);
     reader.choice(table, at, "kind", into.kind, {"model", "service"});
     reader.text(table, at, "serves", into.serves, true);
@@ -335,6 +337,8 @@
     reader.text(*table, at, "name", into.name, true);
     reader.text(*table, at, "link", into.link, true);
     reader.address(*table, at, "link", into.link, "tcp://");
+    reader.text(*table, at, "listen_link", into.listen_link);
+    reader.address(*table, at, "listen_link", into.listen_link, "tcp://");
     reader.text(*table, at, "operator_listen", into.operator_listen);
     reader.address(*table, at, "operator_listen", into.operator_listen, "");
     reader.text(*table, at, "data_folder", into.data_folder, true);
--- a/src/base/settings_type.hpp
+++ b/src/base/settings_type.hpp
@@ -44,7 +44,8 @@
 /// Settings of the `sidecar` role.
 struct sidecar_settings {
     std::string name;                  ///< the upstream's name
-    std::string link;                  ///< "tcp://IP:PORT" for entries
+    std::string link;                  ///< "tcp://IP:PORT" for entries, as others reach it
+    std::string listen_link;           ///< where to listen, if not at `link`
     std::vector<std::string> entries;  ///< "tcp://IP:PORT" of entries, own data centre first
     std::string kind = "model";        ///< "model" or "service"
     std::string serves;                ///< the model's or the service's name
@@ -58,7 +59,8 @@
 /// Settings of the `replica` role.
 struct replica_settings {
     std::string name;                   ///< the replica's name
-    std::string link;                   ///< "tcp://IP:PORT" for entries and other replicas
+    std::string link;                   ///< "tcp://IP:PORT" for entries and other replicas, as others reach it
+    std::string listen_link;            ///< where to listen, if not at `link`
     std::string operator_listen;        ///< operators' address, IP:PORT; empty for none
     std::string data_folder;            ///< where the durable state lives
     std::uint64_t ledger_shards = 2;    ///< number of ledger groups; the same on every replica
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -29,6 +29,7 @@
 constexpr std::uint64_t default_answer_tokens = 256;
 constexpr std::uint64_t default_reserved_tokens = 4096;
 constexpr std::size_t most_tries = 40;
+constexpr std::uint32_t most_lost_tries = 4;
 
 /// How an attempt came out, as far as this entry can tell.
 enum class run_outcome : std::uint8_t { finished, not_started, lost };
@@ -52,6 +53,7 @@
     time_point deadline{};          ///< for the start of the call
     duration backoff = first_backoff;
     std::vector<std::string> tried; ///< upstreams that just refused
+    std::uint32_t lost_tries = 0;   ///< attempts that were lost while they may have run
 
     call_flow(flow_context& shared, call_plan wanted, http::responder& out)
         : context(shared), plan(std::move(wanted)), writer(out, plan.stream, plan.chat.include_usage, plan.request_id)
@@ -429,20 +431,50 @@
     }
 }
 
-/// Decides what follows an attempt that did not finish. @return whether to try again. @throw refusal_error if not.
-asio::awaitable<bool> follow_up(call_flow& flow, const run_result& result)
+/// Notes an attempt that never started and never will. @throw refusal_error if the call is not tried elsewhere.
+void note_not_started(call_flow& flow, const run_result& result)
+{
+    flow.replaces = flow.bound.attempt;
+    flow.tried.push_back(flow.bound.upstream.value);
+    const bool free_retry = result.why == failure::incarnation_mismatch;
+    const bool goes_on = result.why != failure::overloaded && (free_retry || take_retry_credit(flow.context));
+    if (goes_on) {
+        return;
+    }
+    const failure why = result.why == failure::tombstoned ? failure::overloaded : result.why;
+    throw refusal_error(why, find_failure(why).meaning, 1000U);
+}
+
+/// Checks whether a lost attempt that may have run is tried again. @throw refusal_error if not.
+void check_retry_of_lost(call_flow& flow)
+{
+    if (!flow.plan.route.repeatable) {
+        throw refusal_error(failure::outcome_unknown, "the upstream was lost while the call may have run", ran_state::unknown);
+    }
+    if (flow.writer.parts_reached_caller()) {
+        throw refusal_error(failure::upstream_lost, "the upstream was lost in the middle of its answer", ran_state::unknown);
+    }
+    ++flow.lost_tries;
+    if (flow.lost_tries >= most_lost_tries || !take_retry_credit(flow.context)) {
+        throw refusal_error(failure::upstream_lost, "every upstream that was tried was lost or cut its answer", ran_state::unknown);
+    }
+}
+
+[[noreturn]] void refuse_left()
+{
+    throw refusal_error(failure::cancelled, "the caller went away", ran_state::unknown);
+}
+
+/// Prepares the next attempt after one that did not finish. @throw refusal_error if there is none.
+asio::awaitable<void> follow_up(call_flow& flow, run_result result)
 {
     if (result.outcome == run_outcome::not_started) {
-        flow.replaces = flow.bound.attempt;
-        flow.tried.push_back(flow.bound.upstream.value);
-        if (result.why == failure::overloaded || (result.why != failure::incarnation_mismatch && !take_retry_credit(flow.context))) {
-            throw refusal_error(result.why == failure::tombstoned ? failure::overloaded : result.why, find_failure(result.why).meaning, 1000U);
-        }
+        note_not_started(flow, result);
         co_await back_off(flow);
-        co_return true;
+        co_return;
     }
     if (result.why == failure::cancelled) {
-        throw refusal_error(failure::cancelled, "the caller went away", ran_state::unknown);
+        refuse_left();
     }
     if (result.why == failure::upstream_lost) {
         flow.suspect = true;
@@ -450,22 +482,15 @@
             co_await report_loss(flow);
         }
     }
-    if (co_await tombstone(flow)) {
-        flow.replaces = flow.bound.attempt;
-        co_return true;
-    }
-    if (!flow.plan.route.repeatable) {
-        throw refusal_error(failure::outcome_unknown, "the upstream was lost while the call may have run", ran_state::unknown);
-    }
-    if (flow.writer.parts_reached_caller()) {
-        throw refusal_error(failure::upstream_lost, "the upstream was lost in the middle of its answer", ran_state::unknown);
+    const bool never_started = co_await tombstone(flow);
+    if (!never_started) {
+        check_retry_of_lost(flow);
+        cancel(flow);
+        flow.writer.restart();
+        log_event(event::call_retried, {{"request", flow.plan.request_id}, {"program", flow.plan.program.value}, {"upstream", flow.bound.upstream.value}});
+        co_await back_off(flow);
     }
-    cancel(flow);
     flow.replaces = flow.bound.attempt;
-    flow.writer.restart();
-    log_event(event::call_retried, {{"request", flow.plan.request_id}, {"program", flow.plan.program.value}, {"upstream", flow.bound.upstream.value}});
-    co_await back_off(flow);
-    co_return true;
 }
 
 /// Settles an earlier call of the program whose entry is gone, so that this one gets its turn.
--- a/src/operator/operator_json.cpp
+++ b/src/operator/operator_json.cpp
@@ -88,7 +88,7 @@
 {
     json::array members;
     for (const wire::member& one : from.members()) {
-        members.push_back(json::object{{"name", one.name()}, {"endpoint", one.endpoint()}, {"voter", one.voter()}, {"disk", to_hex(one.id())}});
+        members.push_back(json::object{{"name", one.name()}, {"endpoint", one.endpoint()}, {"voter", one.voter()}, {"disk", to_hex(one.id())}, {"in_touch", one.in_touch()}, {"match", one.match()}});
     }
     return {{"group", from.group()},     {"role", role_name(from.role())}, {"leader", from.leader()}, {"term", from.term()},
             {"commit", from.commit()},   {"applied", from.applied()},      {"last", from.last()},     {"members", members}};
--- a/src/platform/worker_pool.cpp
+++ b/src/platform/worker_pool.cpp
@@ -5,6 +5,7 @@
 #include "base/event_type.hpp"
 
 #include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -45,19 +46,28 @@
     }
 }
 
+namespace {
+
+void log_fault(const std::exception_ptr& fault)
+{
+    if (!fault) {
+        return;
+    }
+    try {
+        std::rethrow_exception(fault);
+    }
+    catch (const std::exception& error) {
+        log_event(event::internal_fault, {{"reason", error.what()}});
+    }
+}
+
+} // namespace
+
 void spawn(const asio::any_io_executor& pool, asio::awaitable<void> work)
 {
-    asio::co_spawn(asio::make_strand(pool), std::move(work), [](const std::exception_ptr& fault) {
-        if (!fault) {
-            return;
-        }
-        try {
-            std::rethrow_exception(fault);
-        }
-        catch (const std::exception& error) {
-            log_event(event::internal_fault, {{"reason", error.what()}});
-        }
-    });
+    // Posted, never run in place: the caller may hold a lock that the coroutine takes.
+    auto strand = asio::make_strand(pool);
+    asio::post(strand, [strand, work = std::move(work)]() mutable { asio::co_spawn(strand, std::move(work), log_fault); });
 }
 
 asio::awaitable<void> wait_for(std::chrono::nanoseconds step)
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -300,7 +300,13 @@
     made.leader = leader == nullptr ? "" : leader->name;
     made.syncs = store_.syncs();
     made.proposals = proposal_count_;
-    made.members = consensus::current_members(state_);
+    const time_point now = runtime_clock::now();
+    for (const consensus::member& one : consensus::current_members(state_).members) {
+        const auto peer = state_.peers.find(one.id);
+        const bool own = one.id == state_.self;
+        const bool known = peer != state_.peers.end();
+        made.members.push_back({one, own || consensus::in_touch(state_, one.id, now), own ? state_.synced : known ? peer->second.match : 0});
+    }
     return made;
 }
 
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -28,6 +28,13 @@
 /// How a proposal ended: the command's answer, or nullptr if this replica lost the lead before the commit.
 using proposal_done = std::function<void(const wire::envelope*)>;
 
+/// What a leader tells of a member.
+struct member_report {
+    consensus::member who;
+    bool in_touch = false;          ///< the leader heard of it within the election timeout
+    consensus::log_index match = 0; ///< last entry known to be synced there
+};
+
 /// What people are told of a group.
 struct group_report {
     consensus::role_type role = consensus::role_type::follower;
@@ -38,7 +45,7 @@
     std::string leader;
     std::uint64_t syncs = 0;
     std::uint64_t proposals = 0;
-    consensus::membership members;
+    std::vector<member_report> members;
 };
 
 /// One group of this replica. Thread safety: post() and handle() from any thread, the rest from the group's thread.
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -40,7 +40,8 @@
     for (const auto& ledger : ledgers_) {
         ledger->start();
     }
-    links_->listen(settings_.replica.link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
+    const std::string& own = settings_.replica.listen_link.empty() ? settings_.replica.link : settings_.replica.listen_link;
+    links_->listen(own, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
     if (!settings_.replica.operator_listen.empty()) {
         operators_ = std::make_unique<http::server>(pool_.executor(), settings_.replica.operator_listen, http::server_limits{},
                                                     operators::make_handler(*client_, settings_.replica.operator_keys, [this] { return metrics(); }));
@@ -158,12 +159,14 @@
     into->set_applied(report.applied);
     into->set_last(report.last);
     into->set_leader(report.leader);
-    for (const consensus::member& one : report.members.members) {
+    for (const member_report& one : report.members) {
         wire::member* made = into->add_members();
-        made->set_id(one.id.value);
-        made->set_name(one.name);
-        made->set_endpoint(one.endpoint);
-        made->set_voter(one.voter);
+        made->set_id(one.who.id.value);
+        made->set_name(one.who.name);
+        made->set_endpoint(one.who.endpoint);
+        made->set_voter(one.who.voter);
+        made->set_in_touch(one.in_touch);
+        made->set_match(one.match);
     }
 }
 
--- a/src/sidecar/sidecar_links.cpp
+++ b/src/sidecar/sidecar_links.cpp
@@ -20,7 +20,8 @@
 constexpr duration health_interval = 250ms;
 constexpr duration health_limit = 2s;
 constexpr duration check_interval = 250ms;
-constexpr duration ask_limit = 3s;       ///< for one entry
+constexpr duration entry_limit = 1s;     ///< an entry that is silent for this long is passed over
+constexpr duration announce_limit = 3s;  ///< well within the directory's lease
 constexpr duration configuration_lease = 4s;
 constexpr int most_health_failures = 2;  ///< in a row, after which the upstream counts as lost
 
@@ -32,7 +33,7 @@
     while (runtime_clock::now() < deadline && !own_.entries.empty()) {
         const std::size_t turn = entry_turn_.load();
         const std::string& endpoint = own_.entries[turn % own_.entries.size()];
-        const auto stream = links_->open_stream(endpoint, question, std::min(ask_limit, deadline - runtime_clock::now()));
+        const auto stream = links_->open_stream(endpoint, question, std::min(entry_limit, deadline - runtime_clock::now()));
         const wire::envelope_ptr answer = co_await stream->next();
         if (answer && !answer->has_refused() && !answer->has_redirect()) {
             co_return answer;
@@ -62,7 +63,7 @@
     }
     bool done = false;
     try {
-        const wire::envelope_ptr answer = co_await ask_entry(std::move(question), ask_limit);
+        const wire::envelope_ptr answer = co_await ask_entry(std::move(question), announce_limit);
         done = answer->has_announced();
         const std::lock_guard lock(mutex_);
         control_term_ = std::max(control_term_, answer->announced().term());
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration stop_poll = 20ms;
+constexpr duration announce_limit = 3s; ///< a stop waits this long for its announcement
 
 scheduling::window_options make_window_options(const sidecar_settings& own)
 {
@@ -37,7 +38,7 @@
 void sidecar_process::start()
 {
     links_ = std::make_unique<wire::link>(pool_.executor(), settings_.links, self_);
-    links_->listen(own_.link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
+    links_->listen(own_.listen_link.empty() ? own_.link : own_.listen_link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
     pool_.spawn(poll_loop());
     pool_.spawn(health_loop());
     pool_.spawn(announce_loop());
@@ -47,11 +48,14 @@
 void sidecar_process::stop()
 {
     stopping_.store(true);
+    const time_point began = runtime_clock::now();
     while (true) {
         {
             const std::lock_guard lock(mutex_);
             table_.leaving = true;
-            if (records_.empty() && announced_leaving_) {
+            // With no entry left to tell, nobody sends anything either.
+            const bool told = announced_leaving_ || runtime_clock::now() - began > announce_limit;
+            if (records_.empty() && told) {
                 break;
             }
         }
