Show each group by its leader's own report in the operators' status

Cause: scenario replica_disk_lost saw no leader of group 2, since the status came from the leader of control alone.

--- a/src/operator/operator_api.cpp
+++ b/src/operator/operator_api.cpp
@@ -19,11 +19,14 @@
 namespace {
 
 constexpr duration control_limit = 10s;
+constexpr duration status_limit = 500ms; ///< for one replica
 constexpr std::uint32_t control_group = 0;
 
 /// Serves one process's operators. Immutable once made.
 struct operator_api {
     wire::group_client& client;
+    wire::link& links;
+    std::vector<replica_address> replicas;
     std::vector<std::string> keys;
     std::function<std::string()> metrics;
 };
@@ -101,13 +104,48 @@
     co_return reply;
 }
 
+/// Takes from one replica's status what it knows best: the groups that it leads, and as leader of control the rest.
+void merge_status(const wire::status_reply& from, wire::status_reply* into)
+{
+    constexpr std::uint32_t leader_role = 3; // number of consensus::role_type::leader
+    for (const wire::group_status& group : from.groups()) {
+        if (group.role() != leader_role) {
+            continue;
+        }
+        *into->add_groups() = group;
+        if (group.group() == control_group) {
+            into->set_name(from.name());
+            into->set_revision(from.revision());
+            *into->mutable_upstreams() = from.upstreams();
+            *into->mutable_processes() = from.processes();
+        }
+    }
+}
+
 asio::awaitable<http::response> status(const operator_api& api)
 {
-    wire::envelope question;
-    question.mutable_status();
-    const wire::envelope_ptr answer = co_await ask_control(api, std::move(question));
+    wire::status_reply merged;
+    boost::json::array replicas;
+    for (const replica_address& address : api.replicas) {
+        wire::envelope question;
+        question.mutable_status();
+        bool answered = true;
+        try {
+            const wire::envelope_ptr answer = co_await api.links.call(address.endpoint, std::move(question), status_limit);
+            merge_status(answer->status_is(), &merged);
+        }
+        catch (const link_error&) {
+            answered = false;
+        }
+        boost::json::object shown;
+        shown["name"] = address.name;
+        shown["answers"] = answered;
+        replicas.push_back(std::move(shown));
+    }
+    boost::json::object body = to_json(merged).as_object();
+    body["replicas"] = std::move(replicas);
     http::response reply;
-    reply.body = json::serialize(to_json(answer->status_is()));
+    reply.body = json::serialize(body);
     co_return reply;
 }
 
@@ -193,9 +231,9 @@
 
 } // namespace
 
-http::handler make_handler(wire::group_client& client, std::vector<std::string> keys, std::function<std::string()> metrics)
+http::handler make_handler(wire::group_client& client, wire::link& links, std::vector<replica_address> replicas, std::vector<std::string> keys, std::function<std::string()> metrics)
 {
-    auto api = std::make_shared<operator_api>(operator_api{client, std::move(keys), std::move(metrics)});
+    auto api = std::make_shared<operator_api>(operator_api{client, links, std::move(replicas), std::move(keys), std::move(metrics)});
     return [api](http::request& received, http::responder& out) { return serve(api, received, out); };
 }
 
--- a/src/operator/table_print.cpp
+++ b/src/operator/table_print.cpp
@@ -41,6 +41,13 @@
     return value.is_string() ? std::string(value.as_string()) : json::serialize(value);
 }
 
+std::string describe_member(const json::object& member, std::int64_t last)
+{
+    const std::string lag = std::to_string(std::max<std::int64_t>(0, last - member.at("match").to_number<std::int64_t>()));
+    const std::string state = member.at("in_touch").as_bool() ? lag : "out of touch";
+    return cell(member, "name") + (member.at("voter").as_bool() ? "" : " learner") + " (" + state + ")";
+}
+
 std::string quoted_value(configuration::object_kind kind, const std::string& field, const std::string& value)
 {
     for (const configuration::field_row& one : configuration::field_table) {
@@ -104,16 +111,22 @@
 
 void print_status(const json::object& answer)
 {
-    std::cout << "replica " << cell(answer, "replica") << ", revision " << cell(answer, "revision") << "\n\n";
-    std::vector<row> groups{{"GROUP", "ROLE", "LEADER", "TERM", "COMMIT", "APPLIED", "MEMBERS"}};
+    std::cout << "revision " << cell(answer, "revision") << ", control led by " << cell(answer, "replica") << "\n\n";
+    std::vector<row> replicas{{"REPLICA", "ANSWERS"}};
+    for (const json::value& one : answer.at("replicas").as_array()) {
+        replicas.push_back({cell(one.as_object(), "name"), cell(one.as_object(), "answers")});
+    }
+    print_table(replicas);
+    std::cout << "\n";
+    std::vector<row> groups{{"GROUP", "LEADER", "TERM", "COMMIT", "APPLIED", "MEMBERS (LAG)"}};
     for (const json::value& one : answer.at("groups").as_array()) {
         const json::object& group = one.as_object();
         std::string members;
         for (const json::value& item : group.at("members").as_array()) {
             const json::object& member = item.as_object();
-            members += (members.empty() ? "" : ",") + cell(member, "name") + (member.at("voter").as_bool() ? "" : "(learner)");
+            members += (members.empty() ? "" : ",") + describe_member(member, group.at("last").to_number<std::int64_t>());
         }
-        groups.push_back({cell(group, "group"), cell(group, "role"), cell(group, "leader"), cell(group, "term"), cell(group, "commit"), cell(group, "applied"), members});
+        groups.push_back({cell(group, "group"), cell(group, "leader"), cell(group, "term"), cell(group, "commit"), cell(group, "applied"), members});
     }
     print_table(groups);
     std::vector<row> upstreams{{"UPSTREAM", "DATA CENTRE", "KIND", "SERVES", "LEAVING", "INCARNATION"}};
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -44,7 +44,7 @@
     links_->listen(own, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
     if (!settings_.replica.operator_listen.empty()) {
         operators_ = std::make_unique<http::server>(pool_.executor(), settings_.replica.operator_listen, http::server_limits{},
-                                                    operators::make_handler(*client_, settings_.replica.operator_keys, [this] { return metrics(); }));
+                                                    operators::make_handler(*client_, *links_, settings_.replicas, settings_.replica.operator_keys, [this] { return metrics(); }));
     }
 }
 
