Find a new leader by signs of life, release attempts that were taken over, close links before the pool

A request that is held at a leader looked the same as a dead one. Now the link's heartbeat decides. Also: a sidecar kept a lost attempt that another had taken over from, and a process crashed at its end when its link posted to a pool that was gone.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -164,11 +164,12 @@
     return question;
 }
 
-asio::awaitable<wire::envelope_ptr> ask_ledger(call_flow& flow, wire::envelope question, duration limit)
+/// @param held how long the ledger may hold the question, for calls that wait for their turn.
+asio::awaitable<wire::envelope_ptr> ask_ledger(call_flow& flow, wire::envelope question, duration limit, duration held = {})
 {
     wire::envelope_ptr answer;
     try {
-        answer = co_await flow.context.client.call(flow.shard(), std::move(question), limit);
+        answer = co_await flow.context.client.call(flow.shard(), std::move(question), limit, held);
     }
     catch (const link_error& fault) {
         throw refusal_error(failure::ledger_unavailable, fault.what(), flow.opened ? ran_state::unknown : ran_state::no);
@@ -225,6 +226,14 @@
     return body;
 }
 
+/// Lets a sidecar forget an attempt whose end the ledger has recorded, or that another one took over from.
+void release(const call_flow& flow, attempt_id attempt, const std::string& endpoint)
+{
+    wire::envelope order;
+    order.mutable_release()->set_attempt(attempt.value);
+    flow.context.links.send(endpoint, std::move(order));
+}
+
 /// Commits how the call ended, then lets the sidecar forget it.
 asio::awaitable<bool> close(call_flow& flow, wire::close_call_request body)
 {
@@ -232,9 +241,7 @@
     *question.mutable_close() = std::move(body);
     const wire::envelope_ptr answer = co_await ask_ledger(flow, std::move(question), close_limit);
     flow.opened = false;
-    wire::envelope release;
-    release.mutable_release()->set_attempt(flow.bound.attempt.value);
-    flow.context.links.send(flow.bound.upstream_endpoint, std::move(release));
+    release(flow, flow.bound.attempt, flow.bound.upstream_endpoint);
     co_return answer->closed().accepted();
 }
 
@@ -520,11 +527,14 @@
     const routing::candidate chosen = co_await choose_upstream(flow);
     const ledger::claim wanted{attempt_id{random_id()}, chosen.name, chosen.incarnation, chosen.endpoint, flow.context.links.self()};
     const duration limit = std::max<duration>(flow.deadline - runtime_clock::now(), 1ms);
-    reply = co_await ask_ledger(flow, make_open(flow, wanted), limit);
+    reply = co_await ask_ledger(flow, make_open(flow, wanted), limit, limit);
     const wire::open_call_reply& body = reply->opened();
     switch (static_cast<ledger::open_outcome>(body.outcome())) {
     case ledger::open_outcome::granted:
     case ledger::open_outcome::running:
+        if (flow.replaces && body.attempt() == wanted.attempt.value) {
+            release(flow, flow.replaces, flow.bound.upstream_endpoint);
+        }
         flow.opened = true;
         flow.bound = {attempt_id{body.attempt()}, upstream_name{body.upstream()}, incarnation_id{body.upstream_incarnation()},
                       body.upstream_endpoint(), incarnation_id{body.entry_incarnation()}};
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -142,6 +142,13 @@
     stopped_.store(true);
 }
 
+void entry_process::close()
+{
+    if (links_) {
+        links_->close();
+    }
+}
+
 bool entry_process::is_ready() const
 {
     return !leaving_.load() && tables_.is_fresh(runtime_clock::now());
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -16,6 +16,8 @@
     void start();
     /// Answers health checks with 503, finishes what it has, then stops.
     void stop();
+    /// Closes the links. @pre stop() returned and the pool's threads have stopped.
+    void close();
     /// @return whether callers would be served now.
     [[nodiscard]] bool is_ready() const;
     /// Writes Prometheus text.
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -29,10 +29,7 @@
     }
 }
 
-replica_process::~replica_process()
-{
-    stop();
-}
+replica_process::~replica_process() = default;
 
 void replica_process::start()
 {
@@ -56,7 +53,13 @@
     for (const auto& one : groups_) {
         one->stop();
     }
-    links_.reset();
+}
+
+void replica_process::close()
+{
+    if (links_) {
+        links_->close();
+    }
 }
 
 void replica_process::receive(const wire::peer_route& from, const wire::envelope_ptr& message)
@@ -76,9 +79,7 @@
         return;
     }
     dispatch(message, [this, from](wire::envelope reply) {
-        if (links_) {
-            links_->reply(from, std::move(reply));
-        }
+        links_->reply(from, std::move(reply));
     });
 }
 
--- a/src/replica/replica_process.hpp
+++ b/src/replica/replica_process.hpp
@@ -19,6 +19,8 @@
     void start();
     /// Hands leadership over, finishes what operators asked, then stops.
     void stop();
+    /// Closes the links. @pre stop() returned and the pool's threads have stopped.
+    void close();
     /// @return how each group stands. Waits for the groups' threads.
     wire::envelope status();
     /// Writes Prometheus text.
--- a/src/sidecar/sidecar_links.cpp
+++ b/src/sidecar/sidecar_links.cpp
@@ -36,6 +36,8 @@
         const auto stream = links_->open_stream(endpoint, question, std::min(entry_limit, deadline - runtime_clock::now()));
         const wire::envelope_ptr answer = co_await stream->next();
         if (answer && !answer->has_refused() && !answer->has_redirect()) {
+            const std::lock_guard lock(mutex_);
+            entry_heard_at_ = runtime_clock::now();
             co_return answer;
         }
         std::size_t expected = turn;
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -12,6 +12,7 @@
 
 constexpr duration stop_poll = 20ms;
 constexpr duration announce_limit = 3s; ///< a stop waits this long for its announcement
+constexpr duration lonely_limit = 10s;  ///< a stop waits this long for an entry that takes the ends of attempts
 
 scheduling::window_options make_window_options(const sidecar_settings& own)
 {
@@ -32,7 +33,6 @@
 sidecar_process::~sidecar_process()
 {
     stopping_.store(true);
-    links_.reset();
 }
 
 void sidecar_process::start()
@@ -55,7 +55,8 @@
             table_.leaving = true;
             // With no entry left to tell, nobody sends anything either.
             const bool told = announced_leaving_ || runtime_clock::now() - began > announce_limit;
-            if (records_.empty() && told) {
+            const bool nobody_left = runtime_clock::now() - std::max(began, entry_heard_at_) > lonely_limit;
+            if (told && (records_.empty() || (window_.running == 0 && nobody_left))) {
                 break;
             }
         }
@@ -63,6 +64,13 @@
     }
 }
 
+void sidecar_process::close()
+{
+    if (links_) {
+        links_->close();
+    }
+}
+
 void sidecar_process::receive(const wire::peer_route& from, const wire::envelope_ptr& message)
 {
     switch (message->body_case()) {
--- a/src/sidecar/sidecar_process.hpp
+++ b/src/sidecar/sidecar_process.hpp
@@ -25,6 +25,8 @@
     void start();
     /// Announces that the upstream leaves, takes nothing new and waits until all attempts are confirmed.
     void stop();
+    /// Closes the links. @pre stop() returned and the pool's threads have stopped.
+    void close();
     /// Writes Prometheus text.
     std::string metrics();
 
@@ -84,6 +86,7 @@
     configuration::view_ptr view_;
     std::uint64_t revision_ = 0;
     time_point confirmed_at_{};           ///< since when the configuration is known to be current
+    time_point entry_heard_at_{};         ///< when an entry last answered
     bool upstream_alive_ = false;
     bool announced_leaving_ = false;
     std::uint64_t control_term_ = 0;      ///< newest fencing number seen
--- a/src/standalone/roles.cpp
+++ b/src/standalone/roles.cpp
@@ -88,6 +88,20 @@
     }
 }
 
+/// The links post to the pool, so they close while it still exists.
+void close_roles(role_set& roles)
+{
+    if (roles.entry) {
+        roles.entry->close();
+    }
+    for (const auto& one : roles.sidecars) {
+        one->close();
+    }
+    if (roles.replica) {
+        roles.replica->close();
+    }
+}
+
 std::size_t worker_count(const settings& given, role_kind role)
 {
     if (role == role_kind::sidecar) {
@@ -126,6 +140,7 @@
         code = exit_start;
     }
     pool.stop();
+    close_roles(roles);
     log_event(event::process_stopped, {{"role", role_name(role)}});
     return code;
 }
--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -10,8 +10,9 @@
 namespace guavawick::wire {
 namespace {
 
-constexpr duration first_try = 400ms;      ///< a leader that is silent for this long may be gone
-constexpr duration longest_try = 5s;       ///< for requests that wait at the leader for their turn
+constexpr duration silence = 600ms;        ///< a replica that gives no sign of life for this long is passed over
+constexpr duration look_around = 100ms;    ///< how often a waiting call looks whether its replica is alive
+constexpr duration longest_try = 2s;       ///< beyond what the leader may hold a request
 constexpr duration redirect_pause = 30ms;  ///< while there is no leader
 
 } // namespace
@@ -44,31 +45,51 @@
     while (place < replicas_.size() && replicas_[place].endpoint != failed) {
         ++place;
     }
+    // The next one that is alive; with none alive, simply the next.
+    for (std::size_t step = 1; step <= replicas_.size(); ++step) {
+        const std::string& next = replicas_[(place + step) % replicas_.size()].endpoint;
+        if (links_.heard_within(next, silence)) {
+            leaders_[group] = next;
+            return;
+        }
+    }
     leaders_[group] = replicas_[(place + 1) % replicas_.size()].endpoint;
 }
 
+/// @return nullptr if the replica is silent or its answer is overdue.
+boost::asio::awaitable<envelope_ptr> group_client::try_one(std::string endpoint, envelope request, duration limit, duration held)
+{
+    const time_point overdue = runtime_clock::now() + held + longest_try;
+    const std::unique_ptr<reply_stream> stream = links_.open_stream(endpoint, std::move(request), limit, look_around);
+    while (true) {
+        envelope_ptr answer = co_await stream->next();
+        const bool notice = answer && answer->body_case() == envelope::BODY_NOT_SET;
+        if (!notice) {
+            co_return answer;
+        }
+        if (!links_.heard_within(endpoint, silence) || runtime_clock::now() > overdue) {
+            co_return nullptr;
+        }
+    }
+}
+
 boost::asio::awaitable<envelope_ptr> group_client::call(std::uint32_t group, envelope request, duration limit, duration held)
 {
     request.set_group(group);
     const time_point deadline = runtime_clock::now() + limit;
-    duration one_try = first_try + held;
-    std::string silent; // a replica that just did not answer is not believed to lead on hearsay
     while (runtime_clock::now() < deadline) {
         const std::string endpoint = leader_of(group);
-        const std::unique_ptr<reply_stream> stream =
-            links_.open_stream(endpoint, request, std::min(one_try, deadline - runtime_clock::now()));
-        const envelope_ptr answer = co_await stream->next();
+        const envelope_ptr answer = co_await try_one(endpoint, request, deadline - runtime_clock::now(), held);
         if (!answer) {
-            silent = endpoint;
-            one_try = std::min(one_try * 2, duration{longest_try});
             next_replica(group, endpoint);
+            co_await platform::wait_for(redirect_pause);
             continue;
         }
         if (!answer->has_redirect()) {
             co_return answer;
         }
         const std::string& leader = answer->redirect().leader_endpoint();
-        if (!leader.empty() && leader != silent && leader != endpoint) {
+        if (!leader.empty() && leader != endpoint && links_.heard_within(leader, silence)) {
             note_leader(group, leader);
             continue;
         }
--- a/src/wire/group_client.hpp
+++ b/src/wire/group_client.hpp
@@ -24,6 +24,7 @@
     [[nodiscard]] std::string leader_of(std::uint32_t group);
     void note_leader(std::uint32_t group, const std::string& endpoint);
     void next_replica(std::uint32_t group, const std::string& failed);
+    boost::asio::awaitable<envelope_ptr> try_one(std::string endpoint, envelope request, duration limit, duration held);
 
     link& links_;
     std::vector<replica_address> replicas_;
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -29,7 +29,7 @@
 
 constexpr std::size_t reply_capacity = 1U << 16U; ///< replies that wait for a slow reader of one stream
 constexpr duration poll_interval = 50ms;          ///< how often deadlines are looked at
-constexpr duration ping_interval = 500ms;
+constexpr duration ping_interval = 250ms;
 constexpr duration first_resend = 2s;
 constexpr duration most_resend = 16s;
 constexpr duration idle_peer_limit = 120s; ///< an unused connection is closed after this
@@ -88,9 +88,10 @@
     incarnation_id self;
     int wake_fd;
     zmq::context_t context{1};
-    std::mutex mutex;                                                       ///< guards the next four
+    mutable std::mutex mutex;                                               ///< guards the next five
     std::deque<link_order> orders;
     std::unordered_map<std::uint64_t, std::shared_ptr<pending_call>> calls;
+    std::unordered_map<std::string, time_point> heard;                      ///< by endpoint: last sign of life
     std::optional<zmq::socket_t> fresh_router;
     bool stopping = false;
     receive_handler handler;                                                ///< set before the router exists
@@ -156,6 +157,7 @@
             return &found->second;
         }
         try {
+            note_heard(endpoint, now); // it gets its time to answer
             return &peers.emplace(endpoint, make_connection(endpoint, now)).first->second;
         }
         catch (const zmq::error_t&) {
@@ -210,6 +212,18 @@
         }
     }
 
+    void note_heard(const std::string& endpoint, time_point now)
+    {
+        const std::lock_guard lock(mutex);
+        heard[endpoint] = now;
+    }
+
+    void forget_heard(const std::string& endpoint)
+    {
+        const std::lock_guard lock(mutex);
+        heard.erase(endpoint);
+    }
+
     void deliver(const envelope_ptr& message)
     {
         std::shared_ptr<pending_call> call;
@@ -250,6 +264,7 @@
                 continue;
             }
             peer.heard_at = now;
+            note_heard(endpoint, now);
             const bool restarted = peer.incarnation != 0 && peer.incarnation != message->sender();
             peer.incarnation = message->sender();
             if (restarted) {
@@ -306,6 +321,7 @@
         for (auto entry = peers.begin(); entry != peers.end();) {
             peer_connection& peer = entry->second;
             if (now - peer.used_at > idle_peer_limit) {
+                forget_heard(entry->first);
                 entry = peers.erase(entry);
                 continue;
             }
@@ -487,6 +503,14 @@
 
 link::~link()
 {
+    close();
+}
+
+void link::close()
+{
+    if (!core_->thread.joinable()) {
+        return;
+    }
     {
         const std::lock_guard lock(core_->mutex);
         core_->stopping = true;
@@ -582,6 +606,13 @@
     return core_->self;
 }
 
+bool link::heard_within(const std::string& endpoint, duration span) const
+{
+    const std::lock_guard lock(core_->mutex);
+    const auto found = core_->heard.find(endpoint);
+    return found == core_->heard.end() || runtime_clock::now() - found->second <= span;
+}
+
 std::uint64_t link::reconnects() const
 {
     return core_->reconnect_count.load();
--- a/src/wire/link_type.hpp
+++ b/src/wire/link_type.hpp
@@ -54,6 +54,9 @@
     link(const link&) = delete;
     link& operator=(const link&) = delete;
 
+    /// Stops the thread that drives the sockets; nothing is sent or received any more. May be called again.
+    /// @pre the pool's executor still exists.
+    void close();
     /// Accepts peers at an endpoint. @pre called once, before peers connect. @throw link_error if it can't be bound.
     void listen(const std::string& endpoint, receive_handler handler);
     /// Sends an envelope that needs no reply; it may be lost.
@@ -68,6 +71,8 @@
     void reply(const peer_route& to, envelope message);
     /// @return the incarnation of this process.
     [[nodiscard]] incarnation_id self() const;
+    /// @return whether a peer gave a sign of life within a span; a peer that was never called counts as alive.
+    [[nodiscard]] bool heard_within(const std::string& endpoint, duration span) const;
     /// @return how often a silent connection was opened anew.
     [[nodiscard]] std::uint64_t reconnects() const;
 
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -219,8 +219,12 @@
 
 void runner::start(const statement& one)
 {
+    processes_.reap();
     for (const std::string& name : resolve_all(one)) {
-        processes_.start(name);
+        const process& seen = processes_.get(name);
+        if (seen.pid <= 0 || seen.ended) {
+            processes_.start(name); // one that runs is left alone
+        }
     }
 }
 
