Report held tokens instead of spent ones; test the decisions and every decoder

Tokens of an answer that was lost stayed lent for as long as the entry kept asking, and a report of spent tokens counted twice when its answer was lost. Ruled out: the demand estimate; the owner's level stood at zero. Also: toml++ aborted on a key with a stray byte (decoder_test); its assertion is now a typed error.

--- a/src/base/settings_func.cpp
+++ b/src/base/settings_func.cpp
@@ -1,8 +1,7 @@
 // Reads settings from TOML and checks them whole.
 #include "base/failure_type.hpp"
 #include "base/settings_type.hpp"
-
-#include <toml++/toml.h>
+#include "base/toml_include.hpp"
 
 #include <fstream>
 #include <functional>
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -77,7 +77,7 @@
     }
 }
 
-wire::envelope rate_gate::make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, std::map<std::string, double>& spent)
+wire::envelope rate_gate::make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, borrow_map& asked)
 {
     const std::lock_guard lock(mutex_);
     wire::envelope question;
@@ -94,34 +94,35 @@
             entry = accounts_.erase(entry);
             continue;
         }
-        const limit::purse_request wish = limit::prepare_request(one.purse, one.waiting.size(), now);
-        const bool renews = one.purse.tokens > 0 && one.purse.lapses_at - now < renew_margin;
-        const bool reports = wish.spent > 0 && one.purse.lapses_at - now < renew_margin;
-        if (wish.wanted != 0 || renews || reports) {
+        const bool renews = one.purse.lapses_at != time_point{} && one.purse.lapses_at - now < renew_margin && now - one.purse.used_at < idle_account;
+        const limit::borrow_request wish = limit::prepare_request(one.purse, entry_, sequence, one.waiting.size(), now);
+        if (wish.wanted != 0 || wish.returned != 0 || (renews && wish.held != 0)) {
             wire::borrow_item* item = body->add_items();
             item->set_organisation(name);
             item->set_wanted(wish.wanted);
-            item->set_spent(wish.spent);
+            item->set_held(wish.held);
+            item->set_returned(wish.returned);
+            item->set_acked(wish.acked);
             item->set_rate(one.allowed.rate);
             item->set_burst(one.allowed.burst);
-            spent[name] = wish.spent;
+            asked[name] = wish;
         }
         ++entry;
     }
     return question;
 }
 
-void rate_gate::take_reply(const wire::envelope& reply, const std::map<std::string, double>& spent, time_point asked_at)
+void rate_gate::take_reply(const wire::envelope& reply, const borrow_map& asked, time_point asked_at)
 {
     const std::lock_guard lock(mutex_);
     const time_point now = runtime_clock::now();
     for (const wire::grant_item& item : reply.borrowed().items()) {
         const auto found = accounts_.find(item.organisation());
-        const auto reported = spent.find(item.organisation());
-        if (found == accounts_.end() || reported == spent.end()) {
+        const auto wish = asked.find(item.organisation());
+        if (found == accounts_.end() || wish == asked.end()) {
             continue;
         }
-        limit::receive_tokens(found->second.purse, item.tokens(), reported->second, asked_at, now);
+        limit::receive_tokens(found->second.purse, wish->second, item.tokens(), asked_at, now);
         found->second.retry_ms = item.retry_ms();
         serve_waiters(found->second, now);
     }
@@ -132,13 +133,13 @@
     std::uint64_t sequence = 0;
     while (running()) {
         co_await platform::wait_for(borrow_interval);
-        std::map<std::string, double> spent;
+        borrow_map asked;
         const time_point asked_at = runtime_clock::now();
-        wire::envelope question = make_request(shard, ++sequence, asked_at, spent);
-        if (!spent.empty()) {
+        wire::envelope question = make_request(shard, ++sequence, asked_at, asked);
+        if (!asked.empty()) {
             try {
                 const wire::envelope_ptr reply = co_await client_.call(shard + 1, std::move(question), borrow_limit);
-                take_reply(*reply, spent, asked_at);
+                take_reply(*reply, asked, asked_at);
             }
             catch (const link_error&) {
                 // Waiters stay until their deadline; the next round asks again.
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -35,9 +35,11 @@
         std::uint32_t retry_ms = 0;
     };
 
+    using borrow_map = std::map<std::string, limit::borrow_request>; ///< by organisation
+
     void serve_waiters(account& one, time_point now);
-    wire::envelope make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, std::map<std::string, double>& spent);
-    void take_reply(const wire::envelope& reply, const std::map<std::string, double>& spent, time_point asked_at);
+    wire::envelope make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, borrow_map& asked);
+    void take_reply(const wire::envelope& reply, const borrow_map& asked, time_point asked_at);
 
     wire::group_client& client_;
     incarnation_id entry_;
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -54,6 +54,16 @@
     owned.level = std::min(owned.level, std::max(0.0, allowed.burst - lent(owned)));
 }
 
+namespace {
+
+void give_back(bucket& owned, double tokens)
+{
+    const double room = std::max(0.0, owned.allowed.burst - lent(owned));
+    owned.level = std::min(room, owned.level + std::max(0.0, tokens));
+}
+
+} // namespace
+
 double borrow(bucket& owned, const borrow_request& wish, time_point now)
 {
     refill(owned, now);
@@ -61,18 +71,18 @@
     if (one.sequence != 0 && wish.sequence <= one.sequence) {
         return wish.sequence == one.sequence ? one.last_grant : 0.0;
     }
+    // An answer that the entry did not take in before it asked again will never be used.
+    const double lost = wish.acked < one.sequence ? one.last_grant : 0.0;
+    const double before = std::max(0.0, one.tokens - lost);
+    // Tokens that the owner does not know of are of a lease that has lapsed at the entry meanwhile.
+    const double held = std::clamp(wish.held, 0.0, before);
+    const double returned = std::clamp(wish.returned, 0.0, before - held);
+    one.tokens = held;
     one.sequence = wish.sequence;
-    one.tokens = std::max(0.0, one.tokens - wish.spent);
     one.lapses_at = now + giver_lease(token_lease);
-    if (wish.wanted < 0) {
-        const double returned = std::min(one.tokens, -wish.wanted);
-        one.tokens -= returned;
-        owned.level += returned;
-        one.last_grant = -returned;
-        return one.last_grant;
-    }
+    give_back(owned, lost + returned);
     const double most = std::max(1.0, std::floor(owned.allowed.burst * largest_share));
-    const double granted = std::floor(std::min({wish.wanted, owned.level + rounding, most}));
+    const double granted = std::floor(std::min({std::max(0.0, wish.wanted), owned.level + rounding, most}));
     owned.level = std::max(0.0, owned.level - granted);
     one.tokens += granted;
     one.last_grant = granted;
@@ -94,7 +104,6 @@
         return false;
     }
     held.tokens -= 1.0;
-    held.spent += 1.0;
     return true;
 }
 
@@ -105,27 +114,32 @@
     held.used_at = now;
 }
 
-purse_request prepare_request(purse& held, std::size_t waiting, time_point now)
+borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting, time_point now)
 {
     drop_lapsed(held, now);
     const double recent = held.demand * decay(held, now);
     const double target = static_cast<double>(waiting) + std::ceil(recent * held_seconds);
     const double missing = target - held.tokens;
+    borrow_request request;
+    request.entry = entry;
+    request.sequence = sequence;
+    request.acked = held.acked;
+    request.wanted = std::max(0.0, std::trunc(missing));
     const bool surplus = missing < -1.0 && held.tokens > 2.0 * target;
-    purse_request request;
-    request.wanted = missing > 0 || surplus ? std::trunc(missing) : 0.0;
-    request.spent = held.spent;
-    if (request.wanted < 0) {
-        held.tokens += request.wanted; // what is given back must not be spent meanwhile
-    }
+    request.returned = surplus ? std::trunc(-missing) : 0.0;
+    held.tokens -= request.returned; // what is given back must not be spent meanwhile
+    request.held = held.tokens;
     return request;
 }
 
-void receive_tokens(purse& held, double granted, double reported_spent, time_point asked_at, time_point now)
+void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at, time_point now)
 {
     drop_lapsed(held, now); // an answer never revives tokens of an earlier lease
+    if (request.sequence <= held.acked) {
+        return; // the same answer again
+    }
+    held.acked = request.sequence;
     held.tokens += std::max(0.0, granted);
-    held.spent = std::max(0.0, held.spent - reported_spent);
     held.lapses_at = std::max(held.lapses_at, asked_at + holder_lease(token_lease));
     drop_lapsed(held, now);
 }
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -5,12 +5,14 @@
 
 namespace guavawick::limit {
 
-/// What an entry asks of an owner.
+/// What an entry asks of an owner. Amounts are absolute, so that a lost or doubled message changes nothing.
 struct borrow_request {
     incarnation_id entry;
     std::uint64_t sequence = 0; ///< rises with each new request; equal for a resend
-    double spent = 0;           ///< tokens spent since the last request
-    double wanted = 0;          ///< whole tokens that it would like; negative gives tokens back
+    std::uint64_t acked = 0;    ///< newest earlier request whose answer the entry took in; later answers to older ones are dropped
+    double held = 0;            ///< tokens that the entry keeps
+    double returned = 0;        ///< tokens that it gives back
+    double wanted = 0;          ///< whole tokens that it would like beside
 };
 
 /// Makes an empty bucket. @pre all leases of an earlier owner have lapsed.
@@ -30,16 +32,11 @@
 bool spend(purse& held, time_point now);
 /// Notes one request of the organisation, whether it got a token or not.
 void note_demand(purse& held, time_point now);
-/// What an entry puts into its next request to an owner.
-struct purse_request {
-    double wanted = 0; ///< negative gives tokens back
-    double spent = 0;  ///< spent since the last answered request
-};
-
-/// Decides what to ask for, with `waiting` requests in the entry's queue. Tokens given back leave the purse at once.
-purse_request prepare_request(purse& held, std::size_t waiting, time_point now);
-/// Takes an answer of the owner in. @param asked_at when the entry asked, before the request was sent.
-void receive_tokens(purse& held, double granted, double reported_spent, time_point asked_at, time_point now);
+/// Fills an entry's next request, with `waiting` requests in its queue. Tokens given back leave the purse at once.
+/// @pre from here on the entry drops answers to earlier requests.
+borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting, time_point now);
+/// Takes the owner's answer to a request in. @param asked_at when the entry asked, before the request was sent.
+void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at, time_point now);
 /// Drops tokens whose lease has ended. @return how many were dropped.
 double drop_lapsed(purse& held, time_point now);
 
--- a/src/limit/bucket_type.hpp
+++ b/src/limit/bucket_type.hpp
@@ -22,7 +22,7 @@
 
 /// What one entry holds of one organisation's bucket, as the owner sees it.
 struct loan {
-    double tokens = 0;          ///< lent and not reported as spent
+    double tokens = 0;          ///< what the entry may still spend, as far as the owner knows
     time_point lapses_at{};     ///< the owner counts the tokens as spent after this
     std::uint64_t sequence = 0; ///< newest request answered
     double last_grant = 0;      ///< answer to that request, for a resend
@@ -39,7 +39,7 @@
 /// What an entry holds of one organisation's tokens. Whole tokens only.
 struct purse {
     double tokens = 0;            ///< may be spent until the lease ends
-    double spent = 0;             ///< spent and not yet reported
+    std::uint64_t acked = 0;      ///< newest request whose answer arrived
     time_point lapses_at{};       ///< on the entry's clock, from before it asked
     double demand = 0;            ///< recent requests a second
     time_point demand_at{};       ///< when the demand was last brought up to date
--- a/src/operator/set_file.cpp
+++ b/src/operator/set_file.cpp
@@ -2,10 +2,9 @@
 #include "operator/set_file.hpp"
 
 #include "base/failure_type.hpp"
+#include "base/toml_include.hpp"
 #include "configuration/configuration_func.hpp"
 
-#include <toml++/toml.h>
-
 #include <cmath>
 #include <fstream>
 #include <sstream>
--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -285,7 +285,8 @@
         const time_point since = leads_since_ + giver_lease(limit::token_lease);
         const auto [found, fresh] = buckets_.try_emplace(item.organisation(), limit::make_bucket(allowed, since));
         limit::set_limits(found->second, allowed, now);
-        const double granted = limit::borrow(found->second, {incarnation_id{asked.entry_incarnation()}, asked.sequence(), item.spent(), item.wanted()}, now);
+        const limit::borrow_request wish{incarnation_id{asked.entry_incarnation()}, asked.sequence(), item.acked(), item.held(), item.returned(), item.wanted()};
+        const double granted = limit::borrow(found->second, wish, now);
         wire::grant_item* made = body->add_items();
         made->set_organisation(item.organisation());
         made->set_tokens(granted);
--- /dev/null
+++ b/tests/unit/decoder_test.cpp
@@ -0,0 +1,154 @@
+// Every decoder of bytes from outside, under arbitrary and damaged input: a typed error or a value, never a crash.
+#include "base/failure_type.hpp"
+#include "base/settings_type.hpp"
+#include "caller/chat.hpp"
+#include "configuration/directory_codec.hpp"
+#include "ledger/ledger_func.hpp"
+#include "operator/operator_json.hpp"
+#include "operator/set_file.hpp"
+#include "replica/consensus_codec.hpp"
+#include "replica/log_store.hpp"
+#include "wire.pb.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
+
+namespace guavawick::tests {
+namespace {
+
+/// Runs a decoder. @return whether it gave a value or a typed error.
+template <typename Decoder>
+bool gives_value_or_typed_error(const Decoder& decode)
+{
+    try {
+        decode();
+    }
+    catch (const error&) {
+        return true;
+    }
+    return true; // any other exception escapes and fails the property
+}
+
+std::string damage(std::string bytes, std::uint32_t place, std::uint8_t value)
+{
+    if (!bytes.empty()) {
+        bytes[place % bytes.size()] = static_cast<char>(value);
+    }
+    return bytes;
+}
+
+std::string valid_ledger_state()
+{
+    ledger::ledger_state state;
+    ledger::open_request wish;
+    wish.key = {organisation_name{"o"}, program_name{"p"}};
+    wish.request = request_name{"r"};
+    wish.wanted.attempt = attempt_id{4};
+    wish.messages = {{"user", "text"}};
+    ledger::open_call(state, wish);
+    return ledger::encode_state(state);
+}
+
+const std::string valid_settings = "data_centre = \"dc1\"\n[[replicas]]\nname = \"r1\"\nendpoint = \"tcp://127.0.0.1:1\"\n[entry]\nqueue_limit = \"30s\"\n";
+const std::string valid_set = "[organisation.a]\nrate = 1.5\nburst = 2\n[key.k]\norganisation = \"a\"\nsha256 = \"00\"\n";
+const std::string valid_chat = R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5})";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(decoder_test)
+
+RC_BOOST_PROP(settings_of_arbitrary_text_are_read_or_refused, (const std::string& text))
+{
+    RC_ASSERT(gives_value_or_typed_error([&] { parse_settings(text, "f", role_kind::entry); }));
+}
+
+RC_BOOST_PROP(damaged_settings_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
+{
+    RC_ASSERT(gives_value_or_typed_error([&] { parse_settings(damage(valid_settings, place, value), "f", role_kind::entry); }));
+}
+
+RC_BOOST_PROP(damaged_set_files_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
+{
+    RC_ASSERT(gives_value_or_typed_error([&] { operators::parse_set(damage(valid_set, place, value), "f"); }));
+}
+
+RC_BOOST_PROP(damaged_chat_requests_are_read_or_refused, (std::uint32_t place, std::uint8_t value, const std::string& text))
+{
+    RC_ASSERT(gives_value_or_typed_error([&] { caller::parse_chat(damage(valid_chat, place, value)); }));
+    RC_ASSERT(gives_value_or_typed_error([&] { caller::parse_chat(text); }));
+    caller::answer_builder builder;
+    builder.feed(damage(valid_chat, place, value));
+    RC_ASSERT(!builder.body().empty());
+}
+
+RC_BOOST_PROP(damaged_publications_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
+{
+    const std::string valid = R"({"expect_revision":1,"request_id":"r","objects":{"organisation":{"a":{"rate":"1"}}}})";
+    wire::apply_request into;
+    RC_ASSERT(gives_value_or_typed_error([&] { operators::read_apply(damage(valid, place, value), &into); }));
+}
+
+RC_BOOST_PROP(damaged_ledger_snapshots_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
+{
+    static const std::string valid = valid_ledger_state();
+    RC_ASSERT(gives_value_or_typed_error([&] { ledger::decode_state(damage(valid, place, value)); }));
+}
+
+RC_BOOST_PROP(arbitrary_control_snapshots_are_read_or_refused, (const std::string& bytes))
+{
+    configuration::configuration_state published;
+    configuration::directory_state directory;
+    RC_ASSERT(gives_value_or_typed_error([&] { configuration::decode_control_state(bytes, published, directory); }));
+}
+
+RC_BOOST_PROP(arbitrary_wire_messages_are_read_or_refused, (const std::string& bytes))
+{
+    wire::envelope message;
+    if (message.ParseFromString(bytes) && message.has_consensus()) {
+        RC_ASSERT(gives_value_or_typed_error([&] { replica::from_wire(message.consensus()); }));
+    }
+    RC_ASSERT(gives_value_or_typed_error([&] { consensus::decode_membership(bytes); }));
+}
+
+RC_BOOST_PROP(consensus_message_survives_its_encoding, (std::uint64_t term, std::uint64_t index, const std::string& payload, bool reject))
+{
+    consensus::message sent;
+    sent.kind = consensus::message_kind::append_request;
+    sent.from = consensus::member_id{1};
+    sent.to = consensus::member_id{2};
+    sent.term = term;
+    sent.index = index;
+    sent.reject = reject;
+    sent.entries.push_back({term, index + 1, consensus::entry_kind::command, payload});
+    wire::consensus_message encoded;
+    replica::to_wire(sent, 3, &encoded);
+    const consensus::message read = replica::from_wire(encoded);
+    RC_ASSERT(read.term == term && read.index == index && read.reject == reject);
+    RC_ASSERT(read.entries.size() == 1U && read.entries[0].payload == payload);
+}
+
+RC_BOOST_PROP(damaged_log_records_never_change_an_intact_prefix, (const std::vector<std::string>& payloads, std::uint32_t place, std::uint8_t value))
+{
+    std::string bytes;
+    std::vector<std::string> framed;
+    for (const std::string& one : payloads) {
+        framed.push_back(one + "x");
+        bytes += replica::frame_record(framed.back());
+    }
+    const std::string damaged = damage(bytes, place, value);
+    std::size_t valid = 0;
+    try {
+        const std::vector<std::string> read = replica::read_records(damaged, valid);
+        RC_ASSERT(read.size() <= framed.size());
+        for (std::size_t i = 0; i < read.size(); ++i) {
+            RC_ASSERT(read[i] == framed[i]);
+        }
+    }
+    catch (const storage_error&) {
+        RC_ASSERT(damaged != bytes);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
--- /dev/null
+++ b/tests/unit/log_store_test.cpp
@@ -0,0 +1,155 @@
+// Files of a consensus group: restarts, torn tails, damage, blank disks.
+#include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
+#include "replica/log_store.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+
+namespace guavawick::tests {
+
+namespace fs = std::filesystem;
+using namespace replica;
+
+namespace {
+
+struct scratch_folder {
+    fs::path path = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
+
+    ~scratch_folder() { fs::remove_all(path); }
+    [[nodiscard]] std::string group() const { return (path / "group-0").string(); }
+    [[nodiscard]] std::string log() const { return group() + "/log"; }
+};
+
+consensus::effects make_entries(consensus::log_index first, std::size_t count)
+{
+    consensus::effects wanted;
+    for (std::size_t i = 0; i < count; ++i) {
+        consensus::log_entry entry;
+        entry.term = 1;
+        entry.index = first + i;
+        entry.kind = consensus::entry_kind::command;
+        entry.payload = "payload " + std::to_string(first + i);
+        wanted.appended.push_back(entry);
+    }
+    wanted.hard_state_changed = true;
+    return wanted;
+}
+
+consensus::group_state make_group()
+{
+    consensus::group_state state;
+    state.term = 1;
+    state.voted_for = consensus::member_id{9};
+    return state;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(log_store_test)
+
+BOOST_FIXTURE_TEST_CASE(entries_and_hard_state_are_read_back_after_a_restart, scratch_folder)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 3));
+    }
+    const log_store again(group());
+    BOOST_TEST(again.loaded().entries.size() == 3U);
+    BOOST_TEST(again.loaded().entries.back().payload == "payload 3");
+    BOOST_TEST(again.loaded().term == 1U);
+    BOOST_TEST(again.loaded().voted_for.value == 9U);
+}
+
+BOOST_FIXTURE_TEST_CASE(truncated_entries_stay_gone_after_a_restart, scratch_folder)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 5));
+        consensus::effects cut = make_entries(3, 1);
+        cut.truncate_after = 2;
+        store.persist(make_group(), cut);
+    }
+    BOOST_TEST(log_store(group()).loaded().entries.size() == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(log_cut_at_any_byte_of_its_last_record_keeps_every_earlier_one, scratch_folder)
+{
+    std::uintmax_t whole = 0;
+    std::uintmax_t before = 0;
+    {
+        log_store store(group());
+        consensus::effects first = make_entries(1, 2);
+        first.hard_state_changed = false;
+        store.persist(make_group(), first);
+        before = fs::file_size(log());
+        consensus::effects last = make_entries(3, 1);
+        last.hard_state_changed = false;
+        store.persist(make_group(), last);
+        whole = fs::file_size(log());
+    }
+    std::ifstream file(log(), std::ios::binary);
+    const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    for (std::uintmax_t size = before; size <= whole; ++size) {
+        std::ofstream(log(), std::ios::binary | std::ios::trunc) << bytes.substr(0, size);
+        const log_store again(group());
+        BOOST_TEST(again.loaded().entries.size() == (size == whole ? 3U : 2U));
+        BOOST_TEST(again.tail_was_cut() == (size != before && size != whole));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(damage_before_intact_records_is_refused_instead_of_cut, scratch_folder)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 4));
+    }
+    std::fstream file(log(), std::ios::in | std::ios::out | std::ios::binary);
+    file.seekp(12);
+    file.put('\x55');
+    file.close();
+    BOOST_CHECK_THROW(log_store{group()}, storage_error);
+}
+
+BOOST_FIXTURE_TEST_CASE(snapshot_replaces_the_entries_that_it_covers, scratch_folder)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 4));
+        consensus::group_state state = make_group();
+        auto taken = std::make_shared<consensus::snapshot>();
+        taken->index = 4;
+        taken->term = 1;
+        taken->state = "state";
+        state.newest_snapshot = taken;
+        store.write_snapshot(state);
+        store.persist(state, make_entries(5, 1));
+    }
+    const log_store again(group());
+    BOOST_REQUIRE(again.loaded().newest_snapshot);
+    BOOST_TEST(again.loaded().newest_snapshot->state == "state");
+    BOOST_TEST(again.loaded().entries.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(wiped_folder_gets_another_identity_and_a_kept_one_the_same, scratch_folder)
+{
+    const std::string folder = path.string();
+    const disk_identity first = open_identity(folder);
+    BOOST_TEST(first.blank);
+    BOOST_TEST((open_identity(folder).id == first.id));
+    BOOST_TEST(!open_identity(folder).blank);
+    fs::remove_all(path);
+    BOOST_TEST((open_identity(folder).id != first.id));
+}
+
+BOOST_FIXTURE_TEST_CASE(groups_without_an_identity_are_refused, scratch_folder)
+{
+    fs::create_directories(group());
+    BOOST_CHECK_THROW(open_identity(path.string()), storage_error);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
