--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -9,6 +9,7 @@
 
 constexpr double demand_window_seconds = 1.0; ///< time constant of the demand average
 constexpr double held_seconds = 0.25;         ///< an entry holds tokens for this much of its demand
+constexpr double least_demand = 0.5;          ///< requests a second; below it nothing is kept for later
 constexpr double largest_share = 0.5;         ///< of the burst, what one request may take
 constexpr double rounding = 1e-9;
 
@@ -118,15 +119,16 @@
 {
     drop_lapsed(held, now);
     const double recent = held.demand * decay(held, now);
-    const double target = static_cast<double>(waiting) + std::ceil(recent * held_seconds);
-    const double missing = target - held.tokens;
+    const double target = static_cast<double>(waiting) + recent * held_seconds;
+    const double missing = std::ceil(target) - held.tokens;
     borrow_request request;
     request.entry = entry;
     request.sequence = sequence;
     request.acked = held.acked;
-    request.wanted = std::max(0.0, std::trunc(missing));
-    const bool surplus = missing < -1.0 && held.tokens > 2.0 * target;
-    request.returned = surplus ? std::trunc(-missing) : 0.0;
+    request.wanted = recent < least_demand && waiting == 0 ? 0.0 : std::max(0.0, std::trunc(missing));
+    // What lies idle here may be what another entry's request waits for.
+    const double surplus = held.tokens - (recent < least_demand ? static_cast<double>(waiting) : 2.0 * std::ceil(target));
+    request.returned = std::max(0.0, std::trunc(surplus));
     held.tokens -= request.returned; // what is given back must not be spent meanwhile
     request.held = held.tokens;
     return request;
--- a/src/scheduling/window_func.cpp
+++ b/src/scheduling/window_func.cpp
@@ -9,6 +9,8 @@
 constexpr double shrink_factor = 0.7;        ///< of the size, at an answer over the goal
 constexpr double usual_weight = 0.1;         ///< of a new latency in the usual one
 constexpr double cold_factor = 6.0;          ///< a latency this many times the usual one means a cold upstream
+constexpr double least_usual_seconds = 0.05; ///< below this a latency is not told apart from none
+constexpr double batch_allowance = 2.0;      ///< a full batch slows prefill down by about this
 constexpr duration shrink_interval = 1s;     ///< the window shrinks at most this often
 
 void grow(window_state& window)
@@ -21,6 +23,9 @@
 
 void shrink(window_state& window, time_point now)
 {
+    if (window.size <= 1) {
+        return; // a fresh upstream that warms up: nothing to take away, and no sign of a limit
+    }
     window.slow_start = false;
     if (now - window.shrunk_at < shrink_interval) {
         return;
@@ -67,9 +72,15 @@
     ++window.resets;
 }
 
-bool note_first_token(window_state& window, duration latency, time_point now)
+duration prefill_allowance(std::uint64_t prompt_tokens, double tokens_per_second)
+{
+    return from_seconds(static_cast<double>(prompt_tokens) / std::max(1.0, tokens_per_second) * batch_allowance);
+}
+
+bool note_first_token(window_state& window, duration latency, duration prefill, time_point now)
 {
-    const double seconds = to_seconds(latency);
+    const duration excess = std::max(duration{}, latency - prefill);
+    const double seconds = std::max(least_usual_seconds, to_seconds(excess));
     const double goal = to_seconds(window.options.latency_goal);
     const bool cold = window.usual_seconds > 0 && seconds > cold_factor * window.usual_seconds && seconds > goal / 2;
     if (cold && window.size > 1) {
@@ -77,7 +88,7 @@
         return true;
     }
     window.usual_seconds = window.usual_seconds == 0 ? seconds : window.usual_seconds * (1 - usual_weight) + seconds * usual_weight;
-    if (latency > window.options.latency_goal) {
+    if (excess > window.options.latency_goal) {
         shrink(window, now);
         return false;
     }
--- a/src/sidecar/attempt_runner.cpp
+++ b/src/sidecar/attempt_runner.cpp
@@ -16,6 +16,7 @@
 constexpr duration close_limit = 10s;
 constexpr duration free_limit = 5s;
 constexpr double smoothing = 0.1;          ///< of a new figure in an average
+constexpr std::uint64_t least_prefill_sample = 500; ///< tokens; a shorter prefill tells nothing of the speed
 constexpr std::size_t most_raw_bytes = 64U << 20U;
 
 void smooth(double& average, double fresh)
@@ -105,7 +106,7 @@
     if (record->first_data_at == time_point{}) {
         const time_point now = runtime_clock::now();
         record->first_data_at = now;
-        if (scheduling::note_first_token(window_, now - record->started_at, now)) {
+        if (scheduling::note_first_token(window_, now - record->started_at, scheduling::prefill_allowance(record->request.prompt_tokens(), prefill_tokens_per_second_), now)) {
             log_event(event::window_reset, {{"upstream", own_.name}});
         }
         pump();
@@ -167,6 +168,11 @@
     if (generated > 1 && record->first_data_at != time_point{}) {
         smooth(seconds_per_token_, to_seconds(now - record->first_data_at) / static_cast<double>(generated));
     }
+    const std::uint64_t prefilled = record->answer.prompt_tokens() - std::min(record->answer.prompt_tokens(), record->answer.cached_tokens());
+    const double first_seconds = to_seconds(record->first_data_at - record->started_at);
+    if (prefilled > least_prefill_sample && record->first_data_at != time_point{} && first_seconds > 0) {
+        smooth(prefill_tokens_per_second_, static_cast<double>(prefilled) / first_seconds);
+    }
     const double real = scheduling::expected_cost(record->answer.prompt_tokens(), record->answer.cached_tokens(), generated);
     scheduling::charge_difference(queue_, organisation_name{record->request.organisation()}, record->expected_cost, real);
     wire::run_chunk last;
--- a/tests/unit/scheduling_test.cpp
+++ b/tests/unit/scheduling_test.cpp
@@ -157,7 +157,7 @@
         }
         BOOST_REQUIRE(!may_start(window));
         for (std::uint64_t i = 0; i < at_once; ++i) {
-            note_first_token(window, 100ms, start_of_test);
+            note_first_token(window, 100ms, 0ms, start_of_test);
             note_end(window);
         }
         BOOST_REQUIRE(++rounds < 10U);
@@ -171,7 +171,7 @@
     window.options = {64, 2s};
     note_reported(window, 6);
     for (int i = 0; i < 200; ++i) {
-        note_first_token(window, 10ms, start_of_test);
+        note_first_token(window, 10ms, 0ms, start_of_test);
         BOOST_REQUIRE(window_limit(window) <= 6U);
     }
 }
@@ -181,23 +181,35 @@
     window_state window;
     window.options = {64, 2s};
     for (int i = 0; i < 40; ++i) {
-        note_first_token(window, 100ms, start_of_test);
+        note_first_token(window, 100ms, 0ms, start_of_test);
     }
     BOOST_REQUIRE(window_limit(window) > 30U);
-    BOOST_TEST(note_first_token(window, 1500ms, start_of_test));
+    BOOST_TEST(note_first_token(window, 1500ms, 0ms, start_of_test));
     BOOST_TEST(window_limit(window) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(long_prefill_of_an_uncached_prompt_is_not_taken_for_a_cold_upstream)
+{
+    window_state window;
+    window.options = {64, 2s};
+    for (int i = 0; i < 40; ++i) {
+        note_first_token(window, 100ms, 0ms, start_of_test);
+    }
+    const std::uint64_t before = window_limit(window);
+    BOOST_TEST(!note_first_token(window, 8s, prefill_allowance(20000, 4000), start_of_test));
+    BOOST_TEST(window_limit(window) >= before);
+}
+
 BOOST_AUTO_TEST_CASE(latency_over_the_goal_shrinks_the_window_once_a_burst)
 {
     window_state window;
     window.options = {64, 500ms};
     for (int i = 0; i < 30; ++i) {
-        note_first_token(window, 400ms, start_of_test);
+        note_first_token(window, 400ms, 0ms, start_of_test);
     }
     const std::uint64_t before = window_limit(window);
     for (int i = 0; i < 10; ++i) {
-        note_first_token(window, 700ms, start_of_test + 5s);
+        note_first_token(window, 700ms, 0ms, start_of_test + 5s);
     }
     BOOST_TEST(window_limit(window) < before);
     BOOST_TEST(window_limit(window) >= before / 2);
