Let the ledger choose among offered upstreams; weigh organisations by the root of their rate; judge latency without its prefill

Idle tokens at other entries, and spent ones that the owner had not heard of, held back small organisations' rate.

--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -12,6 +12,8 @@
 #include "sidecar/attempt_record.hpp"
 #include "wire.pb.h"
 
+#include <cmath>
+
 namespace guavawick::entry {
 
 namespace asio = boost::asio;
@@ -24,10 +26,11 @@
 constexpr duration first_backoff = 20ms;
 constexpr duration most_backoff = 1s;
 constexpr duration no_upstream_pause = 100ms;
-constexpr duration rate_wait_limit = 10s;
-constexpr std::uint64_t guessed_prompt_tokens = 1000; ///< of a program whose history is not known here
+constexpr duration rate_wait_limit = 12s; ///< 10 s as promised, and the skew of order among entries
+constexpr double first_choice_seconds = 0.02; ///< preference for the entry's own choice where nothing else decides
 constexpr std::uint64_t default_answer_tokens = 256;
 constexpr std::uint64_t default_reserved_tokens = 4096;
+constexpr double least_weighed_rate = 0.01; ///< requests a second; an open route has no rate
 constexpr std::size_t most_tries = 40;
 constexpr std::uint32_t most_lost_tries = 4;
 
@@ -101,13 +104,19 @@
     }
 }
 
-/// Chooses an upstream, waiting while none will do. @throw refusal_error at the deadline.
-asio::awaitable<routing::candidate> choose_upstream(call_flow& flow)
+/// Upstreams that may take a call, and the one that it goes to unless the ledger knows better.
+struct upstream_offer {
+    std::vector<routing::candidate> candidates;
+    std::size_t first_choice = 0;
+    routing::route_wish wish;
+};
+
+/// Lists the upstreams that may take the call, waiting while none will do. @throw refusal_error at the deadline.
+asio::awaitable<upstream_offer> find_upstreams(call_flow& flow)
 {
     routing::route_wish wish;
     wish.affinity = flow.plan.ephemeral ? 0 : hash_bytes(flow.program_key());
-    const program_cache cache = flow.context.tables.cache_of(flow.program_key());
-    wish.prompt_tokens = new_message_tokens(flow) + (cache.tokens != 0 || flow.plan.ephemeral ? cache.tokens : guessed_prompt_tokens);
+    wish.prompt_tokens = new_message_tokens(flow); // the ledger adds the prefill of the history, whose size it knows
     wish.expected_tokens = flow.plan.chat.most_tokens != 0 ? std::min<std::uint64_t>(flow.plan.chat.most_tokens, default_answer_tokens) : default_answer_tokens;
     const std::string& policy = flow.context.settings.routing;
     wish.policy = policy == "round_robin" ? routing::routing_policy::round_robin
@@ -119,12 +128,17 @@
         wish.turn = flow.context.turns.fetch_add(1);
         std::vector<routing::candidate> found = flow.context.tables.candidates(flow.plan.route.kind, flow.plan.route.serves, flow.program_key());
         std::erase_if(found, [&](const routing::candidate& one) {
-            return std::find(flow.tried.begin(), flow.tried.end(), one.name.value) != flow.tried.end();
+            const bool refused = std::find(flow.tried.begin(), flow.tried.end(), one.name.value) != flow.tried.end();
+            return refused || (wish.suspect && one.load.suspects != 0);
         });
         const auto place = routing::choose(found, wish);
         if (place) {
             flow.suspect = wish.suspect;
-            co_return found[*place];
+            upstream_offer offer;
+            offer.candidates = std::move(found);
+            offer.first_choice = *place;
+            offer.wish = wish;
+            co_return offer;
         }
         flow.tried.clear();
         if (runtime_clock::now() + no_upstream_pause >= flow.deadline) {
@@ -134,6 +148,24 @@
     }
 }
 
+/// Adds what the ledger needs to weigh the upstreams against where the history is cached.
+void add_choices(const upstream_offer& offer, wire::open_call_request* into)
+{
+    if (offer.wish.policy != routing::routing_policy::expected_time) {
+        return;
+    }
+    for (std::size_t place = 0; place < offer.candidates.size(); ++place) {
+        const routing::candidate& there = offer.candidates[place];
+        wire::upstream_choice* made = into->add_choices();
+        made->set_upstream(there.name.value);
+        made->set_incarnation(there.incarnation.value);
+        made->set_endpoint(there.endpoint);
+        const double preference = place == offer.first_choice ? first_choice_seconds : 0.0;
+        made->set_seconds(routing::expected_seconds(there, offer.wish) - preference);
+        made->set_prefill_tokens_per_second(there.load.prefill_tokens_per_second);
+    }
+}
+
 wire::envelope make_open(const call_flow& flow, const ledger::claim& wanted)
 {
     wire::envelope question;
@@ -257,7 +289,7 @@
     body->set_entry_incarnation(flow.context.links.self().value);
     body->set_repeatable(flow.plan.route.repeatable);
     body->set_attained_tokens(attained);
-    body->set_weight(flow.plan.organisation.weight);
+    body->set_weight(flow.plan.organisation.weight * std::sqrt(std::max(flow.plan.organisation.rate, least_weighed_rate)));
     body->set_service(flow.is_service());
     body->set_ephemeral(flow.plan.ephemeral);
     body->set_body_hash(flow.plan.body.value);
@@ -524,10 +556,13 @@
 /// Opens the call once. @return whether an attempt is to be run, in `flow.bound`.
 asio::awaitable<bool> open(call_flow& flow, wire::envelope_ptr& reply)
 {
-    const routing::candidate chosen = co_await choose_upstream(flow);
+    const upstream_offer offer = co_await find_upstreams(flow);
+    const routing::candidate& chosen = offer.candidates[offer.first_choice];
     const ledger::claim wanted{attempt_id{random_id()}, chosen.name, chosen.incarnation, chosen.endpoint, flow.context.links.self()};
     const duration limit = std::max<duration>(flow.deadline - runtime_clock::now(), 1ms);
-    reply = co_await ask_ledger(flow, make_open(flow, wanted), limit, limit);
+    wire::envelope question = make_open(flow, wanted);
+    add_choices(offer, question.mutable_open());
+    reply = co_await ask_ledger(flow, std::move(question), limit, limit);
     const wire::open_call_reply& body = reply->opened();
     switch (static_cast<ledger::open_outcome>(body.outcome())) {
     case ledger::open_outcome::granted:
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -18,7 +18,6 @@
 constexpr duration borrow_interval = 20ms;
 constexpr duration borrow_limit = 1s;
 constexpr duration idle_account = 60s; ///< an organisation that asked nothing for this long is forgotten
-constexpr duration renew_margin = 700ms; ///< tokens are renewed this long before they lapse
 
 } // namespace
 
@@ -94,9 +93,9 @@
             entry = accounts_.erase(entry);
             continue;
         }
-        const bool renews = one.purse.lapses_at != time_point{} && one.purse.lapses_at - now < renew_margin && now - one.purse.used_at < idle_account;
         const limit::borrow_request wish = limit::prepare_request(one.purse, entry_, sequence, one.waiting.size(), now);
-        if (wish.wanted != 0 || wish.returned != 0 || (renews && wish.held != 0)) {
+        if (limit::is_due(one.purse, wish, now)) {
+            limit::note_sent(one.purse, wish, now);
             wire::borrow_item* item = body->add_items();
             item->set_organisation(name);
             item->set_wanted(wish.wanted);
--- a/src/ledger/call_cmd.cpp
+++ b/src/ledger/call_cmd.cpp
@@ -214,6 +214,22 @@
 
 } // namespace
 
+std::optional<std::size_t> choose_upstream(const program_state* program, const std::vector<upstream_choice>& choices)
+{
+    std::optional<std::size_t> best;
+    double least = 0;
+    for (std::size_t place = 0; place < choices.size(); ++place) {
+        const upstream_choice& there = choices[place];
+        const bool cold = program != nullptr && there.upstream != program->last_upstream;
+        const double prefill = cold ? static_cast<double>(program->history_tokens) / std::max(1.0, there.prefill_tokens_per_second) : 0.0;
+        if (!best || there.seconds + prefill < least) {
+            best = place;
+            least = there.seconds + prefill;
+        }
+    }
+    return best;
+}
+
 open_result open_call(ledger_state& state, const open_request& wish)
 {
     if (wish.alias_only) {
@@ -278,6 +294,8 @@
     touch_family(state, program);
     program.attained_tokens += report.prompt_tokens + report.completion_tokens;
     if (report.outcome == call_outcome::done) {
+        program.last_upstream = call.bound.upstream;
+        program.history_tokens = report.prompt_tokens + report.completion_tokens;
         append_history(program, call, report);
     }
     const bool may_run_again = report.outcome == call_outcome::not_run || report.outcome == call_outcome::abandoned;
--- a/src/ledger/ledger_codec.cpp
+++ b/src/ledger/ledger_codec.cpp
@@ -74,6 +74,15 @@
     return wish;
 }
 
+std::vector<upstream_choice> choices_from_wire(const wire::open_call_request& from)
+{
+    std::vector<upstream_choice> choices;
+    for (const wire::upstream_choice& one : from.choices()) {
+        choices.push_back({upstream_name{one.upstream()}, incarnation_id{one.incarnation()}, one.endpoint(), one.seconds(), one.prefill_tokens_per_second()});
+    }
+    return choices;
+}
+
 void to_wire(const open_result& from, wire::open_call_reply* into)
 {
     into->set_outcome(static_cast<std::uint32_t>(from.outcome));
@@ -154,6 +163,8 @@
     into->set_tokens(program.tokens);
     into->set_reserved_tokens(program.reserved_tokens);
     into->set_attained(program.attained_tokens);
+    into->set_last_upstream(program.last_upstream.value);
+    into->set_history_tokens(program.history_tokens);
     into->set_opened_at_ms(program.opened_at.count());
     into->set_used_at_ms(program.used_at.count());
     to_wire(program.history, into->mutable_history());
@@ -180,6 +191,8 @@
     program.tokens = from.tokens();
     program.reserved_tokens = from.reserved_tokens();
     program.attained_tokens = from.attained();
+    program.last_upstream = upstream_name{from.last_upstream()};
+    program.history_tokens = from.history_tokens();
     program.opened_at = group_time{from.opened_at_ms()};
     program.used_at = group_time{from.used_at_ms()};
     program.history = from_wire(from.history());
--- a/src/ledger/ledger_codec.hpp
+++ b/src/ledger/ledger_codec.hpp
@@ -15,6 +15,8 @@
 
 /// @return the wish that a wire message holds.
 open_request from_wire(const wire::open_call_request& from);
+/// @return the upstreams that an entry offers.
+std::vector<upstream_choice> choices_from_wire(const wire::open_call_request& from);
 /// @return the report that a wire message holds.
 close_request from_wire(const wire::close_call_request& from);
 /// @return the answer that a wire message holds.
--- a/src/ledger/ledger_func.hpp
+++ b/src/ledger/ledger_func.hpp
@@ -7,6 +7,9 @@
 
 /// Opens a call, or tells why not. @pre state.now is the command's group time.
 open_result open_call(ledger_state& state, const open_request& wish);
+/// Chooses where a program's next call ends soonest, with the prefill of what is not cached there. Pure.
+/// @return the place among the choices; nothing if there are none.
+std::optional<std::size_t> choose_upstream(const program_state* program, const std::vector<upstream_choice>& choices);
 /// Closes a call. Only the attempt that the call is bound to is heard; a repeated report is accepted again.
 close_result close_call(ledger_state& state, const close_request& report);
 /// Ends a program. @return the calls that were waiting, with their refusal; false if there is no such program.
--- a/src/ledger/ledger_type.hpp
+++ b/src/ledger/ledger_type.hpp
@@ -110,6 +110,8 @@
     group_time opened_at{};
     group_time used_at{};
     std::vector<chat_message> history;
+    std::uint64_t history_tokens = 0;   ///< prompt and answer of the last call, as its engine counted
+    upstream_name last_upstream;        ///< where the last call ran and its history is cached
     std::deque<call_state> open;        ///< the first one runs, the others wait in order of arrival
     std::deque<call_state> closed;      ///< newest last
     std::set<upstream_name> held_by;    ///< upstreams whose engine may hold its memory
@@ -150,6 +152,15 @@
     std::vector<chat_message> messages;
 };
 
+/// An upstream that an entry offers for a call.
+struct upstream_choice {
+    upstream_name upstream;
+    incarnation_id incarnation;
+    std::string endpoint;
+    double seconds = 0;                      ///< expected to the end of the call, with the history's prefill left out
+    double prefill_tokens_per_second = 1000;
+};
+
 enum class open_outcome : std::uint8_t {
     granted = 0, ///< run it at the claimed upstream
     waiting = 1, ///< an earlier call of the program runs
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -9,9 +9,10 @@
 
 constexpr double demand_window_seconds = 1.0; ///< time constant of the demand average
 constexpr double held_seconds = 0.25;         ///< an entry holds tokens for this much of its demand
-constexpr double least_demand = 0.5;          ///< requests a second; below it nothing is kept for later
 constexpr double largest_share = 0.5;         ///< of the burst, what one request may take
 constexpr double rounding = 1e-9;
+constexpr duration renew_margin = 700ms;      ///< a lease is renewed this long before it lapses
+constexpr duration report_interval = 100ms;   ///< spent tokens are told at most this often
 
 double decay(const purse& held, time_point now)
 {
@@ -119,21 +120,36 @@
 {
     drop_lapsed(held, now);
     const double recent = held.demand * decay(held, now);
-    const double target = static_cast<double>(waiting) + recent * held_seconds;
-    const double missing = std::ceil(target) - held.tokens;
+    // Tokens kept for later are whole: an organisation with little demand keeps none, since what lies idle here may be
+    // what a request at another entry waits for.
+    const double kept = std::floor(recent * held_seconds);
+    const double target = static_cast<double>(waiting) + kept;
     borrow_request request;
     request.entry = entry;
     request.sequence = sequence;
     request.acked = held.acked;
-    request.wanted = recent < least_demand && waiting == 0 ? 0.0 : std::max(0.0, std::trunc(missing));
-    // What lies idle here may be what another entry's request waits for.
-    const double surplus = held.tokens - (recent < least_demand ? static_cast<double>(waiting) : 2.0 * std::ceil(target));
-    request.returned = std::max(0.0, std::trunc(surplus));
+    request.wanted = std::max(0.0, std::trunc(target - held.tokens));
+    request.returned = std::max(0.0, std::trunc(held.tokens - target - kept));
     held.tokens -= request.returned; // what is given back must not be spent meanwhile
     request.held = held.tokens;
     return request;
 }
 
+bool is_due(const purse& held, const borrow_request& request, time_point now)
+{
+    const bool asks = request.wanted != 0 || request.returned != 0;
+    const bool renews = request.held != 0 && held.lapses_at - now < renew_margin;
+    // Until the owner hears of spent tokens it counts them as lent and does not refill them.
+    const bool reports = request.held < held.reported && now - held.reported_at >= report_interval;
+    return asks || renews || reports;
+}
+
+void note_sent(purse& held, const borrow_request& request, time_point now)
+{
+    held.reported = request.held;
+    held.reported_at = now;
+}
+
 void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at, time_point now)
 {
     drop_lapsed(held, now); // an answer never revives tokens of an earlier lease
@@ -142,6 +158,7 @@
     }
     held.acked = request.sequence;
     held.tokens += std::max(0.0, granted);
+    held.reported += std::max(0.0, granted);
     held.lapses_at = std::max(held.lapses_at, asked_at + holder_lease(token_lease));
     drop_lapsed(held, now);
 }
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -35,6 +35,10 @@
 /// Fills an entry's next request, with `waiting` requests in its queue. Tokens given back leave the purse at once.
 /// @pre from here on the entry drops answers to earlier requests.
 borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting, time_point now);
+/// Tells whether a request is worth sending: it asks, gives back, renews a lease, or tells of tokens that were spent.
+bool is_due(const purse& held, const borrow_request& request, time_point now);
+/// Notes that a request was sent.
+void note_sent(purse& held, const borrow_request& request, time_point now);
 /// Takes the owner's answer to a request in. @param asked_at when the entry asked, before the request was sent.
 void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at, time_point now);
 /// Drops tokens whose lease has ended. @return how many were dropped.
--- a/src/limit/bucket_type.hpp
+++ b/src/limit/bucket_type.hpp
@@ -40,6 +40,8 @@
 struct purse {
     double tokens = 0;            ///< may be spent until the lease ends
     std::uint64_t acked = 0;      ///< newest request whose answer arrived
+    double reported = 0;          ///< tokens that the owner takes this entry to hold
+    time_point reported_at{};     ///< when it was last told
     time_point lapses_at{};       ///< on the entry's clock, from before it asked
     double demand = 0;            ///< recent requests a second
     time_point demand_at{};       ///< when the demand was last brought up to date
--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -130,7 +130,8 @@
         answer(make_opened(result));
         return;
     }
-    propose(request, [this, request, answer, key = parked_key{wish.key, wish.request}](const wire::envelope& reply) {
+    const wire::envelope_ptr claimed = claim_upstream(request, wish.key);
+    propose(claimed, [this, request, answer, key = parked_key{wish.key, wish.request}](const wire::envelope& reply) {
         const bool waits = reply.has_opened() && reply.opened().outcome() == static_cast<std::uint32_t>(ledger::open_outcome::waiting);
         if (waits) {
             parked_[key] = {request, answer};
@@ -140,6 +141,22 @@
     });
 }
 
+/// Names the upstream where the call ends soonest. The leader decides, and what is committed is its decision.
+wire::envelope_ptr ledger_service::claim_upstream(const wire::envelope_ptr& request, const ledger::program_key& key) const
+{
+    const std::vector<ledger::upstream_choice> choices = ledger::choices_from_wire(request->open());
+    const auto place = ledger::choose_upstream(ledger::find_program(state_, key), choices);
+    auto claimed = std::make_shared<wire::envelope>(*request);
+    claimed->mutable_open()->clear_choices();
+    if (place) {
+        const ledger::upstream_choice& there = choices[*place];
+        claimed->mutable_open()->set_upstream(there.upstream.value);
+        claimed->mutable_open()->set_upstream_incarnation(there.incarnation.value);
+        claimed->mutable_open()->set_upstream_endpoint(there.endpoint);
+    }
+    return claimed;
+}
+
 void ledger_service::program(const wire::envelope_ptr& request, const answer_function& answer)
 {
     const wire::program_request& asked = request->program();
--- a/src/replica/ledger_service.hpp
+++ b/src/replica/ledger_service.hpp
@@ -29,6 +29,7 @@
     wire::envelope apply(const std::string& command);
     void handle_here(const wire::envelope_ptr& request, const answer_function& answer);
     void open(const wire::envelope_ptr& request, const answer_function& answer);
+    [[nodiscard]] wire::envelope_ptr claim_upstream(const wire::envelope_ptr& request, const ledger::program_key& key) const;
     void program(const wire::envelope_ptr& request, const answer_function& answer);
     void propose(const wire::envelope_ptr& request, answer_function answer);
     void propose_expiry();
--- a/tests/unit/ledger_test.cpp
+++ b/tests/unit/ledger_test.cpp
@@ -166,6 +166,19 @@
     BOOST_TEST(find_program(state, demo_p)->tokens == 10U);
 }
 
+BOOST_FIXTURE_TEST_CASE(next_call_goes_where_the_history_is_cached_unless_another_upstream_is_sooner, running_call)
+{
+    close_request report = make_close(demo_p, 1, call_outcome::done);
+    report.prompt_tokens = 8000;
+    close_call(state, report);
+    std::vector<upstream_choice> choices{{upstream_name{"eng-b"}, incarnation_id{2}, "b", 1.0, 4000}, {upstream_name{"eng-a"}, incarnation_id{1}, "a", 2.5, 4000}};
+    BOOST_TEST(choose_upstream(find_program(state, demo_p), choices).value() == 1U); // two seconds of prefill saved
+    choices[1].seconds = 3.5;
+    BOOST_TEST(choose_upstream(find_program(state, demo_p), choices).value() == 0U);
+    BOOST_TEST(choose_upstream(nullptr, choices).value() == 0U);
+    BOOST_TEST(!choose_upstream(nullptr, {}).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(program_whose_parent_ended_is_refused)
 {
     ledger_state state;
