--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -35,7 +35,8 @@
 
 void line(const std::string& name, double figure, double bound, bool held)
 {
-    std::printf("%-62s figure %9.4f  bound %9.4f  %s\n", name.c_str(), figure, bound, held ? "held" : "NOT HELD");
+    std::printf("%-62s figure %9.4f  bound %9.4f  %s\n", name.c_str(), figure, bound,
+                held ? "held" : "NOT HELD");
     failures += held ? 0 : 1;
 }
 
@@ -65,9 +66,11 @@
 {
     const run_result ours = run_world(work, shipped);
     const run_result theirs = run_world(work, baseline);
-    const std::string name = work.name + " load " + std::to_string(work.load).substr(0, 3) + " seed " + std::to_string(work.seed);
-    std::printf("# %s: %zu and %zu programs; mean %.2f s and %.2f s; p95 %.2f s and %.2f s\n", name.c_str(), ours.latencies.size(), theirs.latencies.size(), mean(ours.latencies),
-                mean(theirs.latencies), percentile(ours.latencies, 0.95), percentile(theirs.latencies, 0.95));
+    const std::string name =
+        work.name + " load " + std::to_string(work.load).substr(0, 3) + " seed " + std::to_string(work.seed);
+    std::printf("# %s: %zu and %zu programs; mean %.2f s and %.2f s; p95 %.2f s and %.2f s\n", name.c_str(),
+                ours.latencies.size(), theirs.latencies.size(), mean(ours.latencies), mean(theirs.latencies),
+                percentile(ours.latencies, 0.95), percentile(theirs.latencies, 0.95));
     std::printf("# mean slowdown by organisation:");
     for (const auto& one : ours.slowdowns) {
         std::printf(" %.2f", mean(one));
@@ -77,9 +80,14 @@
     if (!bound) {
         return;
     }
-    at_most(name + ": p95 of program latency over baseline", percentile(ours.latencies, 0.95) / percentile(theirs.latencies, 0.95), 0.6);
-    at_most(name + ": mean of program latency over baseline", mean(ours.latencies) / mean(theirs.latencies), 0.75);
-    at_most(name + ": repeated prefill over baseline", share(ours.repeated_tokens, ours.prompt_tokens) / share(theirs.repeated_tokens, theirs.prompt_tokens), 0.25);
+    at_most(name + ": p95 of program latency over baseline",
+            percentile(ours.latencies, 0.95) / percentile(theirs.latencies, 0.95), 0.6);
+    at_most(name + ": mean of program latency over baseline", mean(ours.latencies) / mean(theirs.latencies),
+            0.75);
+    at_most(name + ": repeated prefill over baseline",
+            share(ours.repeated_tokens, ours.prompt_tokens) /
+                share(theirs.repeated_tokens, theirs.prompt_tokens),
+            0.25);
     at_most(name + ": worst organisation's slowdown over median", worst_over_median(ours, -1), 1.25);
     at_most(name + ": refused within the rate, share", share(ours.refused_within, ours.asked_within), 0.0001);
     at_most(name + ": calls over an engine's window", static_cast<double>(ours.over_window), 0);
@@ -89,7 +97,8 @@
 {
     work.loud = loud;
     const run_result ours = run_world(work, shipped);
-    const std::string name = work.name + " load " + std::to_string(work.load).substr(0, 3) + ", one sends five times its rate";
+    const std::string name =
+        work.name + " load " + std::to_string(work.load).substr(0, 3) + ", one sends five times its rate";
     at_most(name + ": worst other's slowdown over median", worst_over_median(ours, loud), 1.25);
     at_most(name + ": refused within the rate, share", share(ours.refused_within, ours.asked_within), 0.0001);
 }
@@ -101,7 +110,8 @@
     work.out_from = 200;
     work.out_until = 350;
     const run_result ours = run_world(work, shipped);
-    at_most(work.name + ", a data centre leaves and returns: refused within the rate", static_cast<double>(ours.refused_within), 0);
+    at_most(work.name + ", a data centre leaves and returns: refused within the rate",
+            static_cast<double>(ours.refused_within), 0);
 }
 
 void fresh_engine(workload work)
@@ -111,8 +121,10 @@
     work.dies_at = 200;
     work.back_at = 230;
     const run_result ours = run_world(work, shipped);
-    at_most(work.name + ", an engine dies and returns: calls over its window", static_cast<double>(ours.over_window), 0);
-    at_most(work.name + ", an engine dies and returns: seconds to full use", ours.full_use_seconds == 0 ? 1e9 : ours.full_use_seconds, 30);
+    at_most(work.name + ", an engine dies and returns: calls over its window",
+            static_cast<double>(ours.over_window), 0);
+    at_most(work.name + ", an engine dies and returns: seconds to full use",
+            ours.full_use_seconds == 0 ? 1e9 : ours.full_use_seconds, 30);
 }
 
 int run(std::uint64_t seed)
@@ -138,6 +150,7 @@
 
 int main(int argc, char** argv)
 {
-    const std::uint64_t seed = argc > 2 && std::strcmp(argv[1], "--seed") == 0 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    const std::uint64_t seed =
+        argc > 2 && std::strcmp(argv[1], "--seed") == 0 ? std::strtoull(argv[2], nullptr, 10) : 1;
     return guavawick::bench::run(seed);
 }
--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -13,15 +13,15 @@
 constexpr std::uint32_t slots = 16;
 constexpr double seconds_per_token = 0.02;
 constexpr double prefill_rate = 4000;
-constexpr std::uint64_t cache_room = 400000;     ///< tokens of one engine
+constexpr std::uint64_t cache_room = 400000; ///< tokens of one engine
 constexpr int entry_count = 3;
-constexpr double weight_power = 0.5; ///< of the rate; as the entry weighs organisations
-constexpr double report_interval = 0.5;    ///< reports of load lag by this
-constexpr double rate_margin = 1.5;        ///< an organisation's rate over its mean demand
-constexpr double burst_seconds = 6;        ///< burst over rate
-constexpr double promised_token_wait = 10; ///< a request waits this long for its rate
-constexpr double most_token_wait = 12;     ///< and this much with the skew of order among entries
-constexpr double queue_limit = 60;         ///< a call waits this long for its start
+constexpr double weight_power = 0.5;         ///< of the rate; as the entry weighs organisations
+constexpr double report_interval = 0.5;      ///< reports of load lag by this
+constexpr double rate_margin = 1.5;          ///< an organisation's rate over its mean demand
+constexpr double burst_seconds = 6;          ///< burst over rate
+constexpr double promised_token_wait = 10;   ///< a request waits this long for its rate
+constexpr double most_token_wait = 12;       ///< and this much with the skew of order among entries
+constexpr double queue_limit = 60;           ///< a call waits this long for its start
 constexpr double first_prompt_tokens = 3000; ///< mean: the case's documents
 constexpr double mean_added_tokens = 800;    ///< of a turn: tool output and the caller's words
 constexpr double mean_answer_tokens = 120;
@@ -34,19 +34,19 @@
     int turns = 1;
     int turn = 0;
     std::string name;
-    std::uint64_t history = 0;      ///< tokens
-    std::uint64_t answer = 0;       ///< tokens of the present turn
-    std::uint64_t added = 0;        ///< new prompt tokens of the present turn
+    std::uint64_t history = 0; ///< tokens
+    std::uint64_t answer = 0;  ///< tokens of the present turn
+    std::uint64_t added = 0;   ///< new prompt tokens of the present turn
     double started = 0;
-    double ideal = 0;               ///< seconds with no one else and a warm cache
+    double ideal = 0; ///< seconds with no one else and a warm cache
     std::uint64_t attained = 0;
     bool measured = false;
     std::uint64_t longest_cached = 0; ///< prefix that some engine once held
     double asked_at = 0;
-    int last_engine = -1;             ///< where the ledger says that the program ran last
-    std::shared_ptr<program> parent;  ///< a sub-agent's parent waits for it
+    int last_engine = -1;            ///< where the ledger says that the program ran last
+    std::shared_ptr<program> parent; ///< a sub-agent's parent waits for it
     int children_left = 0;
-    std::uint64_t random = 1;         ///< its own generator, so that every policy meets the same programs
+    std::uint64_t random = 1; ///< its own generator, so that every policy meets the same programs
 };
 
 using program_ptr = std::shared_ptr<program>;
@@ -71,7 +71,7 @@
     std::vector<limit::purse> purses;
     std::vector<std::uint64_t> sequences;
     std::vector<std::uint32_t> sent_since;
-    std::vector<std::deque<program_ptr>> waiting;                ///< for a token, by organisation
+    std::vector<std::deque<program_ptr>> waiting; ///< for a token, by organisation
 };
 
 struct world {
@@ -81,9 +81,16 @@
     double now = 0;
     using event = std::pair<double, std::function<void()>>;
     struct later {
-        bool operator()(const std::pair<std::pair<double, std::uint64_t>, std::function<void()>>& a, const std::pair<std::pair<double, std::uint64_t>, std::function<void()>>& b) const { return a.first > b.first; }
+        bool operator()(const std::pair<std::pair<double, std::uint64_t>, std::function<void()>>& a,
+                        const std::pair<std::pair<double, std::uint64_t>, std::function<void()>>& b) const
+        {
+            return a.first > b.first;
+        }
     };
-    std::priority_queue<std::pair<std::pair<double, std::uint64_t>, std::function<void()>>, std::vector<std::pair<std::pair<double, std::uint64_t>, std::function<void()>>>, later> agenda;
+    std::priority_queue<std::pair<std::pair<double, std::uint64_t>, std::function<void()>>,
+                        std::vector<std::pair<std::pair<double, std::uint64_t>, std::function<void()>>>,
+                        later>
+        agenda;
     std::uint64_t order = 0;
     std::vector<engine_place> engines;
     std::vector<entry_place> entries;
@@ -97,10 +104,19 @@
     std::uint64_t turns = 0;
     run_result result;
 
-    world(const workload& wanted, const policy_choice& chosen) : work(wanted), policy(chosen), random(wanted.seed) {}
+    world(const workload& wanted, const policy_choice& chosen)
+        : work(wanted), policy(chosen), random(wanted.seed)
+    {
+    }
 
-    static double uniform_of(std::uint64_t& state) { return static_cast<double>(next_random(state) >> 11U) / 9007199254740992.0; }
-    static double exponential_of(std::uint64_t& state, double mean_value) { return -mean_value * std::log(1.0 - uniform_of(state)); }
+    static double uniform_of(std::uint64_t& state)
+    {
+        return static_cast<double>(next_random(state) >> 11U) / 9007199254740992.0;
+    }
+    static double exponential_of(std::uint64_t& state, double mean_value)
+    {
+        return -mean_value * std::log(1.0 - uniform_of(state));
+    }
     double uniform() { return static_cast<double>(next_random(random) >> 11U) / 9007199254740992.0; }
     double exponential(double mean_value) { return -mean_value * std::log(1.0 - uniform()); }
     void at(double when, std::function<void()> what) { agenda.push({{when, ++order}, std::move(what)}); }
@@ -129,7 +145,8 @@
     const double first = one.turn == 0 && !one.parent ? first_prompt_tokens : 0;
     one.answer = 20 + static_cast<std::uint64_t>(world::exponential_of(one.random, mean_answer_tokens - 20));
     one.answer = std::min<std::uint64_t>(one.answer, 900);
-    one.added = 50 + static_cast<std::uint64_t>(world::exponential_of(one.random, mean_added_tokens + first - 50));
+    one.added =
+        50 + static_cast<std::uint64_t>(world::exponential_of(one.random, mean_added_tokens + first - 50));
     one.added = std::min<std::uint64_t>(one.added, 20000);
     one.ideal += ideal_turn(one.added, one.answer);
 }
@@ -164,7 +181,8 @@
 
 bool takes_work(const world& here, const engine_place& there)
 {
-    const bool out = there.centre == here.work.out_centre && here.now >= here.work.out_from && here.now < here.work.out_until;
+    const bool out = there.centre == here.work.out_centre && here.now >= here.work.out_from &&
+                     here.now < here.work.out_until;
     return there.alive && !out;
 }
 
@@ -209,7 +227,9 @@
             continue;
         }
         const bool cached = one->last_engine == static_cast<int>(i);
-        found.push_back({upstream_name{"u" + std::to_string(i)}, incarnation_id{1}, "", there.centre == from.centre, there.report, from.sent_since[i], cached ? one->history : 0});
+        found.push_back({upstream_name{"u" + std::to_string(i)}, incarnation_id{1}, "",
+                         there.centre == from.centre, there.report, from.sent_since[i],
+                         cached ? one->history : 0});
         places.push_back(i);
     }
     routing::route_wish wish;
@@ -232,7 +252,9 @@
             return;
         }
         const attempt_id attempt{here.next_attempt++};
-        const std::uint64_t cached = here.policy.routing == routing::routing_policy::expected_time ? fakes::cached_tokens(there.engine, one->name) : 0;
+        const std::uint64_t cached = here.policy.routing == routing::routing_policy::expected_time
+                                         ? fakes::cached_tokens(there.engine, one->name)
+                                         : 0;
         scheduling::queued_call call;
         call.attempt = attempt;
         call.organisation = organisation_name{"o" + std::to_string(one->organisation)};
@@ -249,7 +271,8 @@
     });
 }
 
-void end_turn(world& here, std::size_t place, attempt_id attempt, const program_ptr& one, std::uint64_t prompt, std::uint64_t cached, double began)
+void end_turn(world& here, std::size_t place, attempt_id attempt, const program_ptr& one,
+              std::uint64_t prompt, std::uint64_t cached, double began)
 {
     engine_place& there = here.engines[place];
     there.running.erase(attempt);
@@ -257,7 +280,8 @@
     scheduling::note_end(there.window);
     there.mean_call = there.mean_call * 0.9 + (here.now - began) * 0.1;
     const double real = scheduling::expected_cost(prompt, cached, one->answer);
-    scheduling::charge_difference(there.queue, organisation_name{"o" + std::to_string(one->organisation)}, there.expected[attempt], real);
+    scheduling::charge_difference(there.queue, organisation_name{"o" + std::to_string(one->organisation)},
+                                  there.expected[attempt], real);
     there.expected.erase(attempt);
     one->attained += prompt - cached + one->answer;
     one->history = prompt + one->answer;
@@ -312,7 +336,8 @@
         if (held.generation != generation) {
             return; // the engine was lost; the call was taken elsewhere
         }
-        scheduling::note_first_token(held.window, from_seconds(here.now - began), scheduling::prefill_allowance(prompt, prefill_rate), here.clock());
+        scheduling::note_first_token(held.window, from_seconds(here.now - began),
+                                     scheduling::prefill_allowance(prompt, prefill_rate), here.clock());
         if (held.back_at >= 0 && scheduling::window_limit(held.window) >= slots) {
             here.result.full_use_seconds = here.now - held.back_at;
             held.back_at = -1;
@@ -368,7 +393,8 @@
     }
 }
 
-/// Tells whether one central bucket would let a request of now through, waiting as long as the entries promise.
+/// Tells whether one central bucket would let a request of now through, waiting as long as the entries
+/// promise.
 bool passes_reference(world& here, std::size_t organisation)
 {
     // As a clock: `full_at` is when the bucket would be full again.
@@ -432,7 +458,9 @@
         entry_place& from = here.entries[entry];
         for (std::size_t i = 0; i < here.owners.size(); ++i) {
             const auto asked_at = here.clock();
-            const limit::borrow_request wish = limit::prepare_request(from.purses[i], incarnation_id{entry + 1}, ++from.sequences[i], from.waiting[i].size(), asked_at);
+            const limit::borrow_request wish =
+                limit::prepare_request(from.purses[i], incarnation_id{entry + 1}, ++from.sequences[i],
+                                       from.waiting[i].size(), asked_at);
             if (!limit::is_due(from.purses[i], wish, asked_at)) {
                 --from.sequences[i];
                 serve_waiting(here, entry, i);
@@ -487,7 +515,8 @@
         scheduling::note_reported(one.window, slots);
         fill_report(one);
     }
-    const double capacity = static_cast<double>(work.engines) * slots / mean_program_work(); // programs a second
+    const double capacity =
+        static_cast<double>(work.engines) * slots / mean_program_work(); // programs a second
     const double arrivals = capacity * work.load;
     for (std::size_t i = 0; i < work.shares.size(); ++i) {
         const double own = arrivals * work.shares[i];
@@ -496,7 +525,8 @@
         here.reference.push_back(0);
         here.refused.push_back(0);
         here.refused_reference.push_back(0);
-        here.owners.push_back(limit::make_bucket({here.rates[i], std::max(10.0, here.rates[i] * burst_seconds)}, time_point{from_seconds(3500)}));
+        here.owners.push_back(limit::make_bucket(
+            {here.rates[i], std::max(10.0, here.rates[i] * burst_seconds)}, time_point{from_seconds(3500)}));
         const bool loud = static_cast<int>(i) == work.loud;
         schedule_arrivals(here, static_cast<int>(i), loud ? own * 5 : own, work.seed * 1000 + i);
     }
@@ -548,10 +578,12 @@
         ++here.result.events;
         what();
     }
-    // Refusals beyond those of one central bucket with the same patience; who is over the rate is not counted.
+    // Refusals beyond those of one central bucket with the same patience; who is over the rate is not
+    // counted.
     for (std::size_t i = 0; i < here.refused.size(); ++i) {
         const bool loud = static_cast<int>(i) == work.loud;
-        here.result.refused_within += loud ? 0 : here.refused[i] - std::min(here.refused[i], here.refused_reference[i]);
+        here.result.refused_within +=
+            loud ? 0 : here.refused[i] - std::min(here.refused[i], here.refused_reference[i]);
     }
     return std::move(here.result);
 }
--- a/src/base/clock_func.cpp
+++ b/src/base/clock_func.cpp
@@ -6,7 +6,7 @@
 namespace guavawick {
 namespace {
 
-std::atomic<std::int64_t> clock_offset{0};  ///< added to the steady clock, nanoseconds
+std::atomic<std::int64_t> clock_offset{0};   ///< added to the steady clock, nanoseconds
 std::atomic<std::int64_t> clock_stopped{-1}; ///< the value of a paused clock, -1 while it runs
 
 std::int64_t steady_now() noexcept
--- a/src/base/failure_type.hpp
+++ b/src/base/failure_type.hpp
@@ -53,8 +53,8 @@
 
 /// A request was refused, with a type that the caller is told.
 struct refusal_error : error {
-    failure kind;               ///< what the caller is told
-    ran_state ran;              ///< whether the call ran
+    failure kind;                     ///< what the caller is told
+    ran_state ran;                    ///< whether the call ran
     std::uint32_t retry_after_ms = 0; ///< when to come back, 0 if that would not help
 
     refusal_error(failure why, const std::string& detail);
@@ -84,11 +84,11 @@
 
 /// One row of the failure catalogue.
 struct failure_row {
-    failure kind;         ///< the failure
-    const char* name;     ///< stable name, the last part of the problem's `type`
-    int status;           ///< HTTP status
-    ran_state ran;        ///< whether the call ran, unless the place that fails knows better
-    const char* meaning;  ///< one sentence for the caller
+    failure kind;        ///< the failure
+    const char* name;    ///< stable name, the last part of the problem's `type`
+    int status;          ///< HTTP status
+    ran_state ran;       ///< whether the call ran, unless the place that fails knows better
+    const char* meaning; ///< one sentence for the caller
 };
 
 /// @return the catalogue's row of a failure; an unknown number gives the row of `bad_request`.
--- a/src/base/settings_func.cpp
+++ b/src/base/settings_func.cpp
@@ -29,10 +29,12 @@
     void fault(const toml::node* node, const std::string& key, const std::string& expected)
     {
         const std::uint32_t line = node != nullptr ? node->source().begin.line : 0;
-        faults_ += path_ + (line != 0 ? ":" + std::to_string(line) : "") + ": " + key + ": " + expected + "\n";
+        faults_ +=
+            path_ + (line != 0 ? ":" + std::to_string(line) : "") + ": " + key + ": " + expected + "\n";
     }
 
-    void text(const toml::table& table, const std::string& prefix, const char* name, std::string& into, bool needed = false)
+    void text(const toml::table& table, const std::string& prefix, const char* name, std::string& into,
+              bool needed = false)
     {
         const toml::node* node = take(table, prefix, name);
         if (node == nullptr) {
@@ -46,7 +48,8 @@
         into = node->ref<std::string>();
     }
 
-    void choice(const toml::table& table, const std::string& prefix, const char* name, std::string& into, const std::set<std::string>& allowed)
+    void choice(const toml::table& table, const std::string& prefix, const char* name, std::string& into,
+                const std::set<std::string>& allowed)
     {
         text(table, prefix, name, into);
         if (allowed.count(into) != 0) {
@@ -59,7 +62,8 @@
         fault(table.get(name), prefix + name, "expected one of " + list);
     }
 
-    void number(const toml::table& table, const std::string& prefix, const char* name, std::uint64_t& into, number_range range)
+    void number(const toml::table& table, const std::string& prefix, const char* name, std::uint64_t& into,
+                number_range range)
     {
         const toml::node* node = take(table, prefix, name);
         if (node == nullptr) {
@@ -67,28 +71,35 @@
         }
         const auto value = node->is_integer() ? node->value<std::int64_t>() : std::nullopt;
         if (!value || *value < range.least || *value > range.most) {
-            fault(node, prefix + name, "expected a whole number from " + std::to_string(range.least) + " to " + std::to_string(range.most));
+            fault(node, prefix + name,
+                  "expected a whole number from " + std::to_string(range.least) + " to " +
+                      std::to_string(range.most));
             return;
         }
         into = static_cast<std::uint64_t>(*value);
     }
 
-    void time(const toml::table& table, const std::string& prefix, const char* name, duration& into, duration_range range)
+    void time(const toml::table& table, const std::string& prefix, const char* name, duration& into,
+              duration_range range)
     {
         const toml::node* node = take(table, prefix, name);
         if (node == nullptr) {
             return;
         }
-        const std::optional<duration> value = node->is_string() ? parse_time(node->ref<std::string>()) : std::nullopt;
+        const std::optional<duration> value =
+            node->is_string() ? parse_time(node->ref<std::string>()) : std::nullopt;
         if (!value || *value < range.least || *value > range.most) {
             fault(node, prefix + name,
-                "expected a time with unit such as \"250ms\", \"4s\" or \"2m\", from " + std::to_string(to_ms(range.least)) + "ms to " + std::to_string(to_ms(range.most)) + "ms");
+                  "expected a time with unit such as \"250ms\", \"4s\" or \"2m\", from " +
+                      std::to_string(to_ms(range.least)) + "ms to " + std::to_string(to_ms(range.most)) +
+                      "ms");
             return;
         }
         into = *value;
     }
 
-    void texts(const toml::table& table, const std::string& prefix, const char* name, std::vector<std::string>& into)
+    void texts(const toml::table& table, const std::string& prefix, const char* name,
+               std::vector<std::string>& into)
     {
         const toml::node* node = take(table, prefix, name);
         if (node == nullptr) {
@@ -143,7 +154,8 @@
         }
     }
 
-    void address(const toml::table& table, const std::string& prefix, const char* name, const std::string& value, const std::string& scheme)
+    void address(const toml::table& table, const std::string& prefix, const char* name,
+                 const std::string& value, const std::string& scheme)
     {
         if (value.empty() || is_address(value, scheme)) {
             return;
@@ -205,7 +217,8 @@
             return false;
         }
         const std::string port = value.substr(colon + 1);
-        return port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos && std::stoul(port) <= 65535;
+        return port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos &&
+               std::stoul(port) <= 65535;
     }
 
     std::string path_;
@@ -228,7 +241,8 @@
     const bool any = !links.public_key.empty() || !links.secret_key.empty() || !links.server_key.empty();
     for (const std::string* key : {&links.public_key, &links.secret_key, &links.server_key}) {
         if (any && key->size() != curve_key_size) {
-            reader.fault(table, "links", "expected public_key, secret_key and server_key of 40 characters each");
+            reader.fault(table, "links",
+                         "expected public_key, secret_key and server_key of 40 characters each");
             break;
         }
     }
@@ -240,7 +254,8 @@
     const toml::array* list = reader.sections(root, "", "replicas");
     if (list == nullptr) {
         if (needed) {
-            reader.fault(&root, "replicas", "missing; expected at least one [[replicas]] with name and endpoint");
+            reader.fault(&root, "replicas",
+                         "missing; expected at least one [[replicas]] with name and endpoint");
         }
         return;
     }
@@ -352,7 +367,8 @@
         constexpr std::size_t sha256_digits = 64;
         const std::size_t colon = key.find(':');
         if (colon == std::string::npos || colon == 0 || key.size() - colon - 1 != sha256_digits) {
-            reader.fault(table->get("operator_keys"), at + "operator_keys", "expected \"NAME:SHA256HEX\" of each key");
+            reader.fault(table->get("operator_keys"), at + "operator_keys",
+                         "expected \"NAME:SHA256HEX\" of each key");
         }
     }
     reader.unknown_keys(*table, at);
@@ -365,7 +381,8 @@
             return;
         }
     }
-    reader.fault(root.get("replica"), "replica.name", "\"" + read.replica.name + "\" with its link is not among [[replicas]]");
+    reader.fault(root.get("replica"), "replica.name",
+                 "\"" + read.replica.name + "\" with its link is not among [[replicas]]");
 }
 
 } // namespace
@@ -377,7 +394,8 @@
         root = toml::parse(text, path);
     }
     catch (const toml::parse_error& fault) {
-        throw settings_error(path + ":" + std::to_string(fault.source().begin.line) + ": " + std::string(fault.description()));
+        throw settings_error(path + ":" + std::to_string(fault.source().begin.line) + ": " +
+                             std::string(fault.description()));
     }
     settings_reader reader(path);
     settings read;
--- a/src/base/settings_type.hpp
+++ b/src/base/settings_type.hpp
@@ -43,47 +43,47 @@
 
 /// Settings of the `sidecar` role.
 struct sidecar_settings {
-    std::string name;                  ///< the upstream's name
-    std::string link;                  ///< "tcp://IP:PORT" for entries, as others reach it
-    std::string listen_link;           ///< where to listen, if not at `link`
-    std::vector<std::string> entries;  ///< "tcp://IP:PORT" of entries, own data centre first
-    std::string kind = "model";        ///< "model" or "service"
-    std::string serves;                ///< the model's or the service's name
-    std::string upstream;              ///< "http://IP:PORT" of the upstream
-    std::uint64_t max_window = 64;     ///< the most calls that run at once
-    duration latency_goal = 2s;        ///< time to first token within which the window grows
-    std::string queue = "fair";        ///< queue policy
-    std::uint64_t workers = 2;         ///< threads of the worker pool
+    std::string name;                 ///< the upstream's name
+    std::string link;                 ///< "tcp://IP:PORT" for entries, as others reach it
+    std::string listen_link;          ///< where to listen, if not at `link`
+    std::vector<std::string> entries; ///< "tcp://IP:PORT" of entries, own data centre first
+    std::string kind = "model";       ///< "model" or "service"
+    std::string serves;               ///< the model's or the service's name
+    std::string upstream;             ///< "http://IP:PORT" of the upstream
+    std::uint64_t max_window = 64;    ///< the most calls that run at once
+    duration latency_goal = 2s;       ///< time to first token within which the window grows
+    std::string queue = "fair";       ///< queue policy
+    std::uint64_t workers = 2;        ///< threads of the worker pool
 };
 
 /// Settings of the `replica` role.
 struct replica_settings {
-    std::string name;                   ///< the replica's name
-    std::string link;                   ///< "tcp://IP:PORT" for entries and other replicas, as others reach it
-    std::string listen_link;            ///< where to listen, if not at `link`
-    std::string operator_listen;        ///< operators' address, IP:PORT; empty for none
-    std::string data_folder;            ///< where the durable state lives
-    std::uint64_t ledger_shards = 2;    ///< number of ledger groups; the same on every replica
-    duration election_timeout = 1000ms; ///< silence after which a new leader is sought
-    duration heartbeat = 150ms;         ///< a leader's interval between messages
+    std::string name;                ///< the replica's name
+    std::string link;                ///< "tcp://IP:PORT" for entries and other replicas, as others reach it
+    std::string listen_link;         ///< where to listen, if not at `link`
+    std::string operator_listen;     ///< operators' address, IP:PORT; empty for none
+    std::string data_folder;         ///< where the durable state lives
+    std::uint64_t ledger_shards = 2; ///< number of ledger groups; the same on every replica
+    duration election_timeout = 1000ms;     ///< silence after which a new leader is sought
+    duration heartbeat = 150ms;             ///< a leader's interval between messages
     std::uint64_t snapshot_entries = 20000; ///< log entries after which a snapshot is written
     std::vector<std::string> operator_keys; ///< "NAME:SHA256HEX" of each operator's key
 };
 
 /// Everything that a settings file may say.
 struct settings {
-    std::string data_centre;                 ///< the data centre of this process
-    std::string log_file;                    ///< empty for standard output
-    std::string log_level = "info";          ///< debug, info, warning or error
-    std::string metrics_listen;              ///< IP:PORT of /metrics and /healthz; empty for none
-    duration stop_limit = 0s;                ///< a planned stop that lasts longer is cut; 0 for never
-    std::vector<replica_address> replicas;   ///< the replicas that hold the state
-    std::uint64_t ledger_shards = 2;         ///< number of ledger groups of the replicas
-    link_settings links;                     ///< keys of the links
-    entry_settings entry;                    ///< the entry role
-    std::vector<sidecar_settings> sidecars;  ///< the sidecar role; standalone may have several
-    replica_settings replica;                ///< the replica role
-    std::string configuration_file;          ///< standalone only: the set published at the first start
+    std::string data_centre;                ///< the data centre of this process
+    std::string log_file;                   ///< empty for standard output
+    std::string log_level = "info";         ///< debug, info, warning or error
+    std::string metrics_listen;             ///< IP:PORT of /metrics and /healthz; empty for none
+    duration stop_limit = 0s;               ///< a planned stop that lasts longer is cut; 0 for never
+    std::vector<replica_address> replicas;  ///< the replicas that hold the state
+    std::uint64_t ledger_shards = 2;        ///< number of ledger groups of the replicas
+    link_settings links;                    ///< keys of the links
+    entry_settings entry;                   ///< the entry role
+    std::vector<sidecar_settings> sidecars; ///< the sidecar role; standalone may have several
+    replica_settings replica;               ///< the replica role
+    std::string configuration_file;         ///< standalone only: the set published at the first start
 };
 
 /// Which sections a role needs.
--- a/src/caller/chat.cpp
+++ b/src/caller/chat.cpp
@@ -60,8 +60,10 @@
         if (value == nullptr || value->is_null()) {
             continue;
         }
-        if (!value->is_int64() || value->as_int64() < 1 || value->as_int64() > static_cast<std::int64_t>(most_answer_tokens)) {
-            refuse(std::string("\"") + name + "\": expected a whole number from 1 to " + std::to_string(most_answer_tokens));
+        if (!value->is_int64() || value->as_int64() < 1 ||
+            value->as_int64() > static_cast<std::int64_t>(most_answer_tokens)) {
+            refuse(std::string("\"") + name + "\": expected a whole number from 1 to " +
+                   std::to_string(most_answer_tokens));
         }
         return static_cast<std::uint64_t>(value->as_int64());
     }
@@ -112,7 +114,8 @@
         return;
     }
     while (calls.size() <= index) {
-        calls.push_back(json::object{{"type", "function"}, {"function", json::object{{"name", ""}, {"arguments", ""}}}});
+        calls.push_back(
+            json::object{{"type", "function"}, {"function", json::object{{"name", ""}, {"arguments", ""}}}});
     }
     json::object& call = calls[index].as_object();
     const std::string id = text_of(part, "id");
@@ -202,7 +205,8 @@
         created_ = static_cast<std::int64_t>(number_of(event, "created"));
     }
     const json::value* choices = event.if_contains("choices");
-    if (choices != nullptr && choices->is_array() && !choices->as_array().empty() && choices->as_array()[0].is_object()) {
+    if (choices != nullptr && choices->is_array() && !choices->as_array().empty() &&
+        choices->as_array()[0].is_object()) {
         feed_choice(choices->as_array()[0].as_object());
     }
     const json::value* usage = event.if_contains("usage");
@@ -260,7 +264,9 @@
 
 std::string answer_builder::body() const
 {
-    json::object choice{{"index", 0}, {"message", message_object()}, {"finish_reason", finish_reason_.empty() ? "stop" : finish_reason_}};
+    json::object choice{{"index", 0},
+                        {"message", message_object()},
+                        {"finish_reason", finish_reason_.empty() ? "stop" : finish_reason_}};
     json::object usage{{"prompt_tokens", prompt_tokens_},
                        {"completion_tokens", completion_tokens_},
                        {"total_tokens", prompt_tokens_ + completion_tokens_},
--- a/src/caller/problem.cpp
+++ b/src/caller/problem.cpp
@@ -27,7 +27,8 @@
     answer.content_type = "application/problem+json";
     answer.body = problem_body(refused, request_id);
     if (refused.retry_after_ms != 0) {
-        answer.headers["Retry-After"] = std::to_string((refused.retry_after_ms + ms_per_second - 1) / ms_per_second);
+        answer.headers["Retry-After"] =
+            std::to_string((refused.retry_after_ms + ms_per_second - 1) / ms_per_second);
     }
     if (!request_id.empty()) {
         answer.headers["X-Request-Id"] = request_id;
--- a/src/configuration/configuration_codec.hpp
+++ b/src/configuration/configuration_codec.hpp
@@ -25,7 +25,8 @@
 void to_wire(const changes& from, wire_objects* into);
 /// @return the changes that a wire list holds. @throw decode_error if a kind is unknown.
 changes from_wire(const wire_objects& from);
-/// @return the set that a wire list holds; removed objects are left out. @throw decode_error if a kind is unknown.
+/// @return the set that a wire list holds; removed objects are left out. @throw decode_error if a kind is
+/// unknown.
 object_set set_from_wire(const wire_objects& from);
 /// @return the publication that a wire message holds. @throw decode_error if a kind is unknown.
 publication from_wire(const wire::apply_request& from);
--- a/src/configuration/configuration_func.cpp
+++ b/src/configuration/configuration_func.cpp
@@ -69,14 +69,17 @@
         into.keys.emplace(text_of(fields, "sha256"), organisation_name{text_of(fields, "organisation")});
         return;
     case object_kind::upstream:
-        into.upstreams.emplace(key.name, upstream_policy{flag_of(fields, "leaving", false), number_of(fields, "max_window")});
+        into.upstreams.emplace(
+            key.name, upstream_policy{flag_of(fields, "leaving", false), number_of(fields, "max_window")});
         return;
     case object_kind::data_centre:
-        into.data_centres.emplace(key.name, data_centre{text_of(fields, "region"), flag_of(fields, "out", false)});
+        into.data_centres.emplace(key.name,
+                                  data_centre{text_of(fields, "region"), flag_of(fields, "out", false)});
         return;
     case object_kind::budget:
-        into.budgets.emplace(key.name, budget{number_of(fields, "calls"), number_of(fields, "tokens"),
-                                              number_of(fields, "seconds"), number_of(fields, "idle_seconds")});
+        into.budgets.emplace(key.name,
+                             budget{number_of(fields, "calls"), number_of(fields, "tokens"),
+                                    number_of(fields, "seconds"), number_of(fields, "idle_seconds")});
         return;
     case object_kind::route:
         into.routes.emplace(key.name, make_route(key.name, fields));
--- a/src/configuration/configuration_func.hpp
+++ b/src/configuration/configuration_func.hpp
@@ -14,7 +14,8 @@
 /// Lists the differences between two sets, one text a changed field; keys' hashes are shortened.
 std::vector<std::string> describe_changes(const object_set& before, const object_set& after);
 /// @return what changed after a revision, oldest first, or nullopt if that is no longer known.
-std::optional<std::map<object_key, std::optional<object_fields>>> changes_since(const configuration_state& state, revision_number after);
+std::optional<std::map<object_key, std::optional<object_fields>>>
+changes_since(const configuration_state& state, revision_number after);
 /// Applies a difference to a set.
 void apply_changes(object_set& objects, const std::map<object_key, std::optional<object_fields>>& changed);
 /// Builds the typed form. @pre check_set(objects) is empty.
--- a/src/configuration/configuration_type.hpp
+++ b/src/configuration/configuration_type.hpp
@@ -20,7 +20,14 @@
 using revision_number = std::uint64_t;
 
 /// Kinds of objects that operators publish. Numbers are part of the protocol: append only.
-enum class object_kind : std::uint8_t { organisation = 1, key = 2, upstream = 3, data_centre = 4, budget = 5, route = 6 };
+enum class object_kind : std::uint8_t {
+    organisation = 1,
+    key = 2,
+    upstream = 3,
+    data_centre = 4,
+    budget = 5,
+    route = 6
+};
 
 /// Identity of one object.
 struct object_key {
@@ -104,17 +111,17 @@
 struct route {
     std::string name;
     service_kind kind = service_kind::model;
-    std::string serves;                            ///< the model's or the service's name
-    std::set<organisation_name> organisations;     ///< empty: every organisation
-    bool open = false;                             ///< needs no key
-    bool repeatable = true;                        ///< calls may run more than once
-    duration deadline{};                           ///< 0: none
-    std::uint64_t most_tokens = 0;                 ///< tokens reserved where the caller names no limit
+    std::string serves;                        ///< the model's or the service's name
+    std::set<organisation_name> organisations; ///< empty: every organisation
+    bool open = false;                         ///< needs no key
+    bool repeatable = true;                    ///< calls may run more than once
+    duration deadline{};                       ///< 0: none
+    std::uint64_t most_tokens = 0;             ///< tokens reserved where the caller names no limit
 };
 
 struct upstream_policy {
-    bool leaving = false;          ///< takes no new work
-    std::uint64_t max_window = 0;  ///< 0: no limit from the configuration
+    bool leaving = false;         ///< takes no new work
+    std::uint64_t max_window = 0; ///< 0: no limit from the configuration
 };
 
 struct data_centre {
--- a/src/configuration/directory_cmd.cpp
+++ b/src/configuration/directory_cmd.cpp
@@ -36,7 +36,8 @@
     return true;
 }
 
-std::vector<body_hash> note_loss(directory_state& state, const upstream_name& who, incarnation_id incarnation, const std::vector<body_hash>& running)
+std::vector<body_hash> note_loss(directory_state& state, const upstream_name& who, incarnation_id incarnation,
+                                 const std::vector<body_hash>& running)
 {
     std::vector<body_hash> quarantined;
     for (const body_hash body : running) {
@@ -81,7 +82,9 @@
 
 void drop_lapsed_quarantines(directory_state& state)
 {
-    const std::size_t dropped = std::erase_if(state.suspicions, [&](const auto& item) { return item.second.since + quarantine_limit <= state.now; });
+    const std::size_t dropped = std::erase_if(state.suspicions, [&](const auto& item) {
+        return item.second.since + quarantine_limit <= state.now;
+    });
     state.version += dropped != 0 ? 1 : 0;
 }
 
--- a/src/configuration/directory_codec.cpp
+++ b/src/configuration/directory_codec.cpp
@@ -13,7 +13,8 @@
     record.incarnation = incarnation_id{from.incarnation()};
     record.endpoint = from.endpoint();
     record.data_centre = data_centre_name{from.data_centre()};
-    record.kind = from.kind() == static_cast<std::uint32_t>(service_kind::service) ? service_kind::service : service_kind::model;
+    record.kind = from.kind() == static_cast<std::uint32_t>(service_kind::service) ? service_kind::service
+                                                                                   : service_kind::model;
     record.serves = from.serves();
     record.leaving = from.leaving();
     record.removed = from.removed();
@@ -77,7 +78,8 @@
     return encoded.SerializeAsString();
 }
 
-void decode_control_state(const std::string& bytes, configuration_state& published, directory_state& directory)
+void decode_control_state(const std::string& bytes, configuration_state& published,
+                          directory_state& directory)
 {
     wire::control_snapshot encoded;
     if (!encoded.ParseFromString(bytes)) {
@@ -88,7 +90,10 @@
     published.revision = encoded.revision();
     published.objects = set_from_wire(encoded.objects());
     for (const wire::audit_record& one : encoded.audit()) {
-        published.audit.push_back({one.revision(), one.operator_name(), one.request_id(), one.unix_ms(),
+        published.audit.push_back({one.revision(),
+                                   one.operator_name(),
+                                   one.request_id(),
+                                   one.unix_ms(),
                                    {one.changes().begin(), one.changes().end()}});
     }
     for (const wire::applied_request& one : encoded.answers()) {
--- a/src/configuration/directory_codec.hpp
+++ b/src/configuration/directory_codec.hpp
@@ -20,6 +20,7 @@
 std::string encode_control_state(const configuration_state& published, const directory_state& directory);
 /// Decodes the control group's whole state; empty bytes give an empty state.
 /// @throw decode_error if the bytes are no control state.
-void decode_control_state(const std::string& bytes, configuration_state& published, directory_state& directory);
+void decode_control_state(const std::string& bytes, configuration_state& published,
+                          directory_state& directory);
 
 } // namespace guavawick::configuration
--- a/src/configuration/directory_func.hpp
+++ b/src/configuration/directory_func.hpp
@@ -5,11 +5,14 @@
 
 namespace guavawick::configuration {
 
-/// Records an announcement. A removal counts only for the incarnation that it names. @return whether anything changed.
+/// Records an announcement. A removal counts only for the incarnation that it names. @return whether anything
+/// changed.
 bool announce(directory_state& state, upstream_record record);
-/// Notes that an incarnation of an upstream was lost while bodies ran there; each incarnation counts once a body.
+/// Notes that an incarnation of an upstream was lost while bodies ran there; each incarnation counts once a
+/// body.
 /// @return the bodies that are refused from now on.
-std::vector<body_hash> note_loss(directory_state& state, const upstream_name& who, incarnation_id incarnation, const std::vector<body_hash>& running);
+std::vector<body_hash> note_loss(directory_state& state, const upstream_name& who, incarnation_id incarnation,
+                                 const std::vector<body_hash>& running);
 /// Clears a body that finished, unless it is quarantined already.
 void clear_suspicion(directory_state& state, body_hash body);
 /// Lifts a quarantine by an operator's order.
--- a/src/configuration/directory_type.hpp
+++ b/src/configuration/directory_type.hpp
@@ -1,4 +1,5 @@
-// Types of the control group's state beside the configuration: the upstream directory and quarantined requests.
+// Types of the control group's state beside the configuration: the upstream directory and quarantined
+// requests.
 #pragma once
 
 #include "configuration/configuration_type.hpp"
@@ -8,14 +9,14 @@
 /// One announced upstream.
 struct upstream_record {
     upstream_name name;
-    incarnation_id incarnation;            ///< of its sidecar
-    std::string endpoint;                  ///< of its sidecar's link
+    incarnation_id incarnation; ///< of its sidecar
+    std::string endpoint;       ///< of its sidecar's link
     data_centre_name data_centre;
     service_kind kind = service_kind::model;
-    std::string serves;                    ///< the model's or the service's name
-    bool leaving = false;                  ///< finishes its work, takes nothing new
-    bool removed = false;                  ///< gone; kept for a while so that others hear of it
-    std::uint64_t version = 0;             ///< directory version at which it last changed
+    std::string serves;        ///< the model's or the service's name
+    bool leaving = false;      ///< finishes its work, takes nothing new
+    bool removed = false;      ///< gone; kept for a while so that others hear of it
+    std::uint64_t version = 0; ///< directory version at which it last changed
 
     /// Tells whether an announcement says nothing new.
     [[nodiscard]] bool says_same(const upstream_record& other) const
@@ -32,9 +33,9 @@
     std::chrono::milliseconds since{}; ///< group time of the newest loss
 };
 
-constexpr std::size_t quarantine_losses = 2;                           ///< losses after which a body is refused
-constexpr std::chrono::milliseconds quarantine_limit{60 * 60 * 1000};  ///< a quarantine ends after this
-constexpr std::size_t kept_removed_upstreams = 8192;                   ///< removed records kept for slow readers
+constexpr std::size_t quarantine_losses = 2; ///< losses after which a body is refused
+constexpr std::chrono::milliseconds quarantine_limit{60 * 60 * 1000}; ///< a quarantine ends after this
+constexpr std::size_t kept_removed_upstreams = 8192; ///< removed records kept for slow readers
 
 /// The directory's part of the control group's state.
 struct directory_state {
--- a/src/configuration/publish_cmd.cpp
+++ b/src/configuration/publish_cmd.cpp
@@ -33,7 +33,8 @@
 bool is_name(const std::string& text)
 {
     constexpr const char* allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
-    return !text.empty() && text.size() <= max_name_size && text.find_first_not_of(allowed) == std::string::npos;
+    return !text.empty() && text.size() <= max_name_size &&
+           text.find_first_not_of(allowed) == std::string::npos;
 }
 
 std::string plain_number(double value)
@@ -50,7 +51,8 @@
     const bool whole_number = row.type != field_type::number || std::floor(parsed) == parsed;
     if (!whole_text || !whole_number || parsed < row.least || parsed > row.most) {
         const std::string noun = row.type == field_type::number ? "a whole number" : "a number";
-        return "expected " + noun + " from " + plain_number(row.least) + " to " + plain_number(row.most) + ", not \"" + value + "\"";
+        return "expected " + noun + " from " + plain_number(row.least) + " to " + plain_number(row.most) +
+               ", not \"" + value + "\"";
     }
     return {};
 }
@@ -96,7 +98,8 @@
     case field_type::boolean:
         return value == "true" || value == "false" ? "" : "expected true or false";
     case field_type::sha256:
-        return value.size() == sha256_digits && is_hex(value) ? "" : "expected 64 lower-case hexadecimal digits";
+        return value.size() == sha256_digits && is_hex(value) ? ""
+                                                              : "expected 64 lower-case hexadecimal digits";
     case field_type::word:
         return check_word(row, value);
     case field_type::reference:
@@ -107,7 +110,8 @@
     return {};
 }
 
-void check_object(const object_set& objects, const object_key& key, const object_fields& fields, std::vector<fault>& faults)
+void check_object(const object_set& objects, const object_key& key, const object_fields& fields,
+                  std::vector<fault>& faults)
 {
     const std::string shown = to_string(key);
     if (!is_name(key.name)) {
@@ -154,7 +158,8 @@
     return field == "sha256" ? value.substr(0, shown_hash_digits) + "..." : value;
 }
 
-void describe_object(const object_key& key, const object_fields* before, const object_fields* after, std::vector<std::string>& into)
+void describe_object(const object_key& key, const object_fields* before, const object_fields* after,
+                     std::vector<std::string>& into)
 {
     const std::string shown = to_string(key);
     if (before == nullptr) {
@@ -295,7 +300,8 @@
     if (state.deltas.size() > kept_deltas) {
         state.deltas.pop_front();
     }
-    state.audit.push_back({state.revision, wish.operator_name, wish.request_id, wish.unix_ms, result.changes});
+    state.audit.push_back(
+        {state.revision, wish.operator_name, wish.request_id, wish.unix_ms, result.changes});
     if (state.audit.size() > kept_audit) {
         state.audit.erase(state.audit.begin());
     }
@@ -303,7 +309,8 @@
     return result;
 }
 
-std::optional<std::map<object_key, std::optional<object_fields>>> changes_since(const configuration_state& state, revision_number after)
+std::optional<std::map<object_key, std::optional<object_fields>>>
+changes_since(const configuration_state& state, revision_number after)
 {
     std::map<object_key, std::optional<object_fields>> changed;
     if (after == state.revision) {
--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -27,8 +27,8 @@
 
 std::size_t voter_count(const membership& members)
 {
-    return static_cast<std::size_t>(
-        std::count_if(members.members.begin(), members.members.end(), [](const member& m) { return m.voter; }));
+    return static_cast<std::size_t>(std::count_if(members.members.begin(), members.members.end(),
+                                                  [](const member& m) { return m.voter; }));
 }
 
 std::size_t quorum_size(const membership& members)
@@ -136,7 +136,8 @@
     for (log_index index = from; index <= last_index(state); ++index) {
         const log_entry* entry = find_entry(state, index);
         bytes += entry->payload.size();
-        const bool full = into.entries.size() >= state.settings.max_batch_entries || bytes > state.settings.max_batch_bytes;
+        const bool full =
+            into.entries.size() >= state.settings.max_batch_entries || bytes > state.settings.max_batch_bytes;
         if (full && !into.entries.empty()) {
             return;
         }
@@ -307,7 +308,8 @@
 void handle_pre_vote_request(group_state& state, const message& request, time_point now, effects& out)
 {
     message reply = make_message(state, message_kind::pre_vote_reply, request.from);
-    const bool granted = request.term > state.term && log_is_recent(state, request) && !leader_is_recent(state, now);
+    const bool granted =
+        request.term > state.term && log_is_recent(state, request) && !leader_is_recent(state, now);
     reply.reject = !granted;
     reply.term = granted ? request.term : state.term;
     out.messages.push_back(std::move(reply));
@@ -324,7 +326,8 @@
     }
     message reply = make_message(state, message_kind::vote_reply, request.from);
     const bool free_to_vote = !state.voted_for || state.voted_for == request.from;
-    const bool granted = request.term == state.term && state.role == role_type::follower && free_to_vote && log_is_recent(state, request);
+    const bool granted = request.term == state.term && state.role == role_type::follower && free_to_vote &&
+                         log_is_recent(state, request);
     reply.reject = !granted;
     if (granted && state.voted_for != request.from) {
         state.voted_for = request.from;
@@ -412,7 +415,8 @@
         reply.reject = true;
         reply.index = request.index;
         const log_index before = request.index > 0 ? request.index - 1 : 0;
-        reply.commit = std::max(state.commit, std::min(last_index(state), before)); // where the leader should go on
+        reply.commit =
+            std::max(state.commit, std::min(last_index(state), before)); // where the leader should go on
         out.messages.push_back(std::move(reply));
         return;
     }
@@ -506,7 +510,8 @@
         return;
     }
     if (state.transfer_to && now >= state.transfer_until) {
-        // The order to campaign may still arrive and overrides leases, so this term's lease is never used again.
+        // The order to campaign may still arrive and overrides leases, so this term's lease is never used
+        // again.
         become_follower(state, state.term, now, out);
         return;
     }
@@ -525,7 +530,8 @@
 
 const member* find_member(const membership& members, member_id id)
 {
-    const auto found = std::find_if(members.members.begin(), members.members.end(), [id](const member& m) { return m.id == id; });
+    const auto found = std::find_if(members.members.begin(), members.members.end(),
+                                    [id](const member& m) { return m.id == id; });
     return found == members.members.end() ? nullptr : &*found;
 }
 
@@ -680,7 +686,8 @@
     log_index best_match = 0;
     for (const member& other : current_members(state).members) {
         const auto found = state.peers.find(other.id);
-        const bool able = other.voter && other.id != state.self && found != state.peers.end() && in_touch(state, other.id, now);
+        const bool able = other.voter && other.id != state.self && found != state.peers.end() &&
+                          in_touch(state, other.id, now);
         if (able && (best == nullptr || found->second.match > best_match)) {
             best = &other;
             best_match = found->second.match;
@@ -704,7 +711,8 @@
     const log_index new_base = taken->index > kept ? taken->index - kept : 0;
     if (new_base > state.base_index) {
         state.base_term = term_at(state, new_base);
-        state.entries.erase(state.entries.begin(), state.entries.begin() + static_cast<std::ptrdiff_t>(new_base - state.base_index));
+        state.entries.erase(state.entries.begin(),
+                            state.entries.begin() + static_cast<std::ptrdiff_t>(new_base - state.base_index));
         state.base_index = new_base;
     }
     while (state.memberships.size() > 1 && state.memberships[1].index <= state.commit) {
--- a/src/consensus/consensus_func.hpp
+++ b/src/consensus/consensus_func.hpp
@@ -1,4 +1,5 @@
-// Functions of the consensus algorithm. None of them does I/O; each is called by one thread at a time for one state.
+// Functions of the consensus algorithm. None of them does I/O; each is called by one thread at a time for one
+// state.
 #pragma once
 
 #include "consensus/consensus_type.hpp"
@@ -46,7 +47,15 @@
 term_number term_at(const group_state& state, log_index index);
 
 /// Outcome of a request to change the members.
-enum class change_result : std::uint8_t { proposed, already_done, not_leader, change_pending, name_in_use, not_caught_up, unknown_member };
+enum class change_result : std::uint8_t {
+    proposed,
+    already_done,
+    not_leader,
+    change_pending,
+    name_in_use,
+    not_caught_up,
+    unknown_member
+};
 
 /// Adds a learner. Refused while another member of that name is in touch.
 change_result add_learner(group_state& state, const member& joining, time_point now, effects& out);
@@ -54,11 +63,12 @@
 change_result promote_learner(group_state& state, member_id id, effects& out);
 /// Removes a member.
 change_result remove_member(group_state& state, member_id id, effects& out);
-/// Proposes the next change that a repair needs: removes the lost voter whose name a caught-up learner took over, then
-/// promotes the learner.
+/// Proposes the next change that a repair needs: removes the lost voter whose name a caught-up learner took
+/// over, then promotes the learner.
 /// @return whether something was proposed.
 bool continue_repair(group_state& state, time_point now, effects& out);
-/// Tells whether this member should ask to be taken in: the group does not know it, or forgot that it is a learner.
+/// Tells whether this member should ask to be taken in: the group does not know it, or forgot that it is a
+/// learner.
 bool needs_join(const group_state& state, time_point now);
 /// @return whether the leader heard from a member within the election timeout.
 bool in_touch(const group_state& state, member_id id, time_point now);
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -19,7 +19,8 @@
     return term_committed && !pending ? change_result::proposed : change_result::change_pending;
 }
 
-/// A learner may be counted once its synced log has reached the commit index, today's and that of its joining.
+/// A learner may be counted once its synced log has reached the commit index, today's and that of its
+/// joining.
 bool has_caught_up(const group_state& state, const member& learner)
 {
     const auto peer = state.peers.find(learner.id);
@@ -67,7 +68,8 @@
         return allowed;
     }
     membership next = current_members(state);
-    const auto found = std::find_if(next.members.begin(), next.members.end(), [id](const member& m) { return m.id == id; });
+    const auto found =
+        std::find_if(next.members.begin(), next.members.end(), [id](const member& m) { return m.id == id; });
     if (found == next.members.end()) {
         return change_result::unknown_member;
     }
@@ -152,7 +154,8 @@
     }
     membership members;
     for (const wire::member& one : encoded.members()) {
-        members.members.push_back({member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target()});
+        members.members.push_back(
+            {member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target()});
     }
     return members;
 }
--- a/src/entry/answer_writer.cpp
+++ b/src/entry/answer_writer.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::uint32_t notices_before_heartbeat = 2; ///< a short wait is answered with a plain status instead
+constexpr std::uint32_t notices_before_heartbeat =
+    2; ///< a short wait is answered with a plain status instead
 
 } // namespace
 
@@ -24,7 +25,8 @@
     return content_type_.rfind("text/event-stream", 0) == 0;
 }
 
-asio::awaitable<void> answer_writer::take(std::uint64_t number, int status, const std::string& content_type, const std::string& data)
+asio::awaitable<void> answer_writer::take(std::uint64_t number, int status, const std::string& content_type,
+                                          const std::string& data)
 {
     if (number < next_) {
         co_return; // a duplicate
@@ -111,7 +113,8 @@
     co_await send_stored(status_, whole_content_type(), whole_body());
 }
 
-asio::awaitable<void> answer_writer::send_stored(int status, const std::string& content_type, const std::string& body)
+asio::awaitable<void> answer_writer::send_stored(int status, const std::string& content_type,
+                                                 const std::string& body)
 {
     if (stream_begun_) {
         co_await out_.write(caller::to_event(body) + caller::to_event("[DONE]"));
@@ -132,7 +135,8 @@
         co_await out_.send(caller::make_problem(refused, request_id_));
         co_return;
     }
-    // The status line is gone; an error event tells the caller, and the missing end keeps it from being taken for whole.
+    // The status line is gone; an error event tells the caller, and the missing end keeps it from being taken
+    // for whole.
     co_await out_.write("event: error\n" + caller::to_event(caller::problem_body(refused, request_id_)));
     out_.abort();
 }
--- a/src/entry/answer_writer.hpp
+++ b/src/entry/answer_writer.hpp
@@ -17,13 +17,15 @@
     answer_writer(http::responder& out, bool stream, bool usage, std::string request_id);
 
     /// Takes in a chunk; chunks may arrive twice or out of order.
-    boost::asio::awaitable<void> take(std::uint64_t number, int status, const std::string& content_type, const std::string& data);
+    boost::asio::awaitable<void> take(std::uint64_t number, int status, const std::string& content_type,
+                                      const std::string& data);
     /// @return whether all chunks arrived and their checksum is right.
     [[nodiscard]] bool is_complete(std::uint64_t count, std::uint32_t checksum) const;
     /// Sends the end of the answer. @pre is_complete() was true and the call is closed.
     boost::asio::awaitable<void> finish();
     /// Sends an answer that was stored earlier.
-    boost::asio::awaitable<void> send_stored(int status, const std::string& content_type, const std::string& body);
+    boost::asio::awaitable<void> send_stored(int status, const std::string& content_type,
+                                             const std::string& body);
     /// Tells the caller of a refusal; an answer that already began is broken off.
     boost::asio::awaitable<void> fail(const refusal_error& refused);
     /// Keeps a stream alive while its call waits.
@@ -61,7 +63,7 @@
     caller::event_splitter splitter_;
     caller::answer_builder answer_;
     std::string raw_;
-    std::string held_event_;  ///< the last event is held until the call is closed
+    std::string held_event_; ///< the last event is held until the call is closed
     bool stream_begun_ = false;
     bool parts_sent_ = false;
     std::uint32_t notices_ = 0;
--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -27,7 +27,8 @@
 constexpr duration most_backoff = 1s;
 constexpr duration no_upstream_pause = 100ms;
 constexpr duration rate_wait_limit = 12s; ///< 10 s as promised, and the skew of order among entries
-constexpr double first_choice_seconds = 0.02; ///< preference for the entry's own choice where nothing else decides
+constexpr double first_choice_seconds =
+    0.02; ///< preference for the entry's own choice where nothing else decides
 constexpr std::uint64_t default_answer_tokens = 256;
 constexpr std::uint64_t default_reserved_tokens = 4096;
 constexpr double least_weighed_rate = 0.01; ///< requests a second; an open route has no rate
@@ -48,23 +49,27 @@
     flow_context& context;
     call_plan plan;
     answer_writer writer;
-    program_name root;              ///< where the program lives, once known
-    attempt_id replaces;            ///< settled attempt that the next one takes over from
+    program_name root;   ///< where the program lives, once known
+    attempt_id replaces; ///< settled attempt that the next one takes over from
     bool suspect = false;
-    bool opened = false;            ///< the ledger has an open call of ours
-    ledger::claim bound;            ///< the attempt that the ledger granted
-    time_point deadline{};          ///< for the start of the call
+    bool opened = false;   ///< the ledger has an open call of ours
+    ledger::claim bound;   ///< the attempt that the ledger granted
+    time_point deadline{}; ///< for the start of the call
     duration backoff = first_backoff;
     std::vector<std::string> tried; ///< upstreams that just refused
     std::uint32_t lost_tries = 0;   ///< attempts that were lost while they may have run
 
     call_flow(flow_context& shared, call_plan wanted, http::responder& out)
-        : context(shared), plan(std::move(wanted)), writer(out, plan.stream, plan.chat.include_usage, plan.request_id)
+        : context(shared), plan(std::move(wanted)),
+          writer(out, plan.stream, plan.chat.include_usage, plan.request_id)
     {
     }
 
     [[nodiscard]] bool is_service() const { return plan.route.kind == configuration::service_kind::service; }
-    [[nodiscard]] std::string program_key() const { return plan.organisation.name.value + "/" + plan.program.value; }
+    [[nodiscard]] std::string program_key() const
+    {
+        return plan.organisation.name.value + "/" + plan.program.value;
+    }
     [[nodiscard]] std::uint32_t shard() const
     {
         const program_name& home = root.empty() ? plan.program : root;
@@ -86,7 +91,8 @@
     if (flow.is_service()) {
         return 0;
     }
-    const std::uint64_t by_route = flow.plan.route.most_tokens != 0 ? flow.plan.route.most_tokens : default_reserved_tokens;
+    const std::uint64_t by_route =
+        flow.plan.route.most_tokens != 0 ? flow.plan.route.most_tokens : default_reserved_tokens;
     return flow.plan.chat.most_tokens != 0 ? flow.plan.chat.most_tokens : by_route;
 }
 
@@ -94,7 +100,8 @@
 {
     const time_point now = runtime_clock::now();
     if (!flow.context.tables.is_fresh(now)) {
-        throw refusal_error(failure::configuration_stale, "the configuration could not be confirmed in time", 1000U);
+        throw refusal_error(failure::configuration_stale, "the configuration could not be confirmed in time",
+                            1000U);
     }
     if (flow.context.tables.losses_of(flow.plan.body) >= configuration::quarantine_losses) {
         throw refusal_error(failure::request_quarantined, "upstreams were lost while they ran this request");
@@ -111,24 +118,30 @@
     routing::route_wish wish;
 };
 
-/// Lists the upstreams that may take the call, waiting while none will do. @throw refusal_error at the deadline.
+/// Lists the upstreams that may take the call, waiting while none will do. @throw refusal_error at the
+/// deadline.
 asio::awaitable<upstream_offer> find_upstreams(call_flow& flow)
 {
     routing::route_wish wish;
     wish.affinity = flow.plan.ephemeral ? 0 : hash_bytes(flow.program_key());
-    wish.prompt_tokens = new_message_tokens(flow); // the ledger adds the prefill of the history, whose size it knows
-    wish.expected_tokens = flow.plan.chat.most_tokens != 0 ? std::min<std::uint64_t>(flow.plan.chat.most_tokens, default_answer_tokens) : default_answer_tokens;
+    wish.prompt_tokens =
+        new_message_tokens(flow); // the ledger adds the prefill of the history, whose size it knows
+    wish.expected_tokens = flow.plan.chat.most_tokens != 0
+                               ? std::min<std::uint64_t>(flow.plan.chat.most_tokens, default_answer_tokens)
+                               : default_answer_tokens;
     const std::string& policy = flow.context.settings.routing;
-    wish.policy = policy == "round_robin" ? routing::routing_policy::round_robin
+    wish.policy = policy == "round_robin"   ? routing::routing_policy::round_robin
                   : policy == "no_affinity" ? routing::routing_policy::no_affinity
                                             : routing::routing_policy::expected_time;
     while (true) {
         check_still_allowed(flow);
         wish.suspect = flow.suspect || flow.context.tables.losses_of(flow.plan.body) != 0;
         wish.turn = flow.context.turns.fetch_add(1);
-        std::vector<routing::candidate> found = flow.context.tables.candidates(flow.plan.route.kind, flow.plan.route.serves, flow.program_key());
+        std::vector<routing::candidate> found =
+            flow.context.tables.candidates(flow.plan.route.kind, flow.plan.route.serves, flow.program_key());
         std::erase_if(found, [&](const routing::candidate& one) {
-            const bool refused = std::find(flow.tried.begin(), flow.tried.end(), one.name.value) != flow.tried.end();
+            const bool refused =
+                std::find(flow.tried.begin(), flow.tried.end(), one.name.value) != flow.tried.end();
             return refused || (wish.suspect && one.load.suspects != 0);
         });
         const auto place = routing::choose(found, wish);
@@ -142,7 +155,8 @@
         }
         flow.tried.clear();
         if (runtime_clock::now() + no_upstream_pause >= flow.deadline) {
-            throw refusal_error(failure::no_upstream, "no upstream serves " + flow.plan.route.serves + " now", 1000U);
+            throw refusal_error(failure::no_upstream, "no upstream serves " + flow.plan.route.serves + " now",
+                                1000U);
         }
         co_await platform::wait_for(no_upstream_pause);
     }
@@ -187,7 +201,8 @@
     body->set_keep_answer(flow.plan.keep_answer);
     body->set_replaces_attempt(flow.replaces.value);
     const configuration::budget& limits = flow.plan.budget;
-    ledger::to_wire(ledger::budget_limits{limits.calls, limits.tokens, limits.seconds, limits.idle_seconds}, body->mutable_budget());
+    ledger::to_wire(ledger::budget_limits{limits.calls, limits.tokens, limits.seconds, limits.idle_seconds},
+                    body->mutable_budget());
     for (const std::string& one : flow.plan.chat.messages) {
         wire::chat_message* made = body->add_messages();
         made->set_role(caller::role_of(one));
@@ -197,14 +212,16 @@
 }
 
 /// @param held how long the ledger may hold the question, for calls that wait for their turn.
-asio::awaitable<wire::envelope_ptr> ask_ledger(call_flow& flow, wire::envelope question, duration limit, duration held = {})
+asio::awaitable<wire::envelope_ptr> ask_ledger(call_flow& flow, wire::envelope question, duration limit,
+                                               duration held = {})
 {
     wire::envelope_ptr answer;
     try {
         answer = co_await flow.context.client.call(flow.shard(), std::move(question), limit, held);
     }
     catch (const link_error& fault) {
-        throw refusal_error(failure::ledger_unavailable, fault.what(), flow.opened ? ran_state::unknown : ran_state::no);
+        throw refusal_error(failure::ledger_unavailable, fault.what(),
+                            flow.opened ? ran_state::unknown : ran_state::no);
     }
     if (answer->has_refused()) {
         throw refusal_error(to_failure(answer->refused().failure()), answer->refused().detail());
@@ -226,7 +243,8 @@
         question.mutable_program()->set_organisation(flow.plan.organisation.name.value);
         question.mutable_program()->set_program(flow.plan.parent.value);
         flow.root = flow.plan.parent;
-        const wire::envelope_ptr answer = co_await ask_ledger(flow, std::move(question), flow.context.settings.queue_limit);
+        const wire::envelope_ptr answer =
+            co_await ask_ledger(flow, std::move(question), flow.context.settings.queue_limit);
         const wire::program_reply& parent = answer->program_is();
         if (!parent.found() && parent.parent().empty()) {
             throw refusal_error(failure::program_unknown, "the parent program is not known");
@@ -240,7 +258,8 @@
     body->set_program(flow.plan.program.value);
     body->set_root(root.value);
     body->set_alias_only(true);
-    const wire::envelope_ptr answer = co_await ask_ledger(flow, std::move(question), flow.context.settings.queue_limit);
+    const wire::envelope_ptr answer =
+        co_await ask_ledger(flow, std::move(question), flow.context.settings.queue_limit);
     if (answer->opened().failure() != 0) {
         throw refusal_error(to_failure(answer->opened().failure()), "the program already lives on its own");
     }
@@ -277,7 +296,8 @@
     co_return answer->closed().accepted();
 }
 
-wire::envelope make_run(const call_flow& flow, const std::vector<std::string>& history, std::uint64_t attained, bool join_only)
+wire::envelope make_run(const call_flow& flow, const std::vector<std::string>& history,
+                        std::uint64_t attained, bool join_only)
 {
     wire::envelope question;
     wire::run_request* body = question.mutable_run();
@@ -289,14 +309,16 @@
     body->set_entry_incarnation(flow.context.links.self().value);
     body->set_repeatable(flow.plan.route.repeatable);
     body->set_attained_tokens(attained);
-    body->set_weight(flow.plan.organisation.weight * std::sqrt(std::max(flow.plan.organisation.rate, least_weighed_rate)));
+    body->set_weight(flow.plan.organisation.weight *
+                     std::sqrt(std::max(flow.plan.organisation.rate, least_weighed_rate)));
     body->set_service(flow.is_service());
     body->set_ephemeral(flow.plan.ephemeral);
     body->set_body_hash(flow.plan.body.value);
     body->set_suspect(flow.suspect);
     body->set_join_only(join_only);
     body->set_request_id(flow.plan.request_id);
-    body->set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, to_ms(flow.deadline - runtime_clock::now()))));
+    body->set_deadline_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(1, to_ms(flow.deadline - runtime_clock::now()))));
     if (flow.is_service()) {
         body->set_method(flow.plan.method);
         body->set_path(flow.plan.path);
@@ -311,7 +333,9 @@
     body->set_prompt_tokens(caller::estimate_tokens(body->body().size()));
     const program_cache cache = flow.context.tables.cache_of(flow.program_key());
     body->set_cached_tokens(cache.upstream == flow.bound.upstream ? cache.tokens : 0);
-    body->set_most_tokens(flow.plan.chat.most_tokens != 0 ? std::min<std::uint64_t>(flow.plan.chat.most_tokens, default_answer_tokens) : default_answer_tokens);
+    body->set_most_tokens(flow.plan.chat.most_tokens != 0
+                              ? std::min<std::uint64_t>(flow.plan.chat.most_tokens, default_answer_tokens)
+                              : default_answer_tokens);
     return question;
 }
 
@@ -331,8 +355,10 @@
     question.mutable_tombstone()->set_attempt(flow.bound.attempt.value);
     bool confirmed = false;
     try {
-        const wire::envelope_ptr answer = co_await flow.context.links.call(flow.bound.upstream_endpoint, std::move(question), tombstone_limit);
-        confirmed = answer->tombstoned().state() == static_cast<std::uint32_t>(scheduling::attempt_status::tombstoned);
+        const wire::envelope_ptr answer = co_await flow.context.links.call(
+            flow.bound.upstream_endpoint, std::move(question), tombstone_limit);
+        confirmed = answer->tombstoned().state() ==
+                    static_cast<std::uint32_t>(scheduling::attempt_status::tombstoned);
     }
     catch (const link_error&) {
         confirmed = false;
@@ -351,7 +377,8 @@
 asio::awaitable<run_result> run(call_flow& flow, wire::envelope question)
 {
     flow.context.tables.note_sent(flow.bound.upstream);
-    const auto stream = flow.context.links.open_stream(flow.bound.upstream_endpoint, std::move(question), flow.context.settings.call_limit, idle_notice);
+    const auto stream = flow.context.links.open_stream(flow.bound.upstream_endpoint, std::move(question),
+                                                       flow.context.settings.call_limit, idle_notice);
     std::uint64_t gone_notices = 0;
     while (true) {
         const wire::envelope_ptr message = co_await stream->next();
@@ -379,18 +406,21 @@
         }
         switch (static_cast<sidecar::chunk_kind>(chunk.kind())) {
         case sidecar::chunk_kind::refused:
-            co_return run_result{run_outcome::not_started, to_failure(chunk.failure()), chunk.retry_after_ms()};
+            co_return run_result{run_outcome::not_started, to_failure(chunk.failure()),
+                                 chunk.retry_after_ms()};
         case sidecar::chunk_kind::end:
             if (chunk.failure() != 0) {
                 const failure why = to_failure(chunk.failure());
-                co_return run_result{why == failure::no_upstream ? run_outcome::not_started : run_outcome::lost, why, 0};
+                co_return run_result{
+                    why == failure::no_upstream ? run_outcome::not_started : run_outcome::lost, why, 0};
             }
             if (!flow.writer.is_complete(chunk.count(), chunk.checksum())) {
                 continue; // chunks are missing; they are sent again over a new connection
             }
             co_return run_result{run_outcome::finished, failure::none, 0};
         case sidecar::chunk_kind::part:
-            co_await flow.writer.take(chunk.number(), static_cast<int>(chunk.status()), chunk.content_type(), chunk.data());
+            co_await flow.writer.take(chunk.number(), static_cast<int>(chunk.status()), chunk.content_type(),
+                                      chunk.data());
             continue;
         default:
             continue;
@@ -402,7 +432,8 @@
 asio::awaitable<void> finish(call_flow& flow)
 {
     const bool answered = flow.writer.status() < 400;
-    wire::close_call_request body = make_close(flow, answered ? ledger::call_outcome::done : ledger::call_outcome::failed);
+    wire::close_call_request body =
+        make_close(flow, answered ? ledger::call_outcome::done : ledger::call_outcome::failed);
     body.set_prompt_tokens(flow.writer.answer().prompt_tokens());
     body.set_completion_tokens(flow.writer.answer().completion_tokens());
     if (flow.plan.keep_answer) {
@@ -416,19 +447,23 @@
         message->set_content(flow.writer.answer().message());
     }
     if (!flow.is_service() && !flow.plan.ephemeral) {
-        const std::uint64_t tokens = flow.writer.answer().prompt_tokens() + flow.writer.answer().completion_tokens();
+        const std::uint64_t tokens =
+            flow.writer.answer().prompt_tokens() + flow.writer.answer().completion_tokens();
         flow.context.tables.note_cache(flow.program_key(), flow.bound.upstream, tokens);
     }
     const bool accepted = co_await close(flow, std::move(body));
     if (!accepted) {
-        throw refusal_error(failure::outcome_unknown, "another attempt of this call was recorded", ran_state::unknown);
+        throw refusal_error(failure::outcome_unknown, "another attempt of this call was recorded",
+                            ran_state::unknown);
     }
     if (flow.suspect) {
         wire::envelope clear;
         clear.mutable_clear()->set_body_hash(flow.plan.body.value);
         co_await flow.context.client.call(0, std::move(clear), close_limit);
     }
-    log_event(event::call_closed, {{"request", flow.plan.request_id}, {"program", flow.plan.program.value}, {"upstream", flow.bound.upstream.value}});
+    log_event(event::call_closed, {{"request", flow.plan.request_id},
+                                   {"program", flow.plan.program.value},
+                                   {"upstream", flow.bound.upstream.value}});
     co_await flow.writer.finish();
 }
 
@@ -450,7 +485,8 @@
 
 asio::awaitable<void> back_off(call_flow& flow)
 {
-    const duration jitter{static_cast<std::int64_t>(random_id() % static_cast<std::uint64_t>(flow.backoff.count()))};
+    const duration jitter{
+        static_cast<std::int64_t>(random_id() % static_cast<std::uint64_t>(flow.backoff.count()))};
     co_await platform::wait_for(flow.backoff / 2 + jitter);
     flow.backoff = std::min(flow.backoff * 2, duration{most_backoff});
 }
@@ -470,7 +506,8 @@
     }
 }
 
-/// Notes an attempt that never started and never will. @throw refusal_error if the call is not tried elsewhere.
+/// Notes an attempt that never started and never will. @throw refusal_error if the call is not tried
+/// elsewhere.
 void note_not_started(call_flow& flow, const run_result& result)
 {
     flow.replaces = flow.bound.attempt;
@@ -488,14 +525,17 @@
 void check_retry_of_lost(call_flow& flow)
 {
     if (!flow.plan.route.repeatable) {
-        throw refusal_error(failure::outcome_unknown, "the upstream was lost while the call may have run", ran_state::unknown);
+        throw refusal_error(failure::outcome_unknown, "the upstream was lost while the call may have run",
+                            ran_state::unknown);
     }
     if (flow.writer.parts_reached_caller()) {
-        throw refusal_error(failure::upstream_lost, "the upstream was lost in the middle of its answer", ran_state::unknown);
+        throw refusal_error(failure::upstream_lost, "the upstream was lost in the middle of its answer",
+                            ran_state::unknown);
     }
     ++flow.lost_tries;
     if (flow.lost_tries >= most_lost_tries || !take_retry_credit(flow.context)) {
-        throw refusal_error(failure::upstream_lost, "every upstream that was tried was lost or cut its answer", ran_state::unknown);
+        throw refusal_error(failure::upstream_lost,
+                            "every upstream that was tried was lost or cut its answer", ran_state::unknown);
     }
 }
 
@@ -526,7 +566,9 @@
         check_retry_of_lost(flow);
         cancel(flow);
         flow.writer.restart();
-        log_event(event::call_retried, {{"request", flow.plan.request_id}, {"program", flow.plan.program.value}, {"upstream", flow.bound.upstream.value}});
+        log_event(event::call_retried, {{"request", flow.plan.request_id},
+                                        {"program", flow.plan.program.value},
+                                        {"upstream", flow.bound.upstream.value}});
         co_await back_off(flow);
     }
     flow.replaces = flow.bound.attempt;
@@ -536,11 +578,12 @@
 asio::awaitable<void> settle(call_flow& flow, const wire::open_call_reply& stuck)
 {
     const ledger::claim own = flow.bound;
-    flow.bound = {attempt_id{stuck.attempt()}, upstream_name{stuck.upstream()}, incarnation_id{stuck.upstream_incarnation()},
-                  stuck.upstream_endpoint(), incarnation_id{stuck.entry_incarnation()}};
+    flow.bound = {attempt_id{stuck.attempt()}, upstream_name{stuck.upstream()},
+                  incarnation_id{stuck.upstream_incarnation()}, stuck.upstream_endpoint(),
+                  incarnation_id{stuck.entry_incarnation()}};
     const bool tombstoned = co_await tombstone(flow);
     if (tombstoned || is_gone(flow)) {
-        const auto outcome = tombstoned ? ledger::call_outcome::not_run
+        const auto outcome = tombstoned           ? ledger::call_outcome::not_run
                              : stuck.repeatable() ? ledger::call_outcome::abandoned
                                                   : ledger::call_outcome::unknown;
         wire::envelope question;
@@ -558,7 +601,8 @@
 {
     const upstream_offer offer = co_await find_upstreams(flow);
     const routing::candidate& chosen = offer.candidates[offer.first_choice];
-    const ledger::claim wanted{attempt_id{random_id()}, chosen.name, chosen.incarnation, chosen.endpoint, flow.context.links.self()};
+    const ledger::claim wanted{attempt_id{random_id()}, chosen.name, chosen.incarnation, chosen.endpoint,
+                               flow.context.links.self()};
     const duration limit = std::max<duration>(flow.deadline - runtime_clock::now(), 1ms);
     wire::envelope question = make_open(flow, wanted);
     add_choices(offer, question.mutable_open());
@@ -571,9 +615,12 @@
             release(flow, flow.replaces, flow.bound.upstream_endpoint);
         }
         flow.opened = true;
-        flow.bound = {attempt_id{body.attempt()}, upstream_name{body.upstream()}, incarnation_id{body.upstream_incarnation()},
-                      body.upstream_endpoint(), incarnation_id{body.entry_incarnation()}};
-        log_event(event::call_opened, {{"request", flow.plan.request_id}, {"program", flow.plan.program.value}, {"attempt", to_hex(body.attempt())}});
+        flow.bound = {attempt_id{body.attempt()}, upstream_name{body.upstream()},
+                      incarnation_id{body.upstream_incarnation()}, body.upstream_endpoint(),
+                      incarnation_id{body.entry_incarnation()}};
+        log_event(event::call_opened, {{"request", flow.plan.request_id},
+                                       {"program", flow.plan.program.value},
+                                       {"attempt", to_hex(body.attempt())}});
         co_return true;
     case ledger::open_outcome::moved:
         flow.root = program_name{body.root()};
@@ -610,7 +657,8 @@
         const bool runs = co_await open(flow, reply);
         const wire::open_call_reply& body = reply->opened();
         if (body.outcome() == static_cast<std::uint32_t>(ledger::open_outcome::stored)) {
-            co_await flow.writer.send_stored(static_cast<int>(body.answer().status()), body.answer().content_type(), body.answer().body());
+            co_await flow.writer.send_stored(static_cast<int>(body.answer().status()),
+                                             body.answer().content_type(), body.answer().body());
             co_return;
         }
         if (!runs) {
@@ -618,9 +666,11 @@
         }
         const bool join_only = body.outcome() == static_cast<std::uint32_t>(ledger::open_outcome::running);
         if (join_only) {
-            log_event(event::call_joined, {{"request", flow.plan.request_id}, {"attempt", to_hex(body.attempt())}});
+            log_event(event::call_joined,
+                      {{"request", flow.plan.request_id}, {"attempt", to_hex(body.attempt())}});
         }
-        const run_result result = co_await run(flow, make_run(flow, history_of(body), body.attained_tokens(), join_only));
+        const run_result result =
+            co_await run(flow, make_run(flow, history_of(body), body.attained_tokens(), join_only));
         if (result.outcome == run_outcome::finished) {
             co_await finish(flow);
             co_return;
@@ -637,7 +687,7 @@
         co_return;
     }
     const bool settled = flow.replaces == flow.bound.attempt && refused.ran == ran_state::no;
-    const auto outcome = settled ? ledger::call_outcome::not_run
+    const auto outcome = settled                      ? ledger::call_outcome::not_run
                          : flow.plan.route.repeatable ? ledger::call_outcome::abandoned
                                                       : ledger::call_outcome::unknown;
     try {
@@ -658,7 +708,8 @@
     std::optional<refusal_error> refused;
     try {
         if (flow.plan.organisation.rate > 0) {
-            co_await context.rates.pass(flow.plan.organisation, std::min<duration>(rate_wait_limit, context.settings.queue_limit));
+            co_await context.rates.pass(flow.plan.organisation,
+                                        std::min<duration>(rate_wait_limit, context.settings.queue_limit));
         }
         co_await locate(flow);
         co_await serve_attempts(flow);
@@ -670,7 +721,10 @@
         co_return;
     }
     co_await close_after(flow, *refused);
-    log_event(event::call_refused, {{"request", flow.plan.request_id}, {"program", flow.plan.program.value}, {"failure", find_failure(refused->kind).name}, {"detail", refused->what()}});
+    log_event(event::call_refused, {{"request", flow.plan.request_id},
+                                    {"program", flow.plan.program.value},
+                                    {"failure", find_failure(refused->kind).name},
+                                    {"detail", refused->what()}});
     co_await flow.writer.fail(*refused);
 }
 
--- a/src/entry/call_flow.hpp
+++ b/src/entry/call_flow.hpp
@@ -20,7 +20,7 @@
     wire::link& links;
     wire::group_client& client;
     std::uint32_t shards = 1;
-    std::atomic<std::uint64_t> turns{0};      ///< counts choices, for spreading
+    std::atomic<std::uint64_t> turns{0};       ///< counts choices, for spreading
     std::atomic<std::int64_t> retry_credit{0}; ///< in hundredths of a retry; each call earns ten
 };
 
@@ -38,19 +38,20 @@
     program_name program;
     program_name parent;
     bool ephemeral = false;
-    bool keep_answer = false;         ///< the caller gave an Idempotency-Key
-    request_name ledger_request;      ///< the same for a resend
+    bool keep_answer = false;    ///< the caller gave an Idempotency-Key
+    request_name ledger_request; ///< the same for a resend
     body_hash body;
-    bool stream = false;              ///< the caller wants server-sent events
-    caller::chat_call chat;           ///< models
-    std::string method;               ///< services
+    bool stream = false;    ///< the caller wants server-sent events
+    caller::chat_call chat; ///< models
+    std::string method;     ///< services
     std::string path;
     std::string content_type;
     std::string service_body;
     time_point received_at{};
 };
 
-/// Serves one admitted call to its end. @throw refusal_error if it was refused before anything was sent to the caller.
+/// Serves one admitted call to its end. @throw refusal_error if it was refused before anything was sent to
+/// the caller.
 boost::asio::awaitable<void> serve_call(flow_context& context, call_plan plan, http::responder& out);
 
 } // namespace guavawick::entry
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -75,7 +75,8 @@
         if (answer && answer->has_session_is()) {
             for (const wire::freed_program& one : answer->session_is().freed()) {
                 for (const std::string& upstream : one.upstreams()) {
-                    pool_.spawn(free_program(shard, one.organisation(), one.program(), upstream_name{upstream}));
+                    pool_.spawn(
+                        free_program(shard, one.organisation(), one.program(), upstream_name{upstream}));
                 }
             }
         }
@@ -84,7 +85,8 @@
 }
 
 /// Has a sidecar free the engine memory of a program that is gone, and confirms it to the ledger.
-asio::awaitable<void> entry_process::free_program(std::uint32_t shard, std::string organisation, std::string program, upstream_name upstream)
+asio::awaitable<void> entry_process::free_program(std::uint32_t shard, std::string organisation,
+                                                  std::string program, upstream_name upstream)
 {
     const std::string endpoint = tables_.endpoint_of(upstream);
     try {
@@ -113,17 +115,20 @@
 {
     while (running()) {
         for (const auto& [name, endpoint] : tables_.endpoints()) {
-            platform::spawn(pool_.executor(), [](entry_process* self, upstream_name who, std::string where) -> asio::awaitable<void> {
-                wire::envelope question;
-                question.mutable_load();
-                try {
-                    const wire::envelope_ptr answer = co_await self->links_->call(std::move(where), std::move(question), load_limit);
-                    self->tables_.note_load(who, answer->load());
-                }
-                catch (const link_error&) {
-                    // The directory drops an upstream that stays silent.
-                }
-            }(this, name, endpoint));
+            platform::spawn(
+                pool_.executor(),
+                [](entry_process* self, upstream_name who, std::string where) -> asio::awaitable<void> {
+                    wire::envelope question;
+                    question.mutable_load();
+                    try {
+                        const wire::envelope_ptr answer =
+                            co_await self->links_->call(std::move(where), std::move(question), load_limit);
+                        self->tables_.note_load(who, answer->load());
+                    }
+                    catch (const link_error&) {
+                        // The directory drops an upstream that stays silent.
+                    }
+                }(this, name, endpoint));
         }
         co_await platform::wait_for(load_interval);
     }
@@ -171,7 +176,8 @@
 asio::awaitable<void> entry_process::answer_sidecar_poll(wire::peer_route from, wire::envelope_ptr message)
 {
     const wire::poll_request& asked = message->poll();
-    const time_point due = runtime_clock::now() + std::min<duration>(std::chrono::milliseconds(asked.wait_ms()), poll_wait);
+    const time_point due =
+        runtime_clock::now() + std::min<duration>(std::chrono::milliseconds(asked.wait_ms()), poll_wait);
     while (runtime_clock::now() < due && tables_.position().first == asked.after_revision()) {
         co_await platform::wait_for(sidecar_poll_step);
     }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -20,7 +20,8 @@
 
 constexpr std::size_t most_id_size = 128;
 constexpr duration drain_poll = 20ms;
-constexpr const char* open_organisation = "~open"; ///< owns the calls of open routes without a key; no real name has a '~'
+constexpr const char* open_organisation =
+    "~open"; ///< owns the calls of open routes without a key; no real name has a '~'
 
 http::server_limits make_limits(const entry_settings& own)
 {
@@ -36,7 +37,9 @@
     std::string id = received.header(header);
     constexpr const char* allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/";
     if (id.size() > most_id_size || id.find_first_not_of(allowed) != std::string::npos) {
-        throw refusal_error(failure::bad_request, std::string(header) + ": expected at most 128 letters, digits, '-', '_', '.', ':' and '/'");
+        throw refusal_error(failure::bad_request,
+                            std::string(header) +
+                                ": expected at most 128 letters, digits, '-', '_', '.', ':' and '/'");
     }
     return id;
 }
@@ -49,7 +52,9 @@
     if (presented.empty()) {
         return nullptr;
     }
-    const configuration::organisation* found = presented.rfind(prefix, 0) == 0 ? configuration::find_by_key(view, presented.substr(prefix.size())) : nullptr;
+    const configuration::organisation* found =
+        presented.rfind(prefix, 0) == 0 ? configuration::find_by_key(view, presented.substr(prefix.size()))
+                                        : nullptr;
     if (found == nullptr) {
         throw refusal_error(failure::key_unknown, "the key is unknown or was withdrawn");
     }
@@ -80,7 +85,8 @@
     plan.program = program_name{plan.keep_answer ? "~key/" + resend_key : "~once/" + to_hex(random_id())};
 }
 
-configuration::route need_route(const configuration::view& view, configuration::service_kind kind, const std::string& name, const configuration::organisation* who)
+configuration::route need_route(const configuration::view& view, configuration::service_kind kind,
+                                const std::string& name, const configuration::organisation* who)
 {
     const configuration::route* found = configuration::find_route(view, kind, name);
     if (found == nullptr) {
@@ -99,7 +105,8 @@
 
 entry_process::entry_process(const settings& given, platform::worker_pool& pool)
     : settings_(given), pool_(pool), self_(random_id()),
-      tables_(data_centre_name{given.data_centre}, given.entry.configuration_lease, given.entry.subset_size, hash_bytes(given.entry.listen))
+      tables_(data_centre_name{given.data_centre}, given.entry.configuration_lease, given.entry.subset_size,
+              hash_bytes(given.entry.listen))
 {
 }
 
@@ -117,16 +124,21 @@
     flows_ = std::make_unique<flow_context>(settings_.entry, tables_, *rates_, *links_, *client_, shards);
     flows_->retry_credit.store(most_retry_credit);
     if (!settings_.entry.link.empty()) {
-        links_->listen(settings_.entry.link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
+        links_->listen(settings_.entry.link,
+                       [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
+                           receive(from, message);
+                       });
     }
+    add_metrics();
     pool_.spawn(poll_loop());
     pool_.spawn(load_loop());
     for (std::uint32_t shard = 0; shard < shards; ++shard) {
         pool_.spawn(rates_->borrow_loop(shard, [this] { return running(); }));
         pool_.spawn(session_loop(shard));
     }
-    callers_ = std::make_unique<http::server>(pool_.executor(), settings_.entry.listen, make_limits(settings_.entry),
-                                              [this](http::request& received, http::responder& out) { return serve(received, out); });
+    callers_ = std::make_unique<http::server>(
+        pool_.executor(), settings_.entry.listen, make_limits(settings_.entry),
+        [this](http::request& received, http::responder& out) { return serve(received, out); });
 }
 
 void entry_process::stop()
@@ -160,6 +172,7 @@
     if (request_id.empty() || request_id.size() > most_id_size) {
         request_id = to_hex(random_id());
     }
+    requests_.fetch_add(1);
     std::optional<refusal_error> refused;
     try {
         co_await answer(received, out, request_id);
@@ -168,25 +181,31 @@
         refused = fault;
     }
     if (refused) {
-        log_event(event::call_refused, {{"request", request_id}, {"failure", find_failure(refused->kind).name}, {"detail", refused->what()}});
+        refusals_.fetch_add(1);
+        log_event(event::call_refused, {{"request", request_id},
+                                        {"failure", find_failure(refused->kind).name},
+                                        {"detail", refused->what()}});
         co_await out.send(caller::make_problem(*refused, request_id));
     }
 }
 
-asio::awaitable<void> entry_process::answer(http::request& received, http::responder& out, const std::string& request_id)
+asio::awaitable<void> entry_process::answer(http::request& received, http::responder& out,
+                                            const std::string& request_id)
 {
     const std::string path = received.target.substr(0, received.target.find('?'));
     if (path == "/healthz") {
         const bool ready = is_ready();
-        co_await out.send(http::make_response(ready ? 200 : 503, "text/plain", ready ? "ok\n" : "not ready\n"));
+        co_await out.send(
+            http::make_response(ready ? 200 : 503, "text/plain", ready ? "ok\n" : "not ready\n"));
         co_return;
     }
     if (path == "/metrics") {
-        co_await out.send(http::make_response(200, "text/plain; version=0.0.4", metrics()));
+        co_await out.send(http::make_response(200, "text/plain; version=0.0.4", metrics_.text()));
         co_return;
     }
     if (!tables_.is_fresh(runtime_clock::now())) {
-        throw refusal_error(failure::configuration_stale, "the configuration could not be confirmed in time", 1000U);
+        throw refusal_error(failure::configuration_stale, "the configuration could not be confirmed in time",
+                            1000U);
     }
     if (path.rfind("/v1/programs/", 0) == 0) {
         co_await serve_program(received, out);
@@ -231,7 +250,8 @@
         throw refusal_error(failure::not_found, "nothing is served at " + path);
     }
     choose_program(plan, received, who != nullptr);
-    plan.body = body_hash{hash_bytes(plan.method + plan.path + "\n" + received.body, hash_bytes(plan.organisation.name.value))};
+    plan.body = body_hash{
+        hash_bytes(plan.method + plan.path + "\n" + received.body, hash_bytes(plan.organisation.name.value))};
     return plan;
 }
 
@@ -254,7 +274,8 @@
         question.mutable_program()->set_organisation(who->name.value);
         question.mutable_program()->set_program(program.value);
         question.mutable_program()->set_remove(received.method == "DELETE");
-        const std::uint32_t shard = ledger::shard_of(who->name, root, static_cast<std::uint32_t>(settings_.ledger_shards)) + 1;
+        const std::uint32_t shard =
+            ledger::shard_of(who->name, root, static_cast<std::uint32_t>(settings_.ledger_shards)) + 1;
         try {
             reply = co_await client_->call(shard, std::move(question), settings_.entry.queue_limit);
         }
@@ -268,7 +289,8 @@
     }
     const wire::program_reply& body = reply->program_is();
     if (!body.found()) {
-        throw refusal_error(failure::program_unknown, "the organisation has no program \"" + program.value + "\"");
+        throw refusal_error(failure::program_unknown,
+                            "the organisation has no program \"" + program.value + "\"");
     }
     boost::json::object shown{{"id", program.value}};
     if (received.method == "DELETE") {
@@ -285,9 +307,26 @@
     co_await out.send(http::make_response(200, "application/json", boost::json::serialize(shown)));
 }
 
-std::string entry_process::metrics()
+void entry_process::add_metrics()
 {
-    return {};
+    metrics_.add({"guavawick_entry_requests_total", "Requests of callers.", true,
+                  [this] { return static_cast<double>(requests_.load()); }, ""});
+    metrics_.add({"guavawick_entry_refusals_total", "Requests refused before anything was sent.", true,
+                  [this] { return static_cast<double>(refusals_.load()); }, ""});
+    metrics_.add({"guavawick_entry_rate_refusals_total",
+                  "Requests that waited in vain for a token of their rate.", true,
+                  [this] { return static_cast<double>(rates_->refused()); }, ""});
+    metrics_.add({"guavawick_entry_requests_running", "Requests that are being answered.", false,
+                  [this] { return static_cast<double>(callers_->running()); }, ""});
+    metrics_.add({"guavawick_entry_configuration_revision", "Revision of the configuration in force.", false,
+                  [this] { return static_cast<double>(tables_.position().first); }, ""});
+    metrics_.add({"guavawick_entry_configuration_age_seconds",
+                  "Time since a quorum confirmed the configuration.", false,
+                  [this] { return std::min(1e6, to_seconds(tables_.age(runtime_clock::now()))); }, ""});
+    metrics_.add({"guavawick_entry_upstreams", "Upstreams that this entry talks to.", false,
+                  [this] { return static_cast<double>(tables_.endpoints().size()); }, ""});
+    metrics_.add({"guavawick_entry_link_reconnects_total", "Silent connections that were opened anew.", true,
+                  [this] { return static_cast<double>(links_->reconnects()); }, ""});
 }
 
 } // namespace guavawick::entry
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -3,6 +3,7 @@
 
 #include "base/settings_type.hpp"
 #include "entry/call_flow.hpp"
+#include "http/metrics_type.hpp"
 #include "platform/worker_pool.hpp"
 
 namespace guavawick::entry {
@@ -20,21 +21,22 @@
     void close();
     /// @return whether callers would be served now.
     [[nodiscard]] bool is_ready() const;
-    /// Writes Prometheus text.
-    std::string metrics();
 
 private:
+    void add_metrics();
     // Callers (entry_process.cpp).
     boost::asio::awaitable<void> serve(http::request& received, http::responder& out);
     boost::asio::awaitable<void> serve_program(http::request& received, http::responder& out);
-    boost::asio::awaitable<void> answer(http::request& received, http::responder& out, const std::string& request_id);
+    boost::asio::awaitable<void> answer(http::request& received, http::responder& out,
+                                        const std::string& request_id);
     [[nodiscard]] call_plan plan_call(const http::request& received, const std::string& request_id) const;
 
     // Control and sidecars (entry_links.cpp).
     boost::asio::awaitable<void> poll_loop();
     boost::asio::awaitable<void> session_loop(std::uint32_t shard);
     boost::asio::awaitable<void> load_loop();
-    boost::asio::awaitable<void> free_program(std::uint32_t shard, std::string organisation, std::string program, upstream_name upstream);
+    boost::asio::awaitable<void> free_program(std::uint32_t shard, std::string organisation,
+                                              std::string program, upstream_name upstream);
     void receive(const wire::peer_route& from, const wire::envelope_ptr& message);
     boost::asio::awaitable<void> relay(wire::peer_route from, wire::envelope_ptr message);
     boost::asio::awaitable<void> answer_sidecar_poll(wire::peer_route from, wire::envelope_ptr message);
@@ -48,6 +50,9 @@
     shared_tables tables_;
     std::unique_ptr<rate_gate> rates_;
     std::unique_ptr<flow_context> flows_;
+    http::metric_set metrics_;
+    std::atomic<std::uint64_t> requests_{0};
+    std::atomic<std::uint64_t> refusals_{0};
     std::unique_ptr<http::server> callers_;
     std::atomic<bool> leaving_{false};
     std::atomic<bool> stopped_{false};
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -29,7 +29,10 @@
     time_point deadline{};
 };
 
-rate_gate::rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards) : client_(client), entry_(entry), shards_(shards) {}
+rate_gate::rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards)
+    : client_(client), entry_(entry), shards_(shards)
+{
+}
 
 rate_gate::~rate_gate() = default;
 
@@ -50,7 +53,8 @@
         const double expected = static_cast<double>(one.waiting.size()) / std::max(who.rate, 1e-9);
         if (expected > to_seconds(limit)) {
             ++refused_;
-            throw refusal_error(failure::rate_exceeded, "the organisation's rate is used up", static_cast<std::uint32_t>(expected * 1000));
+            throw refusal_error(failure::rate_exceeded, "the organisation's rate is used up",
+                                static_cast<std::uint32_t>(expected * 1000));
         }
         waiter->deadline = now + limit;
         one.waiting.push_back(waiter);
@@ -58,7 +62,8 @@
     const bool granted = co_await waiter->answer.async_receive(asio::use_awaitable);
     if (!granted) {
         const auto retry_ms = static_cast<std::uint32_t>(1000.0 / std::max(who.rate, 1e-3));
-        throw refusal_error(failure::rate_exceeded, "no token of the organisation's rate came free in time", std::max<std::uint32_t>(retry_ms, 1000));
+        throw refusal_error(failure::rate_exceeded, "no token of the organisation's rate came free in time",
+                            std::max<std::uint32_t>(retry_ms, 1000));
     }
 }
 
@@ -76,7 +81,8 @@
     }
 }
 
-wire::envelope rate_gate::make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, borrow_map& asked)
+wire::envelope rate_gate::make_request(std::uint32_t shard, std::uint64_t sequence, time_point now,
+                                       borrow_map& asked)
 {
     const std::lock_guard lock(mutex_);
     wire::envelope question;
@@ -93,7 +99,8 @@
             entry = accounts_.erase(entry);
             continue;
         }
-        const limit::borrow_request wish = limit::prepare_request(one.purse, entry_, sequence, one.waiting.size(), now);
+        const limit::borrow_request wish =
+            limit::prepare_request(one.purse, entry_, sequence, one.waiting.size(), now);
         if (limit::is_due(one.purse, wish, now)) {
             limit::note_sent(one.purse, wish, now);
             wire::borrow_item* item = body->add_items();
@@ -137,7 +144,8 @@
         wire::envelope question = make_request(shard, ++sequence, asked_at, asked);
         if (!asked.empty()) {
             try {
-                const wire::envelope_ptr reply = co_await client_.call(shard + 1, std::move(question), borrow_limit);
+                const wire::envelope_ptr reply =
+                    co_await client_.call(shard + 1, std::move(question), borrow_limit);
                 take_reply(*reply, asked, asked_at);
             }
             catch (const link_error&) {
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -20,7 +20,8 @@
 public:
     rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards);
     ~rate_gate();
-    /// Waits for one token of an organisation. @throw refusal_error `rate_exceeded` if none comes within the limit.
+    /// Waits for one token of an organisation. @throw refusal_error `rate_exceeded` if none comes within the
+    /// limit.
     boost::asio::awaitable<void> pass(configuration::organisation who, duration limit);
     /// Keeps borrowing for the organisations of one shard until `running` says no.
     boost::asio::awaitable<void> borrow_loop(std::uint32_t shard, std::function<bool()> running);
@@ -38,7 +39,8 @@
     using borrow_map = std::map<std::string, limit::borrow_request>; ///< by organisation
 
     void serve_waiters(account& one, time_point now);
-    wire::envelope make_request(std::uint32_t shard, std::uint64_t sequence, time_point now, borrow_map& asked);
+    wire::envelope make_request(std::uint32_t shard, std::uint64_t sequence, time_point now,
+                                borrow_map& asked);
     void take_reply(const wire::envelope& reply, const borrow_map& asked, time_point asked_at);
 
     wire::group_client& client_;
--- a/src/entry/shared_tables.cpp
+++ b/src/entry/shared_tables.cpp
@@ -24,8 +24,10 @@
 
 } // namespace
 
-shared_tables::shared_tables(data_centre_name own_centre, duration lease, std::uint64_t subset, std::uint64_t entry_key)
-    : own_centre_(std::move(own_centre)), lease_(lease), subset_(subset), entry_key_(entry_key), view_(configuration::make_view(0, {}))
+shared_tables::shared_tables(data_centre_name own_centre, duration lease, std::uint64_t subset,
+                             std::uint64_t entry_key)
+    : own_centre_(std::move(own_centre)), lease_(lease), subset_(subset), entry_key_(entry_key),
+      view_(configuration::make_view(0, {}))
 {
 }
 
@@ -36,7 +38,8 @@
     if (reply.revision() < state_.revision) {
         return false; // a process that worked by a revision never goes below it
     }
-    confirmed_at_ = std::max(confirmed_at_, sent_at + holder_lease(std::chrono::milliseconds(reply.held_ms())));
+    confirmed_at_ =
+        std::max(confirmed_at_, sent_at + holder_lease(std::chrono::milliseconds(reply.held_ms())));
     const bool risen = reply.revision() != state_.revision;
     if (risen) {
         if (reply.whole()) {
@@ -84,7 +87,8 @@
 void shared_tables::rebuild_subsets()
 {
     subsets_.clear();
-    std::map<std::pair<configuration::service_kind, std::string>, std::vector<const upstream_entry*>> by_route;
+    std::map<std::pair<configuration::service_kind, std::string>, std::vector<const upstream_entry*>>
+        by_route;
     for (const auto& [name, one] : upstreams_) {
         by_route[{one.record.kind, one.record.serves}].push_back(&one);
     }
@@ -124,14 +128,16 @@
     return {state_.revision, version_};
 }
 
-void shared_tables::fill_for_sidecar(std::uint64_t after_revision, time_point now, wire::poll_reply* into) const
+void shared_tables::fill_for_sidecar(std::uint64_t after_revision, time_point now,
+                                     wire::poll_reply* into) const
 {
     const std::lock_guard lock(mutex_);
     into->set_revision(state_.revision);
     auto changed = configuration::changes_since(state_, after_revision);
     into->set_whole(!changed.has_value());
     if (changed) {
-        std::erase_if(*changed, [](const auto& item) { return item.first.kind == configuration::object_kind::key; });
+        std::erase_if(*changed,
+                      [](const auto& item) { return item.first.kind == configuration::object_kind::key; });
         configuration::to_wire(*changed, into->mutable_objects());
     }
     else {
@@ -140,7 +146,9 @@
     into->set_age_ms(static_cast<std::uint32_t>(to_ms(now - confirmed_at_)));
 }
 
-std::vector<routing::candidate> shared_tables::candidates(configuration::service_kind kind, const std::string& serves, const std::string& program_key) const
+std::vector<routing::candidate> shared_tables::candidates(configuration::service_kind kind,
+                                                          const std::string& serves,
+                                                          const std::string& program_key) const
 {
     const std::lock_guard lock(mutex_);
     std::vector<routing::candidate> found;
@@ -155,8 +163,9 @@
             continue;
         }
         const bool cached = known != programs_.end() && known->second.cache.upstream == name;
-        found.push_back({name, one.record.incarnation, one.record.endpoint, one.record.data_centre == own_centre_, one.load,
-                         one.sent_since, cached ? known->second.cache.tokens : 0});
+        found.push_back({name, one.record.incarnation, one.record.endpoint,
+                         one.record.data_centre == own_centre_, one.load, one.sent_since,
+                         cached ? known->second.cache.tokens : 0});
     }
     return found;
 }
@@ -240,7 +249,8 @@
     return made;
 }
 
-void shared_tables::note_cache(const std::string& program_key, const upstream_name& name, std::uint64_t tokens)
+void shared_tables::note_cache(const std::string& program_key, const upstream_name& name,
+                               std::uint64_t tokens)
 {
     const std::lock_guard lock(mutex_);
     remember(program_key).cache = {name, tokens};
--- a/src/entry/shared_tables.hpp
+++ b/src/entry/shared_tables.hpp
@@ -29,7 +29,8 @@
 public:
     shared_tables(data_centre_name own_centre, duration lease, std::uint64_t subset, std::uint64_t entry_key);
 
-    /// Takes in an answer of the control group. @param sent_at when the poll was sent. @return whether the revision rose.
+    /// Takes in an answer of the control group. @param sent_at when the poll was sent. @return whether the
+    /// revision rose.
     bool take(const wire::poll_reply& reply, time_point sent_at);
     /// @return the configuration in force.
     [[nodiscard]] configuration::view_ptr view() const;
@@ -43,7 +44,9 @@
     void fill_for_sidecar(std::uint64_t after_revision, time_point now, wire::poll_reply* into) const;
 
     /// @return the upstreams that may serve a route now, with what is known of them.
-    [[nodiscard]] std::vector<routing::candidate> candidates(configuration::service_kind kind, const std::string& serves, const std::string& program_key) const;
+    [[nodiscard]] std::vector<routing::candidate> candidates(configuration::service_kind kind,
+                                                             const std::string& serves,
+                                                             const std::string& program_key) const;
     /// @return the incarnation that an upstream has in the directory; none if it is gone.
     [[nodiscard]] incarnation_id incarnation_of(const upstream_name& name) const;
     /// @return the sidecar endpoint of an upstream; empty if it is gone.
@@ -86,7 +89,7 @@
     std::uint64_t subset_;
     std::uint64_t entry_key_;
 
-    mutable std::mutex mutex_; ///< guards everything below
+    mutable std::mutex mutex_;                 ///< guards everything below
     configuration::configuration_state state_; ///< revision, objects and deltas only
     configuration::view_ptr view_;
     time_point confirmed_at_{};
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -65,7 +65,8 @@
     beast::http::response_parser<beast::http::buffer_body> parser;
     parser.body_limit(max_answer_bytes);
     boost::system::error_code failed;
-    co_await beast::http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+    co_await beast::http::async_read_header(stream, buffer, parser,
+                                            asio::redirect_error(asio::use_awaitable, failed));
     if (failed) {
         fail(base, failed, sent_state::maybe_sent);
     }
@@ -75,7 +76,8 @@
     while (!parser.is_done()) {
         parser.get().body().data = space.data();
         parser.get().body().size = space.size();
-        co_await beast::http::async_read_some(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+        co_await beast::http::async_read_some(stream, buffer, parser,
+                                              asio::redirect_error(asio::use_awaitable, failed));
         if (failed && failed != beast::http::error::need_buffer) {
             fail(base, failed, sent_state::maybe_sent);
         }
@@ -136,7 +138,8 @@
     return state_->cancelled;
 }
 
-asio::awaitable<int> fetch(std::string base, request wanted, duration limit, std::shared_ptr<cancellation> stop, part_handler parts)
+asio::awaitable<int> fetch(std::string base, request wanted, duration limit,
+                           std::shared_ptr<cancellation> stop, part_handler parts)
 {
     const tcp::endpoint where = parse_base(base);
     auto stream = std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
@@ -144,7 +147,10 @@
         const std::weak_ptr<beast::tcp_stream> weak = stream;
         stop->on_cancel([weak] {
             if (const auto held = weak.lock()) {
-                asio::post(held->get_executor(), [held] { held->cancel(); held->close(); });
+                asio::post(held->get_executor(), [held] {
+                    held->cancel();
+                    held->close();
+                });
             }
         });
     }
@@ -171,7 +177,8 @@
 asio::awaitable<response> fetch_whole(std::string base, request wanted, duration limit)
 {
     response answer;
-    part_handler collect = [&answer](int, const std::string& content_type, std::string part) -> asio::awaitable<bool> {
+    part_handler collect = [&answer](int, const std::string& content_type,
+                                     std::string part) -> asio::awaitable<bool> {
         answer.content_type = content_type;
         answer.body += part;
         co_return true;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -25,7 +25,8 @@
 /// Shared by the acceptor and its connections. Lock order: `mutex` is a leaf.
 struct server_core : std::enable_shared_from_this<server_core> {
     server_core(asio::any_io_executor executor, const server_limits& allowed, handler answer)
-        : pool(std::move(executor)), limits(allowed), on_request(std::move(answer)), acceptor(asio::make_strand(pool))
+        : pool(std::move(executor)), limits(allowed), on_request(std::move(answer)),
+          acceptor(asio::make_strand(pool))
     {
     }
 
@@ -65,7 +66,8 @@
     asio::awaitable<void> send(response answer) override
     {
         started_ = true;
-        beast::http::response<beast::http::string_body> reply{static_cast<beast::http::status>(answer.status), version_};
+        beast::http::response<beast::http::string_body> reply{static_cast<beast::http::status>(answer.status),
+                                                              version_};
         fill_head(reply, answer);
         reply.body() = std::move(answer.body);
         reply.prepare_payload();
@@ -79,13 +81,15 @@
     {
         started_ = true;
         streaming_ = true;
-        beast::http::response<beast::http::empty_body> reply{static_cast<beast::http::status>(head.status), version_};
+        beast::http::response<beast::http::empty_body> reply{static_cast<beast::http::status>(head.status),
+                                                             version_};
         fill_head(reply, head);
         reply.chunked(true);
         beast::http::response_serializer<beast::http::empty_body> serializer{reply};
         stream_.expires_after(limits_.write_limit);
         boost::system::error_code failed;
-        co_await beast::http::async_write_header(stream_, serializer, asio::redirect_error(asio::use_awaitable, failed));
+        co_await beast::http::async_write_header(stream_, serializer,
+                                                 asio::redirect_error(asio::use_awaitable, failed));
         left_ = left_ || failed;
     }
 
@@ -96,7 +100,8 @@
         }
         stream_.expires_after(limits_.write_limit);
         boost::system::error_code failed;
-        co_await asio::async_write(stream_, beast::http::make_chunk(asio::buffer(part)), asio::redirect_error(asio::use_awaitable, failed));
+        co_await asio::async_write(stream_, beast::http::make_chunk(asio::buffer(part)),
+                                   asio::redirect_error(asio::use_awaitable, failed));
         left_ = left_ || failed;
     }
 
@@ -107,7 +112,8 @@
         }
         stream_.expires_after(limits_.write_limit);
         boost::system::error_code failed;
-        co_await asio::async_write(stream_, beast::http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, failed));
+        co_await asio::async_write(stream_, beast::http::make_chunk_last(),
+                                   asio::redirect_error(asio::use_awaitable, failed));
         left_ = left_ || failed;
         finished_ = true;
     }
@@ -160,7 +166,8 @@
     made.target = std::string(message.target());
     for (const auto& field : message) {
         std::string name(field.name_string());
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
         made.headers[name] = std::string(field.value());
     }
     made.body = std::move(message.body());
@@ -172,8 +179,8 @@
     response answer;
     answer.status = status;
     answer.content_type = "application/problem+json";
-    answer.body = R"({"type":"urn:guavawick:failure:)" + std::string(name) + R"(","status":)" + std::to_string(status) +
-                  R"(,"detail":")" + detail + R"(","ran":"no"})";
+    answer.body = R"({"type":"urn:guavawick:failure:)" + std::string(name) + R"(","status":)" +
+                  std::to_string(status) + R"(,"detail":")" + detail + R"(","ran":"no"})";
     co_await out.send(std::move(answer));
 }
 
@@ -206,16 +213,19 @@
         const std::lock_guard lock(core.mutex);
         core.idle.insert(&stream);
     }
-    stream.expires_after(core.draining.load() ? duration{std::chrono::milliseconds(1)} : core.limits.idle_limit);
+    stream.expires_after(core.draining.load() ? duration{std::chrono::milliseconds(1)}
+                                              : core.limits.idle_limit);
     boost::system::error_code failed;
-    co_await beast::http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+    co_await beast::http::async_read_header(stream, buffer, parser,
+                                            asio::redirect_error(asio::use_awaitable, failed));
     {
         const std::lock_guard lock(core.mutex);
         core.idle.erase(&stream);
     }
     if (!failed) {
         stream.expires_after(core.limits.read_limit);
-        co_await beast::http::async_read(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, failed));
+        co_await beast::http::async_read(stream, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, failed));
     }
     connection_responder out(stream, core.limits, parser.get().version() == 0 ? 11 : parser.get().version(),
                              !failed && parser.get().keep_alive() && !core.draining.load());
@@ -228,7 +238,9 @@
         co_return false;
     }
     if (failed) {
-        const bool silent = failed == beast::http::error::end_of_stream || failed == beast::error::timeout || failed.category() != beast::http::make_error_code(beast::http::error::bad_method).category();
+        const bool silent =
+            failed == beast::http::error::end_of_stream || failed == beast::error::timeout ||
+            failed.category() != beast::http::make_error_code(beast::http::error::bad_method).category();
         if (!silent) {
             co_await refuse(out, 400, "bad_request", "the request is no valid HTTP");
         }
@@ -258,7 +270,8 @@
 {
     while (!core->draining.load()) {
         boost::system::error_code failed;
-        tcp::socket socket = co_await core->acceptor.async_accept(asio::make_strand(core->pool), asio::redirect_error(asio::use_awaitable, failed));
+        tcp::socket socket = co_await core->acceptor.async_accept(
+            asio::make_strand(core->pool), asio::redirect_error(asio::use_awaitable, failed));
         if (failed == asio::error::operation_aborted) {
             co_return;
         }
@@ -276,7 +289,8 @@
 
 } // namespace
 
-server::server(asio::any_io_executor pool, const std::string& address, const server_limits& limits, handler answer)
+server::server(asio::any_io_executor pool, const std::string& address, const server_limits& limits,
+               handler answer)
     : core_(std::make_shared<server_core>(std::move(pool), limits, std::move(answer)))
 {
     const tcp::endpoint where = parse_address(address);
--- a/src/http/http_type.hpp
+++ b/src/http/http_type.hpp
@@ -37,7 +37,8 @@
     std::string body;
 };
 
-/// @return an answer with a body. Coroutines pass its result on instead of a braced temporary, which GCC 12 destroys twice.
+/// @return an answer with a body. Coroutines pass its result on instead of a braced temporary, which GCC 12
+/// destroys twice.
 inline response make_response(int status, std::string content_type, std::string body)
 {
     response made;
@@ -86,11 +87,13 @@
 class server {
 public:
     /// Listens at once. @throw link_error if the address can't be listened at.
-    server(boost::asio::any_io_executor pool, const std::string& address, const server_limits& limits, handler answer);
+    server(boost::asio::any_io_executor pool, const std::string& address, const server_limits& limits,
+           handler answer);
     ~server();
     server(const server&) = delete;
     server& operator=(const server&) = delete;
-    /// Accepts no further connections and closes idle ones; running requests go on and end with `Connection: close`.
+    /// Accepts no further connections and closes idle ones; running requests go on and end with `Connection:
+    /// close`.
     void drain();
     /// @return requests that are being answered.
     [[nodiscard]] std::uint64_t running() const;
@@ -100,7 +103,8 @@
 };
 
 /// Receives the parts of an answer's body as they arrive. @return false to break off.
-using part_handler = std::function<boost::asio::awaitable<bool>(int status, const std::string& content_type, std::string part)>;
+using part_handler = std::function<boost::asio::awaitable<bool>(int status, const std::string& content_type,
+                                                                std::string part)>;
 
 /// A running request of a client that another coroutine may cancel.
 class cancellation {
@@ -123,7 +127,8 @@
 
 /// Sends a request to "http://IP:PORT" and hands on the answer's parts.
 /// @return the HTTP status. @throw client_error.
-boost::asio::awaitable<int> fetch(std::string base, request wanted, duration limit, std::shared_ptr<cancellation> stop, part_handler parts);
+boost::asio::awaitable<int> fetch(std::string base, request wanted, duration limit,
+                                  std::shared_ptr<cancellation> stop, part_handler parts);
 /// Sends a request and collects the whole answer. @throw client_error.
 boost::asio::awaitable<response> fetch_whole(std::string base, request wanted, duration limit);
 
--- a/src/ledger/call_cmd.cpp
+++ b/src/ledger/call_cmd.cpp
@@ -41,8 +41,10 @@
 {
     const budget_limits& limits = root.budget;
     const bool calls_spent = limits.calls != 0 && root.calls + 1 > limits.calls;
-    const bool tokens_spent = limits.tokens != 0 && root.tokens + root.reserved_tokens + most_tokens > limits.tokens;
-    const bool time_spent = limits.seconds != 0 && now - root.opened_at >= std::chrono::seconds(limits.seconds);
+    const bool tokens_spent =
+        limits.tokens != 0 && root.tokens + root.reserved_tokens + most_tokens > limits.tokens;
+    const bool time_spent =
+        limits.seconds != 0 && now - root.opened_at >= std::chrono::seconds(limits.seconds);
     return calls_spent || tokens_spent || time_spent ? failure::budget_exhausted : failure::none;
 }
 
@@ -186,7 +188,8 @@
     while (!program.open.empty() && program.open.front().status == call_status::waiting) {
         call_state& next = program.open.front();
         program_state* root = find_root(state, program);
-        const failure why = root == nullptr ? failure::program_ended : check_budget(*root, next.reserved_tokens, state.now);
+        const failure why =
+            root == nullptr ? failure::program_ended : check_budget(*root, next.reserved_tokens, state.now);
         if (why != failure::none) {
             promoted.push_back({program.key, next.request, refuse(why)});
             program.open.pop_front();
@@ -214,14 +217,17 @@
 
 } // namespace
 
-std::optional<std::size_t> choose_upstream(const program_state* program, const std::vector<upstream_choice>& choices)
+std::optional<std::size_t> choose_upstream(const program_state* program,
+                                           const std::vector<upstream_choice>& choices)
 {
     std::optional<std::size_t> best;
     double least = 0;
     for (std::size_t place = 0; place < choices.size(); ++place) {
         const upstream_choice& there = choices[place];
         const bool cold = program != nullptr && there.upstream != program->last_upstream;
-        const double prefill = cold ? static_cast<double>(program->history_tokens) / std::max(1.0, there.prefill_tokens_per_second) : 0.0;
+        const double prefill = cold ? static_cast<double>(program->history_tokens) /
+                                          std::max(1.0, there.prefill_tokens_per_second)
+                                    : 0.0;
         if (!best || there.seconds + prefill < least) {
             best = place;
             least = there.seconds + prefill;
@@ -280,8 +286,9 @@
     program_state& program = found->second;
     const bool running = !program.open.empty() && program.open.front().status == call_status::running;
     if (!running || program.open.front().bound.attempt != report.attempt) {
-        result.accepted = std::any_of(program.closed.begin(), program.closed.end(),
-                                      [&](const call_state& call) { return call.bound.attempt == report.attempt; });
+        result.accepted =
+            std::any_of(program.closed.begin(), program.closed.end(),
+                        [&](const call_state& call) { return call.bound.attempt == report.attempt; });
         return result;
     }
     call_state call = std::move(program.open.front());
@@ -298,7 +305,8 @@
         program.history_tokens = report.prompt_tokens + report.completion_tokens;
         append_history(program, call, report);
     }
-    const bool may_run_again = report.outcome == call_outcome::not_run || report.outcome == call_outcome::abandoned;
+    const bool may_run_again =
+        report.outcome == call_outcome::not_run || report.outcome == call_outcome::abandoned;
     if (!may_run_again) {
         call.status = call_status::closed;
         call.outcome = report.outcome;
--- a/src/ledger/ledger_codec.cpp
+++ b/src/ledger/ledger_codec.cpp
@@ -7,7 +7,8 @@
 
 namespace guavawick::ledger {
 
-void to_wire(const std::vector<chat_message>& from, google::protobuf::RepeatedPtrField<wire::chat_message>* into)
+void to_wire(const std::vector<chat_message>& from,
+             google::protobuf::RepeatedPtrField<wire::chat_message>* into)
 {
     for (const chat_message& one : from) {
         wire::chat_message* made = into->Add();
@@ -60,8 +61,9 @@
     wish.parent = program_name{from.parent()};
     wish.root = program_name{from.root()};
     wish.request = request_name{from.request_id()};
-    wish.wanted = {attempt_id{from.attempt()}, upstream_name{from.upstream()}, incarnation_id{from.upstream_incarnation()},
-                   from.upstream_endpoint(), incarnation_id{from.entry_incarnation()}};
+    wish.wanted = {attempt_id{from.attempt()}, upstream_name{from.upstream()},
+                   incarnation_id{from.upstream_incarnation()}, from.upstream_endpoint(),
+                   incarnation_id{from.entry_incarnation()}};
     wish.body = body_hash{from.body_hash()};
     wish.most_tokens = from.most_tokens();
     wish.repeatable = from.repeatable();
@@ -78,7 +80,8 @@
 {
     std::vector<upstream_choice> choices;
     for (const wire::upstream_choice& one : from.choices()) {
-        choices.push_back({upstream_name{one.upstream()}, incarnation_id{one.incarnation()}, one.endpoint(), one.seconds(), one.prefill_tokens_per_second()});
+        choices.push_back({upstream_name{one.upstream()}, incarnation_id{one.incarnation()}, one.endpoint(),
+                           one.seconds(), one.prefill_tokens_per_second()});
     }
     return choices;
 }
@@ -139,8 +142,9 @@
     call_state call;
     call.request = request_name{from.request_id()};
     call.status = static_cast<call_status>(from.status());
-    call.bound = {attempt_id{from.attempt()}, upstream_name{from.upstream()}, incarnation_id{from.upstream_incarnation()},
-                  from.upstream_endpoint(), incarnation_id{from.entry_incarnation()}};
+    call.bound = {attempt_id{from.attempt()}, upstream_name{from.upstream()},
+                  incarnation_id{from.upstream_incarnation()}, from.upstream_endpoint(),
+                  incarnation_id{from.entry_incarnation()}};
     call.repeatable = from.repeatable();
     call.keep_answer = from.keep_answer();
     call.body = body_hash{from.body_hash()};
@@ -263,13 +267,15 @@
         }
     }
     for (const wire::freed_program& freed : encoded.freed()) {
-        std::set<upstream_name>& upstreams = state.to_free[{organisation_name{freed.organisation()}, program_name{freed.program()}}];
+        std::set<upstream_name>& upstreams =
+            state.to_free[{organisation_name{freed.organisation()}, program_name{freed.program()}}];
         for (const std::string& upstream : freed.upstreams()) {
             upstreams.insert(upstream_name{upstream});
         }
     }
     for (const wire::alias_record& alias : encoded.aliases()) {
-        state.aliases[{organisation_name{alias.organisation()}, program_name{alias.program()}}] = {program_name{alias.root()}, group_time{alias.used_at_ms()}};
+        state.aliases[{organisation_name{alias.organisation()}, program_name{alias.program()}}] = {
+            program_name{alias.root()}, group_time{alias.used_at_ms()}};
     }
     return state;
 }
--- a/src/ledger/ledger_func.hpp
+++ b/src/ledger/ledger_func.hpp
@@ -9,15 +9,18 @@
 open_result open_call(ledger_state& state, const open_request& wish);
 /// Chooses where a program's next call ends soonest, with the prefill of what is not cached there. Pure.
 /// @return the place among the choices; nothing if there are none.
-std::optional<std::size_t> choose_upstream(const program_state* program, const std::vector<upstream_choice>& choices);
+std::optional<std::size_t> choose_upstream(const program_state* program,
+                                           const std::vector<upstream_choice>& choices);
 /// Closes a call. Only the attempt that the call is bound to is heard; a repeated report is accepted again.
 close_result close_call(ledger_state& state, const close_request& report);
-/// Ends a program. @return the calls that were waiting, with their refusal; false if there is no such program.
+/// Ends a program. @return the calls that were waiting, with their refusal; false if there is no such
+/// program.
 bool end_program(ledger_state& state, const program_key& key, std::vector<promotion>& refused);
 /// Ends every program that was idle for longer than its limit.
 void expire_programs(ledger_state& state, std::vector<promotion>& refused);
 /// Ends every program of an organisation.
-void withdraw_organisation(ledger_state& state, const organisation_name& who, std::vector<promotion>& refused);
+void withdraw_organisation(ledger_state& state, const organisation_name& who,
+                           std::vector<promotion>& refused);
 /// Notes that an upstream freed the memory of a program that is gone.
 void note_freed(ledger_state& state, const program_key& key, const upstream_name& upstream);
 /// Notes that an upstream's incarnation is gone and with it all memory that it held.
--- a/src/ledger/ledger_type.hpp
+++ b/src/ledger/ledger_type.hpp
@@ -84,14 +84,14 @@
 
 /// One call of a program.
 struct call_state {
-    request_name request;                ///< idempotency key, or a random id
+    request_name request; ///< idempotency key, or a random id
     call_status status = call_status::waiting;
-    claim bound;                         ///< the one attempt that may run and close the call
+    claim bound; ///< the one attempt that may run and close the call
     bool repeatable = false;
-    bool keep_answer = false;            ///< the caller may resend it
+    bool keep_answer = false; ///< the caller may resend it
     body_hash body;
-    std::uint64_t reserved_tokens = 0;   ///< set aside while it runs
-    std::vector<chat_message> messages;  ///< what the caller adds to the history
+    std::uint64_t reserved_tokens = 0;  ///< set aside while it runs
+    std::vector<chat_message> messages; ///< what the caller adds to the history
     call_outcome outcome = call_outcome::done;
     stored_answer answer;
 };
@@ -99,23 +99,23 @@
 /// One program.
 struct program_state {
     program_key key;
-    program_name parent;                ///< empty for a root
-    program_name root;                  ///< itself for a root
-    bool ephemeral = false;             ///< goes with its only call
-    budget_limits budget;               ///< roots only
-    std::uint64_t calls = 0;            ///< roots: calls of the family, running ones included
-    std::uint64_t tokens = 0;           ///< roots: tokens used by the family
-    std::uint64_t reserved_tokens = 0;  ///< roots: tokens set aside by running calls
-    std::uint64_t attained_tokens = 0;  ///< own work served, for the order of queues
+    program_name parent;               ///< empty for a root
+    program_name root;                 ///< itself for a root
+    bool ephemeral = false;            ///< goes with its only call
+    budget_limits budget;              ///< roots only
+    std::uint64_t calls = 0;           ///< roots: calls of the family, running ones included
+    std::uint64_t tokens = 0;          ///< roots: tokens used by the family
+    std::uint64_t reserved_tokens = 0; ///< roots: tokens set aside by running calls
+    std::uint64_t attained_tokens = 0; ///< own work served, for the order of queues
     group_time opened_at{};
     group_time used_at{};
     std::vector<chat_message> history;
-    std::uint64_t history_tokens = 0;   ///< prompt and answer of the last call, as its engine counted
-    upstream_name last_upstream;        ///< where the last call ran and its history is cached
-    std::deque<call_state> open;        ///< the first one runs, the others wait in order of arrival
-    std::deque<call_state> closed;      ///< newest last
-    std::set<upstream_name> held_by;    ///< upstreams whose engine may hold its memory
-    std::set<program_name> children;    ///< roots: the programs that live with it
+    std::uint64_t history_tokens = 0; ///< prompt and answer of the last call, as its engine counted
+    upstream_name last_upstream;      ///< where the last call ran and its history is cached
+    std::deque<call_state> open;      ///< the first one runs, the others wait in order of arrival
+    std::deque<call_state> closed;    ///< newest last
+    std::set<upstream_name> held_by;  ///< upstreams whose engine may hold its memory
+    std::set<program_name> children;  ///< roots: the programs that live with it
 };
 
 /// A program that lives in the shard of its root.
@@ -129,16 +129,16 @@
     group_time now{};
     std::unordered_map<program_key, program_state, program_key_hash> programs;
     std::unordered_map<program_key, alias_state, program_key_hash> aliases;
-    std::set<std::pair<group_time, program_key>> expiries;        ///< when each program lapses if unused
-    std::map<program_key, std::set<upstream_name>> to_free;       ///< engine memory of programs that are gone
-    group_time aliases_checked_at{};                              ///< when unused aliases were last dropped
+    std::set<std::pair<group_time, program_key>> expiries;  ///< when each program lapses if unused
+    std::map<program_key, std::set<upstream_name>> to_free; ///< engine memory of programs that are gone
+    group_time aliases_checked_at{};                        ///< when unused aliases were last dropped
 };
 
 /// A wish to open a call.
 struct open_request {
     program_key key;
     program_name parent;
-    program_name root;        ///< empty for a program that lives in its own shard
+    program_name root; ///< empty for a program that lives in its own shard
     request_name request;
     claim wanted;
     body_hash body;
@@ -146,9 +146,9 @@
     bool repeatable = false;
     bool ephemeral = false;
     bool keep_answer = false;
-    bool alias_only = false;  ///< only records that `key` lives with `root`
+    bool alias_only = false; ///< only records that `key` lives with `root`
     budget_limits budget;
-    attempt_id replaces;      ///< a settled attempt of the same call that this one takes over from
+    attempt_id replaces; ///< a settled attempt of the same call that this one takes over from
     std::vector<chat_message> messages;
 };
 
@@ -157,7 +157,7 @@
     upstream_name upstream;
     incarnation_id incarnation;
     std::string endpoint;
-    double seconds = 0;                      ///< expected to the end of the call, with the history's prefill left out
+    double seconds = 0; ///< expected to the end of the call, with the history's prefill left out
     double prefill_tokens_per_second = 1000;
 };
 
@@ -174,12 +174,12 @@
 struct open_result {
     open_outcome outcome = open_outcome::refused;
     failure why = failure::none;
-    claim bound;                             ///< granted, running, settle: the attempt
-    bool repeatable = false;                 ///< settle, running: of the bound call
-    std::vector<chat_message> history;       ///< granted: messages before the new ones
+    claim bound;                       ///< granted, running, settle: the attempt
+    bool repeatable = false;           ///< settle, running: of the bound call
+    std::vector<chat_message> history; ///< granted: messages before the new ones
     std::uint64_t attained_tokens = 0;
-    stored_answer answer;                    ///< stored
-    program_name root;                       ///< moved
+    stored_answer answer; ///< stored
+    program_name root;    ///< moved
 };
 
 /// A report of how an attempt ended.
--- a/src/ledger/program_cmd.cpp
+++ b/src/ledger/program_cmd.cpp
@@ -11,7 +11,8 @@
 
 group_time expiry_of(const program_state& program)
 {
-    const std::uint64_t limit = program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
+    const std::uint64_t limit =
+        program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
     const group_time idle = std::chrono::seconds(limit);
     return program.used_at + idle + (program.open.empty() ? group_time{} : open_call_grace);
 }
@@ -19,7 +20,8 @@
 void erase_expiry(ledger_state& state, const program_state& program)
 {
     // The call may have opened or closed since the expiry was set, so both forms are looked for.
-    const std::uint64_t limit = program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
+    const std::uint64_t limit =
+        program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
     const group_time at = program.used_at + std::chrono::seconds(limit);
     state.expiries.erase({at, program.key});
 }
@@ -33,7 +35,8 @@
         return;
     }
     state.aliases_checked_at = state.now;
-    std::erase_if(state.aliases, [&](const auto& item) { return item.second.used_at + alias_limit < state.now; });
+    std::erase_if(state.aliases,
+                  [&](const auto& item) { return item.second.used_at + alias_limit < state.now; });
 }
 
 } // namespace
@@ -42,7 +45,8 @@
 {
     erase_expiry(state, program);
     program.used_at = state.now;
-    const std::uint64_t limit = program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
+    const std::uint64_t limit =
+        program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
     state.expiries.insert({program.used_at + std::chrono::seconds(limit), program.key});
 }
 
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -11,8 +11,8 @@
 constexpr double held_seconds = 0.25;         ///< an entry holds tokens for this much of its demand
 constexpr double largest_share = 0.5;         ///< of the burst, what one request may take
 constexpr double rounding = 1e-9;
-constexpr duration renew_margin = 700ms;      ///< a lease is renewed this long before it lapses
-constexpr duration report_interval = 100ms;   ///< spent tokens are told at most this often
+constexpr duration renew_margin = 400ms;    ///< a lease is renewed this long before it lapses
+constexpr duration report_interval = 100ms; ///< spent tokens are told at most this often
 
 double decay(const purse& held, time_point now)
 {
@@ -116,12 +116,13 @@
     held.used_at = now;
 }
 
-borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting, time_point now)
+borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting,
+                               time_point now)
 {
     drop_lapsed(held, now);
     const double recent = held.demand * decay(held, now);
-    // Tokens kept for later are whole: an organisation with little demand keeps none, since what lies idle here may be
-    // what a request at another entry waits for.
+    // Tokens kept for later are whole: an organisation with little demand keeps none, since what lies idle
+    // here may be what a request at another entry waits for.
     const double kept = std::floor(recent * held_seconds);
     const double target = static_cast<double>(waiting) + kept;
     borrow_request request;
@@ -150,7 +151,8 @@
     held.reported_at = now;
 }
 
-void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at, time_point now)
+void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at,
+                    time_point now)
 {
     drop_lapsed(held, now); // an answer never revives tokens of an earlier lease
     if (request.sequence <= held.acked) {
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -9,10 +9,11 @@
 struct borrow_request {
     incarnation_id entry;
     std::uint64_t sequence = 0; ///< rises with each new request; equal for a resend
-    std::uint64_t acked = 0;    ///< newest earlier request whose answer the entry took in; later answers to older ones are dropped
-    double held = 0;            ///< tokens that the entry keeps
-    double returned = 0;        ///< tokens that it gives back
-    double wanted = 0;          ///< whole tokens that it would like beside
+    std::uint64_t acked =
+        0; ///< newest earlier request whose answer the entry took in; later answers to older ones are dropped
+    double held = 0;     ///< tokens that the entry keeps
+    double returned = 0; ///< tokens that it gives back
+    double wanted = 0;   ///< whole tokens that it would like beside
 };
 
 /// Makes an empty bucket. @pre all leases of an earlier owner have lapsed.
@@ -32,15 +33,20 @@
 bool spend(purse& held, time_point now);
 /// Notes one request of the organisation, whether it got a token or not.
 void note_demand(purse& held, time_point now);
-/// Fills an entry's next request, with `waiting` requests in its queue. Tokens given back leave the purse at once.
+/// Fills an entry's next request, with `waiting` requests in its queue. Tokens given back leave the purse at
+/// once.
 /// @pre from here on the entry drops answers to earlier requests.
-borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting, time_point now);
-/// Tells whether a request is worth sending: it asks, gives back, renews a lease, or tells of tokens that were spent.
+borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting,
+                               time_point now);
+/// Tells whether a request is worth sending: it asks, gives back, renews a lease, or tells of tokens that
+/// were spent.
 bool is_due(const purse& held, const borrow_request& request, time_point now);
 /// Notes that a request was sent.
 void note_sent(purse& held, const borrow_request& request, time_point now);
-/// Takes the owner's answer to a request in. @param asked_at when the entry asked, before the request was sent.
-void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at, time_point now);
+/// Takes the owner's answer to a request in. @param asked_at when the entry asked, before the request was
+/// sent.
+void receive_tokens(purse& held, const borrow_request& request, double granted, time_point asked_at,
+                    time_point now);
 /// Drops tokens whose lease has ended. @return how many were dropped.
 double drop_lapsed(purse& held, time_point now);
 
--- a/src/limit/bucket_type.hpp
+++ b/src/limit/bucket_type.hpp
@@ -12,7 +12,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration token_lease = 2s; ///< how long borrowed tokens may be spent
+constexpr duration token_lease = 1s; ///< how long borrowed tokens may be spent
 
 /// Rate and burst of an organisation, as published.
 struct limits {
@@ -31,21 +31,21 @@
 /// An organisation's bucket at its owner. Invariant: level + tokens lent <= burst.
 struct bucket {
     limits allowed;
-    double level = 0;             ///< tokens that nobody holds
-    time_point filled_at{};       ///< when the level was last brought up to date
+    double level = 0;       ///< tokens that nobody holds
+    time_point filled_at{}; ///< when the level was last brought up to date
     std::unordered_map<incarnation_id, loan> loans;
 };
 
 /// What an entry holds of one organisation's tokens. Whole tokens only.
 struct purse {
-    double tokens = 0;            ///< may be spent until the lease ends
-    std::uint64_t acked = 0;      ///< newest request whose answer arrived
-    double reported = 0;          ///< tokens that the owner takes this entry to hold
-    time_point reported_at{};     ///< when it was last told
-    time_point lapses_at{};       ///< on the entry's clock, from before it asked
-    double demand = 0;            ///< recent requests a second
-    time_point demand_at{};       ///< when the demand was last brought up to date
-    time_point used_at{};         ///< last request of the organisation
+    double tokens = 0;        ///< may be spent until the lease ends
+    std::uint64_t acked = 0;  ///< newest request whose answer arrived
+    double reported = 0;      ///< tokens that the owner takes this entry to hold
+    time_point reported_at{}; ///< when it was last told
+    time_point lapses_at{};   ///< on the entry's clock, from before it asked
+    double demand = 0;        ///< recent requests a second
+    time_point demand_at{};   ///< when the demand was last brought up to date
+    time_point used_at{};     ///< last request of the organisation
 };
 
 } // namespace guavawick::limit
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -18,9 +18,11 @@
 ABSL_FLAG(std::string, settings, "", "TOML settings file of the role");
 ABSL_FLAG(bool, check_settings, false, "check the settings file, print its faults and exit");
 ABSL_FLAG(std::string, operator_address, "http://127.0.0.1:8090", "operator address of a replica");
-ABSL_FLAG(std::string, operator_key, "", "the operator's key; GUAVAWICK_OPERATOR_KEY is used if this is empty");
+ABSL_FLAG(std::string, operator_key, "",
+          "the operator's key; GUAVAWICK_OPERATOR_KEY is used if this is empty");
 ABSL_FLAG(std::string, file, "", "configuration set file");
-ABSL_FLAG(int64_t, expect_revision, -1, "publish only if this is the present revision; -1 takes the present one");
+ABSL_FLAG(int64_t, expect_revision, -1,
+          "publish only if this is the present revision; -1 takes the present one");
 ABSL_FLAG(std::string, request_id, "", "the same for a resend of a publication; empty makes a new one");
 ABSL_FLAG(bool, dry_run, false, "tell what would change, without effect");
 ABSL_FLAG(bool, json, false, "print JSON instead of tables");
@@ -54,12 +56,15 @@
         out << "  " << row.name << std::string(14 - std::string(row.name).size(), ' ') << row.summary << "\n";
     }
     out << "\n`guavawick COMMAND --help` tells a command's flags.\n"
-           "exit codes: 0 done, 1 refused, 2 wrong command line or settings, 3 the disk failed, 4 no replica answered\n";
+           "exit codes: 0 done, 1 refused, 2 wrong command line or settings, 3 the disk failed, 4 no replica "
+           "answered\n";
 }
 
 void print_command_help(const command_row& row, std::ostream& out)
 {
-    out << "usage: guavawick " << row.name << " " << row.usage << "\n\n" << row.summary << "\n\n" << row.help << "\n";
+    out << "usage: guavawick " << row.name << " " << row.usage << "\n\n"
+        << row.summary << "\n\n"
+        << row.help << "\n";
 }
 
 int run_role(role_kind role)
--- a/src/operator/client_cmd.cpp
+++ b/src/operator/client_cmd.cpp
@@ -30,7 +30,8 @@
     client_failure(const std::string& text, int code) : error(text), exit_code(code) {}
 };
 
-http::response send(const client_options& options, const std::string& method, const std::string& target, const std::string& body)
+http::response send(const client_options& options, const std::string& method, const std::string& target,
+                    const std::string& body)
 {
     http::request wanted;
     wanted.method = method;
@@ -39,7 +40,9 @@
     wanted.headers["Content-Type"] = "application/json";
     wanted.body = body;
     boost::asio::io_context context;
-    auto answer = boost::asio::co_spawn(context, http::fetch_whole(options.address, std::move(wanted), answer_limit), boost::asio::use_future);
+    auto answer =
+        boost::asio::co_spawn(context, http::fetch_whole(options.address, std::move(wanted), answer_limit),
+                              boost::asio::use_future);
     context.run();
     try {
         return answer.get();
@@ -49,24 +52,29 @@
     }
 }
 
-json::object ask(const client_options& options, const std::string& method, const std::string& target, const std::string& body = "")
+json::object ask(const client_options& options, const std::string& method, const std::string& target,
+                 const std::string& body = "")
 {
     const http::response answer = send(options, method, target, body);
     boost::system::error_code wrong;
     const json::value parsed = json::parse(answer.body, wrong);
     if (wrong || !parsed.is_object()) {
-        throw client_failure("the answer is no JSON object; is " + options.address + " an operator address?", exit_unreachable);
+        throw client_failure("the answer is no JSON object; is " + options.address + " an operator address?",
+                             exit_unreachable);
     }
     if (parsed.as_object().contains("type")) {
         const json::object& problem = parsed.as_object();
-        throw client_failure(std::string(problem.at("type").as_string()) + ": " + std::string(problem.at("detail").as_string()), exit_refused);
+        throw client_failure(std::string(problem.at("type").as_string()) + ": " +
+                                 std::string(problem.at("detail").as_string()),
+                             exit_refused);
     }
     return parsed.as_object();
 }
 
 std::uint64_t number_of(const json::value& value)
 {
-    return value.is_uint64() ? value.as_uint64() : static_cast<std::uint64_t>(value.to_number<std::int64_t>());
+    return value.is_uint64() ? value.as_uint64()
+                             : static_cast<std::uint64_t>(value.to_number<std::int64_t>());
 }
 
 json::object to_json(const configuration::object_set& objects)
@@ -134,17 +142,23 @@
     if (why == "none") {
         if (!options.json) {
             print_lines(answer.at("changes").as_array());
-            std::cout << (options.dry_run ? "would change revision " : "revision ") << number_of(answer.at("revision")) << "\n";
+            std::cout << (options.dry_run ? "would change revision " : "revision ")
+                      << number_of(answer.at("revision")) << "\n";
         }
         return exit_done;
     }
     for (const json::value& one : answer.at("faults").as_array()) {
         const json::object& fault = one.as_object();
-        std::cerr << describe_fault(file, options.file, {std::string(fault.at("object").as_string()), std::string(fault.at("field").as_string()), std::string(fault.at("reason").as_string())}) << "\n";
+        std::cerr << describe_fault(file, options.file,
+                                    {std::string(fault.at("object").as_string()),
+                                     std::string(fault.at("field").as_string()),
+                                     std::string(fault.at("reason").as_string())})
+                  << "\n";
     }
     if (why == "revision_conflict") {
-        std::cerr << "revision_conflict: revision " << number_of(answer.at("revision")) << " was published by "
-                  << std::string(answer.at("published_by").as_string()) << "; look at it with `guavawick diff`, then apply again\n";
+        std::cerr << "revision_conflict: revision " << number_of(answer.at("revision"))
+                  << " was published by " << std::string(answer.at("published_by").as_string())
+                  << "; look at it with `guavawick diff`, then apply again\n";
     }
     return exit_refused;
 }
@@ -152,11 +166,14 @@
 int apply(const client_options& options)
 {
     const set_file file = read_set(options.file);
-    const std::uint64_t expected = options.expect_revision >= 0 ? static_cast<std::uint64_t>(options.expect_revision) : present_revision(options);
-    const json::object body{{"expect_revision", expected},
-                            {"request_id", options.request_id.empty() ? to_hex(random_id()) : options.request_id},
-                            {"dry_run", options.dry_run},
-                            {"objects", to_json(file.objects)}};
+    const std::uint64_t expected = options.expect_revision >= 0
+                                       ? static_cast<std::uint64_t>(options.expect_revision)
+                                       : present_revision(options);
+    const json::object body{
+        {"expect_revision", expected},
+        {"request_id", options.request_id.empty() ? to_hex(random_id()) : options.request_id},
+        {"dry_run", options.dry_run},
+        {"objects", to_json(file.objects)}};
     const json::object answer = ask(options, "POST", "/admin/v1/configuration", json::serialize(body));
     return print_apply_answer(answer, file, options);
 }
@@ -177,7 +194,8 @@
 {
     const set_file file = read_set(options.file);
     const json::object answer = ask(options, "GET", "/admin/v1/configuration");
-    for (const std::string& line : configuration::describe_changes(from_json(answer.at("objects").as_object()), file.objects)) {
+    for (const std::string& line :
+         configuration::describe_changes(from_json(answer.at("objects").as_object()), file.objects)) {
         std::cout << line << "\n";
     }
     return exit_done;
@@ -206,15 +224,17 @@
 }
 
 /// Publishes the present set with one field changed.
-int set_flag(const client_options& options, configuration::object_kind kind, const std::string& name, const char* field, bool value)
+int set_flag(const client_options& options, configuration::object_kind kind, const std::string& name,
+             const char* field, bool value)
 {
     const json::object answer = ask(options, "GET", "/admin/v1/configuration");
     configuration::object_set objects = from_json(answer.at("objects").as_object());
     objects[{kind, name}][field] = value ? "true" : "false";
-    const json::object body{{"expect_revision", answer.at("revision")},
-                            {"request_id", options.request_id.empty() ? to_hex(random_id()) : options.request_id},
-                            {"dry_run", options.dry_run},
-                            {"objects", to_json(objects)}};
+    const json::object body{
+        {"expect_revision", answer.at("revision")},
+        {"request_id", options.request_id.empty() ? to_hex(random_id()) : options.request_id},
+        {"dry_run", options.dry_run},
+        {"objects", to_json(objects)}};
     const json::object applied = ask(options, "POST", "/admin/v1/configuration", json::serialize(body));
     return print_apply_answer(applied, {}, options);
 }
@@ -222,7 +242,8 @@
 int drain(const client_options& options, const std::vector<std::string>& words)
 {
     const bool back = words.size() == 3 && words[2] == "off";
-    const bool known = words.size() >= 2 && (words[0] == "data_centre" || words[0] == "upstream") && (words.size() == 2 || back);
+    const bool known = words.size() >= 2 && (words[0] == "data_centre" || words[0] == "upstream") &&
+                       (words.size() == 2 || back);
     if (!known) {
         std::cerr << "usage: guavawick drain (data_centre|upstream) NAME [off]\n";
         return exit_usage;
@@ -253,7 +274,8 @@
         std::cerr << "usage: guavawick lift BODY_HASH\n";
         return exit_usage;
     }
-    ask(options, "POST", "/admin/v1/quarantines/lift", json::serialize(json::object{{"body_hash", words[0]}}));
+    ask(options, "POST", "/admin/v1/quarantines/lift",
+        json::serialize(json::object{{"body_hash", words[0]}}));
     std::cout << "lifted\n";
     return exit_done;
 }
@@ -289,7 +311,8 @@
 
 } // namespace
 
-int run_client(const std::string& command, const std::vector<std::string>& words, const client_options& options)
+int run_client(const std::string& command, const std::vector<std::string>& words,
+               const client_options& options)
 {
     try {
         return dispatch(command, words, options);
--- a/src/operator/operator_api.cpp
+++ b/src/operator/operator_api.cpp
@@ -36,7 +36,8 @@
     const std::string prefix = "Bearer ";
     const std::string presented = received.header("authorization");
     if (presented.rfind(prefix, 0) != 0) {
-        throw refusal_error(failure::operator_unknown, "send the operator's key as `Authorization: Bearer KEY`");
+        throw refusal_error(failure::operator_unknown,
+                            "send the operator's key as `Authorization: Bearer KEY`");
     }
     const std::string digest = sha256_hex(presented.substr(prefix.size()));
     std::string name;
@@ -67,7 +68,8 @@
     co_return answer;
 }
 
-asio::awaitable<http::response> apply(const operator_api& api, const http::request& received, const std::string& who)
+asio::awaitable<http::response> apply(const operator_api& api, const http::request& received,
+                                      const std::string& who)
 {
     wire::envelope question;
     wire::apply_request* body = question.mutable_apply();
@@ -96,7 +98,8 @@
     question.mutable_audit();
     const std::size_t at = received.target.find("after=");
     if (at != std::string::npos) {
-        question.mutable_audit()->set_after_revision(std::strtoull(received.target.c_str() + at + 6, nullptr, 10));
+        question.mutable_audit()->set_after_revision(
+            std::strtoull(received.target.c_str() + at + 6, nullptr, 10));
     }
     const wire::envelope_ptr answer = co_await ask_control(api, std::move(question));
     http::response reply;
@@ -104,7 +107,8 @@
     co_return reply;
 }
 
-/// Takes from one replica's status what it knows best: the groups that it leads, and as leader of control the rest.
+/// Takes from one replica's status what it knows best: the groups that it leads, and as leader of control the
+/// rest.
 void merge_status(const wire::status_reply& from, wire::status_reply* into)
 {
     constexpr std::uint32_t leader_role = 3; // number of consensus::role_type::leader
@@ -131,7 +135,8 @@
         question.mutable_status();
         bool answered = true;
         try {
-            const wire::envelope_ptr answer = co_await api.links.call(address.endpoint, std::move(question), status_limit);
+            const wire::envelope_ptr answer =
+                co_await api.links.call(address.endpoint, std::move(question), status_limit);
             merge_status(answer->status_is(), &merged);
         }
         catch (const link_error&) {
@@ -171,7 +176,8 @@
 asio::awaitable<http::response> lift(const operator_api& api, const http::request& received)
 {
     wire::envelope question;
-    question.mutable_lift()->set_body_hash(std::strtoull(read_text(received.body, "body_hash").c_str(), nullptr, 16));
+    question.mutable_lift()->set_body_hash(
+        std::strtoull(read_text(received.body, "body_hash").c_str(), nullptr, 16));
     co_await ask_control(api, std::move(question));
     http::response reply;
     reply.body = R"({"lifted":true})";
@@ -221,7 +227,8 @@
         reply = caller::make_problem(refused, "");
     }
     catch (const link_error& fault) {
-        reply = caller::make_problem(refusal_error(failure::not_leader, fault.what(), ran_state::unknown), "");
+        reply =
+            caller::make_problem(refusal_error(failure::not_leader, fault.what(), ran_state::unknown), "");
     }
     catch (const decode_error& fault) {
         reply = caller::make_problem(refusal_error(failure::bad_request, fault.what()), "");
@@ -231,9 +238,12 @@
 
 } // namespace
 
-http::handler make_handler(wire::group_client& client, wire::link& links, std::vector<replica_address> replicas, std::vector<std::string> keys, std::function<std::string()> metrics)
+http::handler make_handler(wire::group_client& client, wire::link& links,
+                           std::vector<replica_address> replicas, std::vector<std::string> keys,
+                           std::function<std::string()> metrics)
 {
-    auto api = std::make_shared<operator_api>(operator_api{client, links, std::move(replicas), std::move(keys), std::move(metrics)});
+    auto api = std::make_shared<operator_api>(
+        operator_api{client, links, std::move(replicas), std::move(keys), std::move(metrics)});
     return [api](http::request& received, http::responder& out) { return serve(api, received, out); };
 }
 
--- a/src/operator/operator_api.hpp
+++ b/src/operator/operator_api.hpp
@@ -7,8 +7,11 @@
 namespace guavawick::operators {
 
 /// Makes the handler of the operators' address.
-/// @param client reaches the groups' leaders. @param links and replicas reach each replica for its status. @param keys "NAME:SHA256HEX" of each operator's key.
+/// @param client reaches the groups' leaders. @param links and replicas reach each replica for its status.
+/// @param keys "NAME:SHA256HEX" of each operator's key.
 /// @param metrics gives Prometheus text.
-http::handler make_handler(wire::group_client& client, wire::link& links, std::vector<replica_address> replicas, std::vector<std::string> keys, std::function<std::string()> metrics);
+http::handler make_handler(wire::group_client& client, wire::link& links,
+                           std::vector<replica_address> replicas, std::vector<std::string> keys,
+                           std::function<std::string()> metrics);
 
 } // namespace guavawick::operators
--- a/src/operator/operator_json.cpp
+++ b/src/operator/operator_json.cpp
@@ -45,11 +45,13 @@
         made->set_kind(static_cast<std::uint32_t>(*known));
         made->set_name(std::string(name));
         if (!fields.is_object()) {
-            throw refusal_error(failure::bad_request, kind + "." + std::string(name) + ": expected an object of texts");
+            throw refusal_error(failure::bad_request,
+                                kind + "." + std::string(name) + ": expected an object of texts");
         }
         for (const auto& [field, value] : fields.as_object()) {
             if (!value.is_string()) {
-                throw refusal_error(failure::bad_request, kind + "." + std::string(name) + "." + std::string(field) + ": expected a text");
+                throw refusal_error(failure::bad_request, kind + "." + std::string(name) + "." +
+                                                              std::string(field) + ": expected a text");
             }
             wire::object_field* placed = made->add_fields();
             placed->set_name(std::string(field));
@@ -88,10 +90,17 @@
 {
     json::array members;
     for (const wire::member& one : from.members()) {
-        members.push_back(json::object{{"name", one.name()}, {"endpoint", one.endpoint()}, {"voter", one.voter()}, {"disk", to_hex(one.id())}, {"in_touch", one.in_touch()}, {"match", one.match()}});
-    }
-    return {{"group", from.group()},     {"role", role_name(from.role())}, {"leader", from.leader()}, {"term", from.term()},
-            {"commit", from.commit()},   {"applied", from.applied()},      {"last", from.last()},     {"members", members}};
+        members.push_back(json::object{{"name", one.name()},
+                                       {"endpoint", one.endpoint()},
+                                       {"voter", one.voter()},
+                                       {"disk", to_hex(one.id())},
+                                       {"in_touch", one.in_touch()},
+                                       {"match", one.match()}});
+    }
+    return {{"group", from.group()},   {"role", role_name(from.role())},
+            {"leader", from.leader()}, {"term", from.term()},
+            {"commit", from.commit()}, {"applied", from.applied()},
+            {"last", from.last()},     {"members", members}};
 }
 
 } // namespace
@@ -138,7 +147,8 @@
 {
     json::array faults;
     for (const wire::config_fault& one : from.faults()) {
-        faults.push_back(json::object{{"object", one.object()}, {"field", one.field()}, {"reason", one.reason()}});
+        faults.push_back(
+            json::object{{"object", one.object()}, {"field", one.field()}, {"reason", one.reason()}});
     }
     return json::object{{"failure", find_failure(to_failure(from.failure())).name},
                         {"revision", from.revision()},
@@ -194,9 +204,16 @@
     }
     json::array processes;
     for (const wire::process_status& one : from.processes()) {
-        processes.push_back(json::object{{"name", one.name()}, {"role", one.role()}, {"revision", one.revision()}, {"silent_ms", one.silent_ms()}});
+        processes.push_back(json::object{{"name", one.name()},
+                                         {"role", one.role()},
+                                         {"revision", one.revision()},
+                                         {"silent_ms", one.silent_ms()}});
     }
-    return json::object{{"replica", from.name()}, {"revision", from.revision()}, {"groups", groups}, {"upstreams", upstreams}, {"processes", processes}};
+    return json::object{{"replica", from.name()},
+                        {"revision", from.revision()},
+                        {"groups", groups},
+                        {"upstreams", upstreams},
+                        {"processes", processes}};
 }
 
 } // namespace guavawick::operators
--- a/src/operator/set_file.cpp
+++ b/src/operator/set_file.cpp
@@ -60,7 +60,8 @@
     fail(path, node, shown + ": expected a text, a number, true, false or a list of names");
 }
 
-void read_object(set_file& into, const std::string& path, const configuration::object_key& key, const toml::table& fields)
+void read_object(set_file& into, const std::string& path, const configuration::object_key& key,
+                 const toml::table& fields)
 {
     const std::string shown = configuration::to_string(key);
     into.lines[shown] = fields.source().begin.line;
@@ -81,7 +82,8 @@
         root = toml::parse(text, path);
     }
     catch (const toml::parse_error& fault) {
-        throw settings_error(path + ":" + std::to_string(fault.source().begin.line) + ": " + std::string(fault.description()));
+        throw settings_error(path + ":" + std::to_string(fault.source().begin.line) + ": " +
+                             std::string(fault.description()));
     }
     set_file read;
     for (const auto& [kind_name, kind_node] : root) {
@@ -94,7 +96,9 @@
         }
         for (const auto& [name, fields] : *kind_node.as_table()) {
             if (!fields.is_table()) {
-                fail(path, fields, "expected a section [" + std::string(kind_name.str()) + "." + std::string(name.str()) + "]");
+                fail(path, fields,
+                     "expected a section [" + std::string(kind_name.str()) + "." + std::string(name.str()) +
+                         "]");
             }
             read_object(read, path, {*kind, std::string(name.str())}, *fields.as_table());
         }
--- a/src/operator/table_print.cpp
+++ b/src/operator/table_print.cpp
@@ -29,7 +29,8 @@
     }
     for (const row& one : rows) {
         for (std::size_t i = 0; i < one.size(); ++i) {
-            std::cout << (i == 0 ? "" : "  ") << std::left << std::setw(static_cast<int>(widths[i])) << one[i];
+            std::cout << (i == 0 ? "" : "  ") << std::left << std::setw(static_cast<int>(widths[i]))
+                      << one[i];
         }
         std::cout << "\n";
     }
@@ -43,7 +44,8 @@
 
 std::string describe_member(const json::object& member, std::int64_t last)
 {
-    const std::string lag = std::to_string(std::max<std::int64_t>(0, last - member.at("match").to_number<std::int64_t>()));
+    const std::string lag =
+        std::to_string(std::max<std::int64_t>(0, last - member.at("match").to_number<std::int64_t>()));
     const std::string state = member.at("in_touch").as_bool() ? lag : "out of touch";
     return cell(member, "name") + (member.at("voter").as_bool() ? "" : " learner") + " (" + state + ")";
 }
@@ -54,7 +56,9 @@
         if (one.kind != kind || field != one.name) {
             continue;
         }
-        const bool bare = one.type == configuration::field_type::number || one.type == configuration::field_type::decimal || one.type == configuration::field_type::boolean;
+        const bool bare = one.type == configuration::field_type::number ||
+                          one.type == configuration::field_type::decimal ||
+                          one.type == configuration::field_type::boolean;
         if (bare) {
             return value;
         }
@@ -86,7 +90,8 @@
 {
     for (const auto& [key, fields] : objects) {
         const bool bare = key.name.find('.') == std::string::npos;
-        std::cout << "\n[" << configuration::to_string(key.kind) << "." << (bare ? key.name : "\"" + key.name + "\"") << "]\n";
+        std::cout << "\n[" << configuration::to_string(key.kind) << "."
+                  << (bare ? key.name : "\"" + key.name + "\"") << "]\n";
         for (const auto& [name, value] : fields) {
             std::cout << name << " = " << quoted_value(key.kind, name, value) << "\n";
         }
@@ -101,7 +106,9 @@
         bool first = true;
         for (const json::value& change : record.at("changes").as_array()) {
             const std::string text(change.as_string());
-            rows.push_back(first ? row{cell(record, "revision"), time_text(record.at("unix_ms").to_number<std::int64_t>()), cell(record, "operator"), cell(record, "request_id"), text}
+            rows.push_back(first ? row{cell(record, "revision"),
+                                       time_text(record.at("unix_ms").to_number<std::int64_t>()),
+                                       cell(record, "operator"), cell(record, "request_id"), text}
                                  : row{"", "", "", "", text});
             first = false;
         }
@@ -111,7 +118,8 @@
 
 void print_status(const json::object& answer)
 {
-    std::cout << "revision " << cell(answer, "revision") << ", control led by " << cell(answer, "replica") << "\n\n";
+    std::cout << "revision " << cell(answer, "revision") << ", control led by " << cell(answer, "replica")
+              << "\n\n";
     std::vector<row> replicas{{"REPLICA", "ANSWERS"}};
     for (const json::value& one : answer.at("replicas").as_array()) {
         replicas.push_back({cell(one.as_object(), "name"), cell(one.as_object(), "answers")});
@@ -124,22 +132,27 @@
         std::string members;
         for (const json::value& item : group.at("members").as_array()) {
             const json::object& member = item.as_object();
-            members += (members.empty() ? "" : ",") + describe_member(member, group.at("last").to_number<std::int64_t>());
+            members += (members.empty() ? "" : ",") +
+                       describe_member(member, group.at("last").to_number<std::int64_t>());
         }
-        groups.push_back({cell(group, "group"), cell(group, "leader"), cell(group, "term"), cell(group, "commit"), cell(group, "applied"), members});
+        groups.push_back({cell(group, "group"), cell(group, "leader"), cell(group, "term"),
+                          cell(group, "commit"), cell(group, "applied"), members});
     }
     print_table(groups);
     std::vector<row> upstreams{{"UPSTREAM", "DATA CENTRE", "KIND", "SERVES", "LEAVING", "INCARNATION"}};
     for (const json::value& one : answer.at("upstreams").as_array()) {
         const json::object& upstream = one.as_object();
-        upstreams.push_back({cell(upstream, "name"), cell(upstream, "data_centre"), cell(upstream, "kind"), cell(upstream, "serves"), cell(upstream, "leaving"), cell(upstream, "incarnation")});
+        upstreams.push_back({cell(upstream, "name"), cell(upstream, "data_centre"), cell(upstream, "kind"),
+                             cell(upstream, "serves"), cell(upstream, "leaving"),
+                             cell(upstream, "incarnation")});
     }
     std::cout << "\n";
     print_table(upstreams);
     std::vector<row> processes{{"PROCESS", "ROLE", "REVISION", "SILENT MS"}};
     for (const json::value& one : answer.at("processes").as_array()) {
         const json::object& process = one.as_object();
-        processes.push_back({cell(process, "name"), cell(process, "role"), cell(process, "revision"), cell(process, "silent_ms")});
+        processes.push_back({cell(process, "name"), cell(process, "role"), cell(process, "revision"),
+                             cell(process, "silent_ms")});
     }
     std::cout << "\n";
     print_table(processes);
--- a/src/platform/worker_pool.cpp
+++ b/src/platform/worker_pool.cpp
@@ -67,7 +67,9 @@
 {
     // Posted, never run in place: the caller may hold a lock that the coroutine takes.
     auto strand = asio::make_strand(pool);
-    asio::post(strand, [strand, work = std::move(work)]() mutable { asio::co_spawn(strand, std::move(work), log_fault); });
+    asio::post(strand, [strand, work = std::move(work)]() mutable {
+        asio::co_spawn(strand, std::move(work), log_fault);
+    });
 }
 
 asio::awaitable<void> wait_for(std::chrono::nanoseconds step)
--- a/src/platform/worker_pool.hpp
+++ b/src/platform/worker_pool.hpp
@@ -3,9 +3,9 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/asio/executor_work_guard.hpp>
 
 #include <exception>
 #include <functional>
--- a/src/replica/control_service.cpp
+++ b/src/replica/control_service.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-control_service::control_service(group& driver, std::string replica_name) : group_(driver), replica_name_(std::move(replica_name))
+control_service::control_service(group& driver, std::string replica_name)
+    : group_(driver), replica_name_(std::move(replica_name))
 {
     publish_shared();
 }
@@ -35,7 +36,8 @@
 
 void control_service::handle(wire::envelope_ptr request, answer_function answer)
 {
-    group_.post([this, request = std::move(request), answer = std::move(answer)] { handle_here(request, answer); });
+    group_.post(
+        [this, request = std::move(request), answer = std::move(answer)] { handle_here(request, answer); });
 }
 
 void control_service::handle_here(const wire::envelope_ptr& request, const answer_function& answer)
@@ -114,7 +116,9 @@
         *command.mutable_apply() = request->apply();
         if (request->apply().dry_run()) {
             wire::envelope reply;
-            to_wire(configuration::check_publication(configuration_, configuration::from_wire(request->apply())), reply.mutable_applied());
+            to_wire(
+                configuration::check_publication(configuration_, configuration::from_wire(request->apply())),
+                reply.mutable_applied());
             answer(std::move(reply));
             return;
         }
@@ -131,9 +135,10 @@
     if (request->has_announce()) {
         *command.mutable_announce() = request->announce().upstream();
     }
-    group_.propose(command.SerializeAsString(), [this, answer = std::move(answer)](const wire::envelope* reply) {
-        answer(reply == nullptr ? redirect() : *reply);
-    });
+    group_.propose(command.SerializeAsString(),
+                   [this, answer = std::move(answer)](const wire::envelope* reply) {
+                       answer(reply == nullptr ? redirect() : *reply);
+                   });
 }
 
 void control_service::announce(const wire::envelope_ptr& request, const answer_function& answer)
@@ -167,14 +172,19 @@
         to_wire(result, reply.mutable_applied());
         const bool accepted = result.why == failure::none;
         log_event(accepted ? event::configuration_published : event::configuration_refused,
-                  {{"revision", result.revision}, {"operator", wish.operator_name}, {"failure", find_failure(result.why).name}});
+                  {{"revision", result.revision},
+                   {"operator", wish.operator_name},
+                   {"failure", find_failure(result.why).name}});
         break;
     }
     case wire::control_command::kAnnounce: {
         configuration::upstream_record record = configuration::from_wire(decoded.announce());
-        const event what = record.removed ? event::upstream_lost : record.leaving ? event::upstream_leaving : event::upstream_announced;
+        const event what = record.removed   ? event::upstream_lost
+                           : record.leaving ? event::upstream_leaving
+                                            : event::upstream_announced;
         if (configuration::announce(directory_, record)) {
-            log_event(what, {{"upstream", record.name.value}, {"incarnation", to_hex(record.incarnation.value)}});
+            log_event(what,
+                      {{"upstream", record.name.value}, {"incarnation", to_hex(record.incarnation.value)}});
         }
         reply.mutable_announced()->set_term(group_.report().term);
         break;
@@ -184,8 +194,9 @@
         for (const std::uint64_t hash : decoded.loss().body_hashes()) {
             running.emplace_back(hash);
         }
-        const auto quarantined = configuration::note_loss(directory_, upstream_name{decoded.loss().upstream()},
-                                                          incarnation_id{decoded.loss().incarnation()}, running);
+        const auto quarantined =
+            configuration::note_loss(directory_, upstream_name{decoded.loss().upstream()},
+                                     incarnation_id{decoded.loss().incarnation()}, running);
         for (const body_hash body : quarantined) {
             log_event(event::request_quarantined, {{"body_hash", to_hex(body.value)}});
         }
@@ -237,7 +248,8 @@
     processes_[asked.process()] = {asked.role(), asked.after_revision(), now};
     const duration wait = std::min<duration>(std::chrono::milliseconds(asked.wait_ms()), most_poll_wait);
     parked_poll parked{request, answer, now, now + wait};
-    const bool news = asked.after_revision() != configuration_.revision || asked.after_version() != directory_.version;
+    const bool news =
+        asked.after_revision() != configuration_.revision || asked.after_version() != directory_.version;
     if (news || wait == duration{}) {
         answer_poll(parked);
         return;
@@ -272,7 +284,8 @@
         configuration::to_wire(configuration_.objects, body->mutable_objects());
     }
     body->set_version(directory_.version);
-    const bool whole = asked.after_version() < directory_.forgotten || asked.after_version() == 0 || asked.after_version() > directory_.version;
+    const bool whole = asked.after_version() < directory_.forgotten || asked.after_version() == 0 ||
+                       asked.after_version() > directory_.version;
     body->set_whole_directory(whole);
     for (const auto& [name, record] : directory_.upstreams) {
         if (whole ? !record.removed : record.version > asked.after_version()) {
--- a/src/replica/control_service.hpp
+++ b/src/replica/control_service.hpp
@@ -64,8 +64,8 @@
     configuration::configuration_state configuration_;
     configuration::directory_state directory_;
     std::list<parked_poll> parked_;
-    std::map<upstream_name, time_point> heard_;      ///< leader: when each upstream last announced itself
-    std::map<std::string, process_seen> processes_;  ///< leader: who polls
+    std::map<upstream_name, time_point> heard_;     ///< leader: when each upstream last announced itself
+    std::map<std::string, process_seen> processes_; ///< leader: who polls
     time_point leads_since_{};
     std::chrono::milliseconds group_time_base_{};
     std::uint64_t answered_version_ = 0;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -33,7 +33,8 @@
              const std::vector<replica_address>& replicas, wire::link& links)
     : number_(number), settings_(settings), replicas_(replicas), links_(links),
       store_(settings.data_folder + "/group-" + std::to_string(number)),
-      state_(consensus::make_state(self, make_options(settings), store_.loaded(), {}, runtime_clock::now(), random_id()))
+      state_(consensus::make_state(self, make_options(settings), store_.loaded(), {}, runtime_clock::now(),
+                                   random_id()))
 {
     if (store_.tail_was_cut()) {
         log_event(event::log_tail_cut, {{"group", std::uint64_t{number_}}});
@@ -52,7 +53,8 @@
     if (store_.loaded().newest_snapshot) {
         machine_.restore(store_.loaded().newest_snapshot->state);
     }
-    log_event(event::group_started, {{"group", std::uint64_t{number_}}, {"last_index", consensus::last_index(state_)}});
+    log_event(event::group_started,
+              {{"group", std::uint64_t{number_}}, {"last_index", consensus::last_index(state_)}});
     thread_ = std::thread([this] { run(); });
 }
 
@@ -107,7 +109,8 @@
             blank_peers_[joining.name] = joining.id;
             return;
         }
-        if (consensus::add_learner(state_, joining, runtime_clock::now(), pending_) == consensus::change_result::proposed) {
+        if (consensus::add_learner(state_, joining, runtime_clock::now(), pending_) ==
+            consensus::change_result::proposed) {
             log_event(event::member_joining, {{"group", std::uint64_t{number_}}, {"name", joining.name}});
         }
     });
@@ -159,6 +162,10 @@
     std::swap(wanted, pending_);
     carry_out(wanted);
     snapshot_if_due();
+    counters_.leads.store(leads());
+    counters_.applied.store(state_.applied);
+    counters_.syncs.store(store_.syncs());
+    counters_.log_bytes.store(store_.log_bytes());
 }
 
 void group::carry_out(consensus::effects& wanted)
@@ -176,7 +183,8 @@
     if (wanted.install) {
         machine_.restore(wanted.install->state);
         snapshot_at_ = wanted.install->index;
-        log_event(event::snapshot_installed, {{"group", std::uint64_t{number_}}, {"index", wanted.install->index}});
+        log_event(event::snapshot_installed,
+                  {{"group", std::uint64_t{number_}}, {"index", wanted.install->index}});
     }
     for (const consensus::log_entry& entry : wanted.committed) {
         apply(entry);
@@ -269,7 +277,7 @@
         done(nullptr);
         return;
     }
-    ++proposal_count_;
+    counters_.proposals.fetch_add(1);
     proposals_[index] = {state_.term, std::move(done)};
 }
 
@@ -296,16 +304,18 @@
     made.commit = state_.commit;
     made.applied = state_.applied;
     made.last = consensus::last_index(state_);
-    const consensus::member* leader = consensus::find_member(consensus::current_members(state_), state_.leader);
+    const consensus::member* leader =
+        consensus::find_member(consensus::current_members(state_), state_.leader);
     made.leader = leader == nullptr ? "" : leader->name;
-    made.syncs = store_.syncs();
-    made.proposals = proposal_count_;
     const time_point now = runtime_clock::now();
     for (const consensus::member& one : consensus::current_members(state_).members) {
         const auto peer = state_.peers.find(one.id);
         const bool own = one.id == state_.self;
         const bool known = peer != state_.peers.end();
-        made.members.push_back({one, own || consensus::in_touch(state_, one.id, now), own ? state_.synced : known ? peer->second.match : 0});
+        made.members.push_back({one, own || consensus::in_touch(state_, one.id, now),
+                                own     ? state_.synced
+                                : known ? peer->second.match
+                                        : 0});
     }
     return made;
 }
@@ -335,7 +345,8 @@
         return;
     }
     next_probe_ = now + probe_interval;
-    if (!replicas_.empty() && replicas_.front().name == settings_.name && is_blank() && blank_peers_.size() + 1 == replicas_.size()) {
+    if (!replicas_.empty() && replicas_.front().name == settings_.name && is_blank() &&
+        blank_peers_.size() + 1 == replicas_.size()) {
         found(blank_peers_);
         return;
     }
@@ -358,7 +369,8 @@
     consensus::membership members;
     for (const replica_address& address : replicas_) {
         const bool own = address.name == settings_.name;
-        members.members.push_back({own ? state_.self : ids.at(address.name), address.name, address.endpoint, true, 0});
+        members.members.push_back(
+            {own ? state_.self : ids.at(address.name), address.name, address.endpoint, true, 0});
     }
     auto first = std::make_shared<consensus::snapshot>();
     first->index = 1;
@@ -369,7 +381,8 @@
     disk.term = 1;
     disk.newest_snapshot = first;
     const std::uint64_t seed = random_id();
-    state_ = consensus::make_state(state_.self, make_options(settings_), disk, {}, runtime_clock::now(), seed);
+    state_ =
+        consensus::make_state(state_.self, make_options(settings_), disk, {}, runtime_clock::now(), seed);
     store_.write_snapshot(state_);
     snapshot_at_ = 1;
 }
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -5,6 +5,7 @@
 #include "replica/log_store.hpp"
 #include "wire/link_type.hpp"
 
+#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <map>
@@ -18,11 +19,12 @@
 
 /// The state machine of a group. Every function is called by the group's thread only.
 struct state_machine {
-    std::function<wire::envelope(const std::string& command)> apply; ///< executes a committed command, gives its answer
-    std::function<std::string()> save;                               ///< encodes the state
-    std::function<void(const std::string&)> restore;                 ///< replaces the state
+    std::function<wire::envelope(const std::string& command)>
+        apply;                                       ///< executes a committed command, gives its answer
+    std::function<std::string()> save;               ///< encodes the state
+    std::function<void(const std::string&)> restore; ///< replaces the state
     std::function<void(bool leads)> leadership_changed;
-    std::function<void(time_point)> tick;                            ///< about every tick_interval
+    std::function<void(time_point)> tick; ///< about every tick_interval
 };
 
 /// How a proposal ended: the command's answer, or nullptr if this replica lost the lead before the commit.
@@ -43,12 +45,20 @@
     consensus::log_index applied = 0;
     consensus::log_index last = 0;
     std::string leader;
-    std::uint64_t syncs = 0;
-    std::uint64_t proposals = 0;
     std::vector<member_report> members;
 };
 
-/// One group of this replica. Thread safety: post() and handle() from any thread, the rest from the group's thread.
+/// Figures of a group for metrics; written by its thread, read by any.
+struct group_counters {
+    std::atomic<bool> leads{false};
+    std::atomic<std::uint64_t> applied{0};
+    std::atomic<std::uint64_t> proposals{0};
+    std::atomic<std::uint64_t> syncs{0};
+    std::atomic<std::uint64_t> log_bytes{0};
+};
+
+/// One group of this replica. Thread safety: post() and handle() from any thread, the rest from the group's
+/// thread.
 class group {
 public:
     group(std::uint32_t number, const replica_settings& settings, consensus::member_id self,
@@ -80,6 +90,8 @@
     [[nodiscard]] std::string leader_endpoint() const;
     /// @return what people are told. @pre on the group's thread.
     [[nodiscard]] group_report report() const;
+    /// @return figures for metrics. Thread safe.
+    [[nodiscard]] const group_counters& counters() const { return counters_; }
     /// @return the group's number; 0 is control.
     [[nodiscard]] std::uint32_t number() const { return number_; }
     /// @return whether the group holds nothing yet and knows no members. @pre on the group's thread.
@@ -109,16 +121,16 @@
     log_store store_;
     consensus::group_state state_;
     state_machine machine_;
-    consensus::effects pending_;                      ///< effects of the work in hand
+    consensus::effects pending_; ///< effects of the work in hand
     std::map<consensus::log_index, waiting_proposal> proposals_;
     std::map<consensus::member_id, std::string> learned_endpoints_;
-    std::map<std::string, consensus::member_id> blank_peers_; ///< answers of blank replicas while this one is blank
+    std::map<std::string, consensus::member_id>
+        blank_peers_; ///< answers of blank replicas while this one is blank
     time_point next_probe_{};
     time_point next_machine_tick_{};
     time_point next_repair_{};
     consensus::log_index snapshot_at_ = 0;
-    std::uint64_t proposal_count_ = 0;
-    bool failed_ = false;
+    group_counters counters_;
 
     std::mutex mutex_; ///< guards the two below; a leaf in the lock order
     std::vector<std::function<void()>> inbox_;
