--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -8,9 +8,9 @@
 namespace guavawick::replica {
 namespace {
 
-constexpr duration session_limit = 4s;     ///< an entry that is not heard for this long is taken for dead
-constexpr duration check_interval = 1s;    ///< how often expiries, withdrawals and stuck calls are looked for
-constexpr duration free_interval = 3s;     ///< how often the same freeing is asked for again
+constexpr duration session_limit = 4s;  ///< an entry that is not heard for this long is taken for dead
+constexpr duration check_interval = 1s; ///< how often expiries, withdrawals and stuck calls are looked for
+constexpr duration free_interval = 3s;  ///< how often the same freeing is asked for again
 constexpr int most_freed_per_answer = 256;
 
 wire::envelope make_opened(const ledger::open_result& result)
@@ -22,7 +22,10 @@
 
 } // namespace
 
-ledger_service::ledger_service(group& driver, const control_service& control) : group_(driver), control_(control) {}
+ledger_service::ledger_service(group& driver, const control_service& control)
+    : group_(driver), control_(control)
+{
+}
 
 void ledger_service::start()
 {
@@ -37,7 +40,8 @@
 
 void ledger_service::handle(wire::envelope_ptr request, answer_function answer)
 {
-    group_.post([this, request = std::move(request), answer = std::move(answer)] { handle_here(request, answer); });
+    group_.post(
+        [this, request = std::move(request), answer = std::move(answer)] { handle_here(request, answer); });
 }
 
 void ledger_service::handle_here(const wire::envelope_ptr& request, const answer_function& answer)
@@ -107,7 +111,8 @@
     return now - heard > session_limit;
 }
 
-const ledger::call_state* ledger_service::find_stuck(const ledger::program_key& key, const request_name& request, time_point now) const
+const ledger::call_state* ledger_service::find_stuck(const ledger::program_key& key,
+                                                     const request_name& request, time_point now) const
 {
     const ledger::program_state* program = ledger::find_program(state_, key);
     if (program == nullptr || program->open.empty()) {
@@ -131,18 +136,22 @@
         return;
     }
     const wire::envelope_ptr claimed = claim_upstream(request, wish.key);
-    propose(claimed, [this, request, answer, key = parked_key{wish.key, wish.request}](const wire::envelope& reply) {
-        const bool waits = reply.has_opened() && reply.opened().outcome() == static_cast<std::uint32_t>(ledger::open_outcome::waiting);
-        if (waits) {
-            parked_[key] = {request, answer};
-            return;
-        }
-        answer(reply);
-    });
+    propose(claimed,
+            [this, request, answer, key = parked_key{wish.key, wish.request}](const wire::envelope& reply) {
+                const bool waits =
+                    reply.has_opened() &&
+                    reply.opened().outcome() == static_cast<std::uint32_t>(ledger::open_outcome::waiting);
+                if (waits) {
+                    parked_[key] = {request, answer};
+                    return;
+                }
+                answer(reply);
+            });
 }
 
 /// Names the upstream where the call ends soonest. The leader decides, and what is committed is its decision.
-wire::envelope_ptr ledger_service::claim_upstream(const wire::envelope_ptr& request, const ledger::program_key& key) const
+wire::envelope_ptr ledger_service::claim_upstream(const wire::envelope_ptr& request,
+                                                  const ledger::program_key& key) const
 {
     const std::vector<ledger::upstream_choice> choices = ledger::choices_from_wire(request->open());
     const auto place = ledger::choose_upstream(ledger::find_program(state_, key), choices);
@@ -200,9 +209,10 @@
     if (request->has_freed()) {
         *command.mutable_freed() = request->freed();
     }
-    group_.propose(command.SerializeAsString(), [this, answer = std::move(answer)](const wire::envelope* reply) {
-        answer(reply == nullptr ? redirect() : *reply);
-    });
+    group_.propose(command.SerializeAsString(),
+                   [this, answer = std::move(answer)](const wire::envelope* reply) {
+                       answer(reply == nullptr ? redirect() : *reply);
+                   });
 }
 
 wire::envelope ledger_service::apply(const std::string& command)
@@ -225,12 +235,14 @@
         break;
     }
     case wire::ledger_command::kProgram: {
-        const ledger::program_key key{organisation_name{decoded.program().organisation()}, program_name{decoded.program().program()}};
+        const ledger::program_key key{organisation_name{decoded.program().organisation()},
+                                      program_name{decoded.program().program()}};
         reply.mutable_program_is()->set_found(ledger::end_program(state_, key, promoted));
         break;
     }
     case wire::ledger_command::kFreed: {
-        const ledger::program_key key{organisation_name{decoded.freed().organisation()}, program_name{decoded.freed().program()}};
+        const ledger::program_key key{organisation_name{decoded.freed().organisation()},
+                                      program_name{decoded.freed().program()}};
         ledger::note_freed(state_, key, upstream_name{decoded.freed().upstream()});
         reply.mutable_done();
         break;
@@ -300,9 +312,15 @@
         const limit::limits allowed{item.rate(), item.burst()};
         // A new owner starts each bucket empty, from the moment at which lending became safe.
         const time_point since = leads_since_ + giver_lease(limit::token_lease);
-        const auto [found, fresh] = buckets_.try_emplace(item.organisation(), limit::make_bucket(allowed, since));
+        const auto [found, fresh] =
+            buckets_.try_emplace(item.organisation(), limit::make_bucket(allowed, since));
         limit::set_limits(found->second, allowed, now);
-        const limit::borrow_request wish{incarnation_id{asked.entry_incarnation()}, asked.sequence(), item.acked(), item.held(), item.returned(), item.wanted()};
+        const limit::borrow_request wish{incarnation_id{asked.entry_incarnation()},
+                                         asked.sequence(),
+                                         item.acked(),
+                                         item.held(),
+                                         item.returned(),
+                                         item.wanted()};
         const double granted = limit::borrow(found->second, wish, now);
         wire::grant_item* made = body->add_items();
         made->set_organisation(item.organisation());
@@ -350,8 +368,9 @@
     const auto withdrawn = control_.withdrawn();
     for (const std::string& name : *withdrawn) {
         const organisation_name who{name};
-        const bool has_programs = std::any_of(state_.programs.begin(), state_.programs.end(),
-                                              [&](const auto& item) { return item.first.organisation == who; });
+        const bool has_programs =
+            std::any_of(state_.programs.begin(), state_.programs.end(),
+                        [&](const auto& item) { return item.first.organisation == who; });
         if (!has_programs) {
             continue;
         }
--- a/src/replica/ledger_service.hpp
+++ b/src/replica/ledger_service.hpp
@@ -29,7 +29,8 @@
     wire::envelope apply(const std::string& command);
     void handle_here(const wire::envelope_ptr& request, const answer_function& answer);
     void open(const wire::envelope_ptr& request, const answer_function& answer);
-    [[nodiscard]] wire::envelope_ptr claim_upstream(const wire::envelope_ptr& request, const ledger::program_key& key) const;
+    [[nodiscard]] wire::envelope_ptr claim_upstream(const wire::envelope_ptr& request,
+                                                    const ledger::program_key& key) const;
     void program(const wire::envelope_ptr& request, const answer_function& answer);
     void propose(const wire::envelope_ptr& request, answer_function answer);
     void propose_expiry();
@@ -39,7 +40,8 @@
     void lead(bool leads);
     void tick(time_point now);
     [[nodiscard]] bool session_is_dead(incarnation_id entry, time_point now) const;
-    [[nodiscard]] const ledger::call_state* find_stuck(const ledger::program_key& key, const request_name& request, time_point now) const;
+    [[nodiscard]] const ledger::call_state* find_stuck(const ledger::program_key& key,
+                                                       const request_name& request, time_point now) const;
     [[nodiscard]] wire::envelope redirect() const;
     [[nodiscard]] wire::envelope session(const wire::envelope& request, time_point now);
     [[nodiscard]] wire::envelope borrow(const wire::envelope& request, time_point now);
@@ -48,10 +50,10 @@
     group& group_;
     const control_service& control_;
     ledger::ledger_state state_;
-    std::map<parked_key, parked_open> parked_;                   ///< leader: openers that wait for their turn
-    std::unordered_map<incarnation_id, time_point> sessions_;    ///< leader: when each entry was last heard
-    std::unordered_map<std::string, limit::bucket> buckets_;     ///< leader: by organisation
-    std::map<ledger::program_key, time_point> free_offered_;     ///< leader: when a freeing was last asked for
+    std::map<parked_key, parked_open> parked_;                ///< leader: openers that wait for their turn
+    std::unordered_map<incarnation_id, time_point> sessions_; ///< leader: when each entry was last heard
+    std::unordered_map<std::string, limit::bucket> buckets_;  ///< leader: by organisation
+    std::map<ledger::program_key, time_point> free_offered_;  ///< leader: when a freeing was last asked for
     time_point leads_since_{};
     ledger::group_time group_time_base_{};
     time_point next_check_{};
--- a/src/replica/log_store.cpp
+++ b/src/replica/log_store.cpp
@@ -18,8 +18,8 @@
 namespace guavawick::replica {
 namespace {
 
-constexpr std::size_t frame_header_size = 8;            ///< length and CRC, 4 bytes each
-constexpr std::uint32_t max_record_size = 1U << 30U;    ///< longer lengths are damage
+constexpr std::size_t frame_header_size = 8;         ///< length and CRC, 4 bytes each
+constexpr std::uint32_t max_record_size = 1U << 30U; ///< longer lengths are damage
 constexpr mode_t file_mode = 0600;
 
 [[noreturn]] void fail(const std::string& path, const char* action)
@@ -153,7 +153,9 @@
         into.voted_for = consensus::member_id{record.hard_state().voted_for()};
         return;
     case wire::log_file_record::kTruncateAfter:
-        std::erase_if(into.entries, [&](const consensus::log_entry& entry) { return entry.index > record.truncate_after(); });
+        std::erase_if(into.entries, [&](const consensus::log_entry& entry) {
+            return entry.index > record.truncate_after();
+        });
         return;
     case wire::log_file_record::BODY_NOT_SET:
         return;
@@ -335,7 +337,8 @@
     std::error_code ignored;
     for (const auto& item : std::filesystem::directory_iterator(data_folder, ignored)) {
         if (item.path().filename().string().rfind("group-", 0) == 0) {
-            throw storage_error(data_folder + ": has groups but no identity; empty the folder to join with a blank disk");
+            throw storage_error(data_folder +
+                                ": has groups but no identity; empty the folder to join with a blank disk");
         }
     }
     wire::hard_state_record record;
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -8,8 +8,6 @@
 #include "replica/consensus_codec.hpp"
 #include "wire.pb.h"
 
-#include <future>
-
 namespace guavawick::replica {
 
 replica_process::replica_process(const settings& given, platform::worker_pool& pool)
@@ -21,7 +19,8 @@
     links_ = std::make_unique<wire::link>(pool_.executor(), settings_.links, self_);
     client_ = std::make_unique<wire::group_client>(*links_, settings_.replicas);
     for (std::uint32_t number = 0; number <= settings_.replica.ledger_shards; ++number) {
-        groups_.push_back(std::make_unique<group>(number, settings_.replica, disk_.id, settings_.replicas, *links_));
+        groups_.push_back(
+            std::make_unique<group>(number, settings_.replica, disk_.id, settings_.replicas, *links_));
     }
     control_ = std::make_unique<control_service>(*groups_[0], settings_.replica.name);
     for (std::size_t shard = 1; shard < groups_.size(); ++shard) {
@@ -33,15 +32,21 @@
 
 void replica_process::start()
 {
+    add_metrics();
     control_->start();
     for (const auto& ledger : ledgers_) {
         ledger->start();
     }
-    const std::string& own = settings_.replica.listen_link.empty() ? settings_.replica.link : settings_.replica.listen_link;
-    links_->listen(own, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
+    const std::string& own =
+        settings_.replica.listen_link.empty() ? settings_.replica.link : settings_.replica.listen_link;
+    links_->listen(own, [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
+        receive(from, message);
+    });
     if (!settings_.replica.operator_listen.empty()) {
-        operators_ = std::make_unique<http::server>(pool_.executor(), settings_.replica.operator_listen, http::server_limits{},
-                                                    operators::make_handler(*client_, *links_, settings_.replicas, settings_.replica.operator_keys, [this] { return metrics(); }));
+        operators_ = std::make_unique<http::server>(
+            pool_.executor(), settings_.replica.operator_listen, http::server_limits{},
+            operators::make_handler(*client_, *links_, settings_.replicas, settings_.replica.operator_keys,
+                                    [this] { return metrics_.text(); }));
     }
 }
 
@@ -78,9 +83,7 @@
         log_event(event::link_refused_peer, {{"reason", fault.what()}});
         return;
     }
-    dispatch(message, [this, from](wire::envelope reply) {
-        links_->reply(from, std::move(reply));
-    });
+    dispatch(message, [this, from](wire::envelope reply) { links_->reply(from, std::move(reply)); });
 }
 
 void replica_process::receive_consensus(const wire::envelope& message)
@@ -98,7 +101,8 @@
     if (wish.group() >= groups_.size() || wish.id() == 0) {
         return;
     }
-    groups_[wish.group()]->handle_join({consensus::member_id{wish.id()}, wish.name(), wish.endpoint(), false, 0});
+    groups_[wish.group()]->handle_join(
+        {consensus::member_id{wish.id()}, wish.name(), wish.endpoint(), false, 0});
 }
 
 void replica_process::dispatch(const wire::envelope_ptr& message, const answer_function& answer)
@@ -115,7 +119,8 @@
     if (number >= groups_.size()) {
         wire::envelope refused;
         refused.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::bad_request));
-        refused.mutable_refused()->set_detail("there is no such group; do all settings name the same ledger_shards?");
+        refused.mutable_refused()->set_detail(
+            "there is no such group; do all settings name the same ledger_shards?");
         answer(std::move(refused));
         return;
     }
@@ -135,14 +140,17 @@
     groups_[number]->remove(message.remove().name(), [this, answer, number](consensus::change_result result) {
         wire::envelope reply;
         if (result == consensus::change_result::not_leader) {
-            reply.mutable_redirect()->set_leader_endpoint(groups_[number]->leads() ? "" : groups_[number]->leader_endpoint());
+            reply.mutable_redirect()->set_leader_endpoint(
+                groups_[number]->leads() ? "" : groups_[number]->leader_endpoint());
         }
-        else if (result == consensus::change_result::proposed || result == consensus::change_result::already_done) {
+        else if (result == consensus::change_result::proposed ||
+                 result == consensus::change_result::already_done) {
             reply.mutable_done();
         }
         else {
             const bool unknown = result == consensus::change_result::unknown_member;
-            reply.mutable_refused()->set_failure(static_cast<std::uint32_t>(unknown ? failure::not_found : failure::busy));
+            reply.mutable_refused()->set_failure(
+                static_cast<std::uint32_t>(unknown ? failure::not_found : failure::busy));
         }
         answer(std::move(reply));
     });
@@ -202,20 +210,28 @@
     });
     for (const auto& one : groups_) {
         group* held = one.get();
-        held->post([held, collection] { collection->add([held](wire::status_reply* into) { fill_status(*held, into->add_groups()); }); });
+        held->post([held, collection] {
+            collection->add([held](wire::status_reply* into) { fill_status(*held, into->add_groups()); });
+        });
     }
 }
 
-wire::envelope replica_process::status()
-{
-    auto answer = std::make_shared<std::promise<wire::envelope>>();
-    answer_status([answer](wire::envelope reply) { answer->set_value(std::move(reply)); });
-    return answer->get_future().get();
-}
-
-std::string replica_process::metrics()
+void replica_process::add_metrics()
 {
-    return {};
+    for (const auto& one : groups_) {
+        const std::string number = std::to_string(one->number());
+        const group_counters& counters = one->counters();
+        metrics_.add({"guavawick_replica_leads", "1 while this replica leads the group.", false,
+                      [&counters] { return counters.leads.load() ? 1.0 : 0.0; }, number});
+        metrics_.add({"guavawick_replica_applied_index", "Last log entry that was applied.", false,
+                      [&counters] { return static_cast<double>(counters.applied.load()); }, number});
+        metrics_.add({"guavawick_replica_proposals_total", "Commands proposed here.", true,
+                      [&counters] { return static_cast<double>(counters.proposals.load()); }, number});
+        metrics_.add({"guavawick_replica_syncs_total", "Times that the log was synced.", true,
+                      [&counters] { return static_cast<double>(counters.syncs.load()); }, number});
+        metrics_.add({"guavawick_replica_log_bytes", "Size of the log file.", false,
+                      [&counters] { return static_cast<double>(counters.log_bytes.load()); }, number});
+    }
 }
 
 } // namespace guavawick::replica
--- a/src/replica/replica_process.hpp
+++ b/src/replica/replica_process.hpp
@@ -3,6 +3,7 @@
 
 #include "base/settings_type.hpp"
 #include "http/http_type.hpp"
+#include "http/metrics_type.hpp"
 #include "platform/worker_pool.hpp"
 #include "replica/control_service.hpp"
 #include "replica/ledger_service.hpp"
@@ -21,12 +22,9 @@
     void stop();
     /// Closes the links. @pre stop() returned and the pool's threads have stopped.
     void close();
-    /// @return how each group stands. Waits for the groups' threads.
-    wire::envelope status();
-    /// Writes Prometheus text.
-    std::string metrics();
 
 private:
+    void add_metrics();
     void receive(const wire::peer_route& from, const wire::envelope_ptr& message);
     void receive_consensus(const wire::envelope& message);
     void receive_join(const wire::envelope& message);
@@ -43,6 +41,7 @@
     std::vector<std::unique_ptr<group>> groups_; ///< by number; 0 is control
     std::unique_ptr<control_service> control_;
     std::vector<std::unique_ptr<ledger_service>> ledgers_;
+    http::metric_set metrics_;
     std::unique_ptr<http::server> operators_;
 };
 
--- a/src/routing/routing_func.cpp
+++ b/src/routing/routing_func.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr double other_data_centre_seconds = 0.05; ///< what a longer way and a shared fault count for
-constexpr double cold_seconds = 0.5;               ///< expected delay at an upstream that answered nothing yet
-constexpr double home_seconds = 0.02;              ///< preference for a program's home where nothing else decides
+constexpr double cold_seconds = 0.5;  ///< expected delay at an upstream that answered nothing yet
+constexpr double home_seconds = 0.02; ///< preference for a program's home where nothing else decides
 
 std::optional<std::size_t> choose_in_turn(const std::vector<candidate>& candidates, const route_wish& wish)
 {
@@ -48,8 +48,10 @@
 
 double expected_seconds(const candidate& there, const route_wish& wish)
 {
-    const std::uint64_t cached = wish.policy == routing_policy::no_affinity ? 0 : std::min(there.cached_tokens, wish.prompt_tokens);
-    const double prefill = static_cast<double>(wish.prompt_tokens - cached) / std::max(1.0, there.load.prefill_tokens_per_second);
+    const std::uint64_t cached =
+        wish.policy == routing_policy::no_affinity ? 0 : std::min(there.cached_tokens, wish.prompt_tokens);
+    const double prefill = static_cast<double>(wish.prompt_tokens - cached) /
+                           std::max(1.0, there.load.prefill_tokens_per_second);
     const double decode = static_cast<double>(wish.expected_tokens) * there.load.seconds_per_token;
     const double way = there.own_data_centre ? 0.0 : other_data_centre_seconds;
     return expected_wait(there) + (there.load.cold ? cold_seconds : 0.0) + prefill + decode + way;
@@ -80,7 +82,9 @@
     return best;
 }
 
-std::vector<std::size_t> pick_subset(const std::vector<std::string>& names, const std::vector<bool>& own_centre, std::uint64_t entry_key, std::size_t size)
+std::vector<std::size_t> pick_subset(const std::vector<std::string>& names,
+                                     const std::vector<bool>& own_centre, std::uint64_t entry_key,
+                                     std::size_t size)
 {
     std::vector<std::size_t> places(names.size());
     for (std::size_t i = 0; i < places.size(); ++i) {
@@ -91,12 +95,13 @@
         scores[i] = rendezvous_score(names[i], entry_key);
     }
     const std::size_t kept = std::min(size, places.size());
-    std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(kept), places.end(), [&](std::size_t a, std::size_t b) {
-        if (own_centre[a] != own_centre[b]) {
-            return static_cast<bool>(own_centre[a]);
-        }
-        return scores[a] != scores[b] ? scores[a] > scores[b] : names[a] < names[b];
-    });
+    std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(kept), places.end(),
+                      [&](std::size_t a, std::size_t b) {
+                          if (own_centre[a] != own_centre[b]) {
+                              return static_cast<bool>(own_centre[a]);
+                          }
+                          return scores[a] != scores[b] ? scores[a] > scores[b] : names[a] < names[b];
+                      });
     places.resize(kept);
     return places;
 }
--- a/src/routing/routing_func.hpp
+++ b/src/routing/routing_func.hpp
@@ -15,7 +15,9 @@
 std::uint64_t rendezvous_score(const std::string& upstream, std::uint64_t key);
 /// Picks the upstreams that an entry talks to: own data centre first, the same after every restart.
 /// @param own_centre marks for each name whether it is in the entry's data centre.
-std::vector<std::size_t> pick_subset(const std::vector<std::string>& names, const std::vector<bool>& own_centre, std::uint64_t entry_key, std::size_t size);
+std::vector<std::size_t> pick_subset(const std::vector<std::string>& names,
+                                     const std::vector<bool>& own_centre, std::uint64_t entry_key,
+                                     std::size_t size);
 /// @return the expected seconds that a call waits at an upstream before it starts.
 double expected_wait(const candidate& there);
 
--- a/src/scheduling/attempt_func.cpp
+++ b/src/scheduling/attempt_func.cpp
@@ -6,7 +6,8 @@
 namespace guavawick::scheduling {
 namespace {
 
-constexpr std::size_t kept_tombstones = 200000; ///< a duplicate older than this many refusals is stopped by its incarnation or its deadline
+constexpr std::size_t kept_tombstones =
+    200000; ///< a duplicate older than this many refusals is stopped by its incarnation or its deadline
 
 void bury(attempt_table& table, attempt_id attempt)
 {
--- a/src/scheduling/attempt_func.hpp
+++ b/src/scheduling/attempt_func.hpp
@@ -20,7 +20,8 @@
 attempt_status tombstone(attempt_table& table, attempt_id attempt);
 /// @return the status of an attempt.
 attempt_status status_of(const attempt_table& table, attempt_id attempt);
-/// Begins a new incarnation of the upstream. @return the attempts that were queued for the old one, now tombstoned.
+/// Begins a new incarnation of the upstream. @return the attempts that were queued for the old one, now
+/// tombstoned.
 std::vector<attempt_id> renew_incarnation(attempt_table& table, incarnation_id fresh);
 
 } // namespace guavawick::scheduling
--- a/src/scheduling/queue_func.cpp
+++ b/src/scheduling/queue_func.cpp
@@ -30,7 +30,9 @@
     if (queue.lanes.size() <= most_idle_lanes) {
         return;
     }
-    std::erase_if(queue.lanes, [&](const auto& item) { return item.second.order.empty() && item.second.virtual_time <= queue.virtual_now; });
+    std::erase_if(queue.lanes, [&](const auto& item) {
+        return item.second.order.empty() && item.second.virtual_time <= queue.virtual_now;
+    });
 }
 
 void erase_from_lane(call_queue& queue, const queued_call& call, double rank)
@@ -122,13 +124,15 @@
     return taken;
 }
 
-void charge_difference(call_queue& queue, const organisation_name& who, double expected_tokens, double real_tokens)
+void charge_difference(call_queue& queue, const organisation_name& who, double expected_tokens,
+                       double real_tokens)
 {
     const auto found = queue.lanes.find(who);
     if (found == queue.lanes.end()) {
         return;
     }
-    const double changed = found->second.virtual_time + (real_tokens - expected_tokens) / found->second.weight;
+    const double changed =
+        found->second.virtual_time + (real_tokens - expected_tokens) / found->second.weight;
     move_lane(queue, who, found->second, std::max(0.0, changed));
 }
 
--- a/src/scheduling/queue_func.hpp
+++ b/src/scheduling/queue_func.hpp
@@ -16,12 +16,14 @@
 /// Removes calls whose deadline has passed, longest overdue first.
 std::vector<queued_call> take_hopeless(call_queue& queue, time_point now);
 /// Corrects an organisation's account once the real work of a call is known.
-void charge_difference(call_queue& queue, const organisation_name& who, double expected_tokens, double real_tokens);
+void charge_difference(call_queue& queue, const organisation_name& who, double expected_tokens,
+                       double real_tokens);
 
 /// What one prefilled token costs in units of one generated token.
 constexpr double prefill_token_cost = 0.05;
 
 /// @return the expected work of a call in generated-token units.
-double expected_cost(std::uint64_t prompt_tokens, std::uint64_t cached_tokens, std::uint64_t generated_tokens);
+double expected_cost(std::uint64_t prompt_tokens, std::uint64_t cached_tokens,
+                     std::uint64_t generated_tokens);
 
 } // namespace guavawick::scheduling
--- a/src/scheduling/queue_type.hpp
+++ b/src/scheduling/queue_type.hpp
@@ -23,9 +23,9 @@
     program_name program;
     double weight = 1;                 ///< of the organisation
     std::uint64_t attained_tokens = 0; ///< work that the program was already given, fleet-wide
-    double cost_tokens = 0;            ///< expected work: tokens to prefill and to generate, in generated-token units
+    double cost_tokens = 0; ///< expected work: tokens to prefill and to generate, in generated-token units
     time_point arrived_at{};
-    time_point deadline{};             ///< zero: none
+    time_point deadline{}; ///< zero: none
 };
 
 /// Calls of one organisation, best first.
--- a/src/scheduling/window_func.cpp
+++ b/src/scheduling/window_func.cpp
@@ -6,9 +6,9 @@
 namespace guavawick::scheduling {
 namespace {
 
-constexpr double shrink_factor = 0.7;        ///< of the size, at an answer over the goal
-constexpr double usual_weight = 0.1;         ///< of a new latency in the usual one
-constexpr double cold_factor = 6.0;          ///< a latency this many times the usual one means a cold upstream
+constexpr double shrink_factor = 0.7; ///< of the size, at an answer over the goal
+constexpr double usual_weight = 0.1;  ///< of a new latency in the usual one
+constexpr double cold_factor = 6.0;   ///< a latency this many times the usual one means a cold upstream
 constexpr double least_usual_seconds = 0.05; ///< below this a latency is not told apart from none
 constexpr double batch_allowance = 2.0;      ///< a full batch slows prefill down by about this
 constexpr duration shrink_interval = 1s;     ///< the window shrinks at most this often
@@ -17,7 +17,8 @@
 {
     // Within the goal: doubles each round of answers at first, later grows by one each round.
     window.size += window.slow_start ? 1.0 : 1.0 / std::max(1.0, window.size);
-    const double cap = static_cast<double>(window.reported == 0 ? window.options.most : std::min(window.options.most, window.reported));
+    const double cap = static_cast<double>(
+        window.reported == 0 ? window.options.most : std::min(window.options.most, window.reported));
     window.size = std::min(window.size, cap);
 }
 
@@ -60,7 +61,9 @@
 {
     window.reported = slots;
     if (slots != 0) {
-        window.size = std::clamp(window.size, 1.0, static_cast<double>(std::max<std::uint64_t>(1, std::min(slots, window.options.most))));
+        window.size =
+            std::clamp(window.size, 1.0,
+                       static_cast<double>(std::max<std::uint64_t>(1, std::min(slots, window.options.most))));
     }
 }
 
@@ -74,7 +77,8 @@
 
 duration prefill_allowance(std::uint64_t prompt_tokens, double tokens_per_second)
 {
-    return from_seconds(static_cast<double>(prompt_tokens) / std::max(1.0, tokens_per_second) * batch_allowance);
+    return from_seconds(static_cast<double>(prompt_tokens) / std::max(1.0, tokens_per_second) *
+                        batch_allowance);
 }
 
 bool note_first_token(window_state& window, duration latency, duration prefill, time_point now)
@@ -82,12 +86,15 @@
     const duration excess = std::max(duration{}, latency - prefill);
     const double seconds = std::max(least_usual_seconds, to_seconds(excess));
     const double goal = to_seconds(window.options.latency_goal);
-    const bool cold = window.usual_seconds > 0 && seconds > cold_factor * window.usual_seconds && seconds > goal / 2;
+    const bool cold =
+        window.usual_seconds > 0 && seconds > cold_factor * window.usual_seconds && seconds > goal / 2;
     if (cold && window.size > 1) {
         reset_window(window);
         return true;
     }
-    window.usual_seconds = window.usual_seconds == 0 ? seconds : window.usual_seconds * (1 - usual_weight) + seconds * usual_weight;
+    window.usual_seconds = window.usual_seconds == 0
+                               ? seconds
+                               : window.usual_seconds * (1 - usual_weight) + seconds * usual_weight;
     if (excess > window.options.latency_goal) {
         shrink(window, now);
         return false;
--- a/src/sidecar/attempt_record.hpp
+++ b/src/sidecar/attempt_record.hpp
@@ -29,22 +29,22 @@
 /// One attempt at this sidecar. Guarded by the sidecar's mutex.
 struct attempt_record {
     wire::run_request request;
-    std::vector<wire::run_chunk> chunks;       ///< all so far, for callers that join
+    std::vector<wire::run_chunk> chunks; ///< all so far, for callers that join
     std::vector<chunk_receiver> receivers;
     std::shared_ptr<http::cancellation> stop = std::make_shared<http::cancellation>();
     bool ended = false;
     bool cancelled = false;
-    bool closing = false;                      ///< the sidecar reports the end itself
-    int status = 0;                            ///< HTTP status of the upstream
+    bool closing = false; ///< the sidecar reports the end itself
+    int status = 0;       ///< HTTP status of the upstream
     std::string content_type;
-    std::uint32_t checksum = 0;                ///< CRC-32C of all data so far
-    caller::answer_builder answer;             ///< streamed answers
-    std::string raw;                           ///< other answers
+    std::uint32_t checksum = 0;    ///< CRC-32C of all data so far
+    caller::answer_builder answer; ///< streamed answers
+    std::string raw;               ///< other answers
     time_point started_at{};
     time_point first_data_at{};
     time_point ended_at{};
     double expected_cost = 0;
-    std::uint32_t why = 0;                     ///< failure of the end
+    std::uint32_t why = 0; ///< failure of the end
 };
 
 } // namespace guavawick::sidecar
--- a/src/sidecar/attempt_runner.cpp
+++ b/src/sidecar/attempt_runner.cpp
@@ -12,10 +12,10 @@
 namespace {
 
 constexpr duration longest_run = std::chrono::hours(2);
-constexpr duration release_limit = 3s;     ///< an end that no entry confirmed by then is reported by the sidecar
+constexpr duration release_limit = 3s; ///< an end that no entry confirmed by then is reported by the sidecar
 constexpr duration close_limit = 10s;
 constexpr duration free_limit = 5s;
-constexpr double smoothing = 0.1;          ///< of a new figure in an average
+constexpr double smoothing = 0.1;                   ///< of a new figure in an average
 constexpr std::uint64_t least_prefill_sample = 500; ///< tokens; a shorter prefill tells nothing of the speed
 constexpr std::size_t most_raw_bytes = 64U << 20U;
 
@@ -47,7 +47,9 @@
         record->started_at = now;
         scheduling::note_started(table_, next->attempt);
         scheduling::note_start(window_);
-        log_event(event::attempt_started, {{"attempt", to_hex(next->attempt.value)}, {"program", record->request.program()}, {"request", record->request.request_id()}});
+        log_event(event::attempt_started, {{"attempt", to_hex(next->attempt.value)},
+                                           {"program", record->request.program()},
+                                           {"request", record->request.request_id()}});
         pool_.spawn(run(next->attempt, record));
     }
 }
@@ -72,16 +74,20 @@
     failure why = failure::none;
     bool lost = false;
     try {
-        http::part_handler parts = [this, attempt, record](int status, const std::string& content_type, std::string part) {
+        http::part_handler parts = [this, attempt, record](int status, const std::string& content_type,
+                                                           std::string part) {
             return take_part(attempt, record, status, content_type, std::move(part));
         };
         http::request request = make_request(record->request);
-        record->status = co_await http::fetch(own_.upstream, std::move(request), longest_run, record->stop, std::move(parts));
+        record->status = co_await http::fetch(own_.upstream, std::move(request), longest_run, record->stop,
+                                              std::move(parts));
     }
     catch (const http::client_error& fault) {
         const std::lock_guard lock(mutex_);
         const bool never_sent = fault.sent == http::sent_state::not_sent;
-        why = record->cancelled ? failure::cancelled : never_sent ? failure::no_upstream : failure::upstream_lost;
+        why = record->cancelled ? failure::cancelled
+              : never_sent      ? failure::no_upstream
+                                : failure::upstream_lost;
         lost = !record->cancelled;
     }
     if (lost && !co_await is_upstream_alive()) {
@@ -95,7 +101,8 @@
     pump();
 }
 
-asio::awaitable<bool> sidecar_process::take_part(attempt_id attempt, record_ptr record, int status, const std::string& content_type, std::string part)
+asio::awaitable<bool> sidecar_process::take_part(attempt_id attempt, record_ptr record, int status,
+                                                 const std::string& content_type, std::string part)
 {
     const std::lock_guard lock(mutex_);
     if (record->cancelled || record->ended) {
@@ -106,7 +113,10 @@
     if (record->first_data_at == time_point{}) {
         const time_point now = runtime_clock::now();
         record->first_data_at = now;
-        if (scheduling::note_first_token(window_, now - record->started_at, scheduling::prefill_allowance(record->request.prompt_tokens(), prefill_tokens_per_second_), now)) {
+        if (scheduling::note_first_token(
+                window_, now - record->started_at,
+                scheduling::prefill_allowance(record->request.prompt_tokens(), prefill_tokens_per_second_),
+                now)) {
             log_event(event::window_reset, {{"upstream", own_.name}});
         }
         pump();
@@ -148,7 +158,8 @@
     const time_point now = runtime_clock::now();
     record->ended = true;
     record->ended_at = now;
-    const bool streamed = !record->request.service() && record->content_type.rfind("text/event-stream", 0) == 0;
+    const bool streamed =
+        !record->request.service() && record->content_type.rfind("text/event-stream", 0) == 0;
     if (streamed) {
         caller::event_splitter splitter;
         for (const std::string& payload : splitter.feed(record->raw)) {
@@ -168,13 +179,16 @@
     if (generated > 1 && record->first_data_at != time_point{}) {
         smooth(seconds_per_token_, to_seconds(now - record->first_data_at) / static_cast<double>(generated));
     }
-    const std::uint64_t prefilled = record->answer.prompt_tokens() - std::min(record->answer.prompt_tokens(), record->answer.cached_tokens());
+    const std::uint64_t prefilled = record->answer.prompt_tokens() -
+                                    std::min(record->answer.prompt_tokens(), record->answer.cached_tokens());
     const double first_seconds = to_seconds(record->first_data_at - record->started_at);
     if (prefilled > least_prefill_sample && record->first_data_at != time_point{} && first_seconds > 0) {
         smooth(prefill_tokens_per_second_, static_cast<double>(prefilled) / first_seconds);
     }
-    const double real = scheduling::expected_cost(record->answer.prompt_tokens(), record->answer.cached_tokens(), generated);
-    scheduling::charge_difference(queue_, organisation_name{record->request.organisation()}, record->expected_cost, real);
+    const double real =
+        scheduling::expected_cost(record->answer.prompt_tokens(), record->answer.cached_tokens(), generated);
+    scheduling::charge_difference(queue_, organisation_name{record->request.organisation()},
+                                  record->expected_cost, real);
     wire::run_chunk last;
     last.set_attempt(record->request.attempt());
     last.set_number(record->chunks.size());
@@ -192,10 +206,12 @@
     }
     record->receivers.clear();
     record->chunks.push_back(std::move(last));
-    log_event(event::attempt_finished, {{"attempt", to_hex(attempt.value)}, {"failure", find_failure(why).name}});
+    log_event(event::attempt_finished,
+              {{"attempt", to_hex(attempt.value)}, {"failure", find_failure(why).name}});
 }
 
-/// The upstream is gone with all that ran there: tells control before any caller hears of it, then starts anew.
+/// The upstream is gone with all that ran there: tells control before any caller hears of it, then starts
+/// anew.
 asio::awaitable<void> sidecar_process::note_upstream_lost()
 {
     wire::envelope report;
@@ -271,11 +287,14 @@
         constexpr std::uint32_t not_run = 2;
         constexpr std::uint32_t unknown = 3;
         constexpr std::uint32_t abandoned = 4;
-        const std::uint32_t cut = why == failure::no_upstream ? not_run : record->request.repeatable() ? abandoned : unknown;
+        const std::uint32_t cut = why == failure::no_upstream    ? not_run
+                                  : record->request.repeatable() ? abandoned
+                                                                 : unknown;
         close->set_outcome(why != failure::none ? cut : answered ? done : failed);
         close->set_prompt_tokens(record->answer.prompt_tokens());
         close->set_completion_tokens(record->answer.completion_tokens());
-        const bool streamed = record->content_type.rfind("text/event-stream", 0) == 0 && !record->request.service();
+        const bool streamed =
+            record->content_type.rfind("text/event-stream", 0) == 0 && !record->request.service();
         close->mutable_answer()->set_status(static_cast<std::uint32_t>(record->status));
         close->mutable_answer()->set_content_type(streamed ? "application/json" : record->content_type);
         close->mutable_answer()->set_body(streamed ? record->answer.body() : record->raw);
@@ -294,7 +313,8 @@
         // Tried again after the next check.
     }
     if (confirmed) {
-        log_event(event::attempt_adopted, {{"attempt", to_hex(attempt.value)}, {"program", record->request.program()}});
+        log_event(event::attempt_adopted,
+                  {{"attempt", to_hex(attempt.value)}, {"program", record->request.program()}});
         receive_release(attempt);
         co_return;
     }
--- a/src/sidecar/sidecar_links.cpp
+++ b/src/sidecar/sidecar_links.cpp
@@ -20,10 +20,10 @@
 constexpr duration health_interval = 250ms;
 constexpr duration health_limit = 2s;
 constexpr duration check_interval = 250ms;
-constexpr duration entry_limit = 1s;     ///< an entry that is silent for this long is passed over
-constexpr duration announce_limit = 3s;  ///< well within the directory's lease
+constexpr duration entry_limit = 1s;    ///< an entry that is silent for this long is passed over
+constexpr duration announce_limit = 3s; ///< well within the directory's lease
 constexpr duration configuration_lease = 4s;
-constexpr int most_health_failures = 2;  ///< in a row, after which the upstream counts as lost
+constexpr int most_health_failures = 2; ///< in a row, after which the upstream counts as lost
 
 } // namespace
 
@@ -33,7 +33,8 @@
     while (runtime_clock::now() < deadline && !own_.entries.empty()) {
         const std::size_t turn = entry_turn_.load();
         const std::string& endpoint = own_.entries[turn % own_.entries.size()];
-        const auto stream = links_->open_stream(endpoint, question, std::min(entry_limit, deadline - runtime_clock::now()));
+        const auto stream =
+            links_->open_stream(endpoint, question, std::min(entry_limit, deadline - runtime_clock::now()));
         const wire::envelope_ptr answer = co_await stream->next();
         if (answer && !answer->has_refused() && !answer->has_redirect()) {
             const std::lock_guard lock(mutex_);
@@ -153,7 +154,8 @@
 void sidecar_process::refresh_gate(time_point now)
 {
     const bool fresh = confirmed_at_ != time_point{} && now - confirmed_at_ < configuration_lease;
-    const bool wanted = configuration::takes_work(*view_, data_centre_name{settings_.data_centre}, upstream_name{own_.name});
+    const bool wanted =
+        configuration::takes_work(*view_, data_centre_name{settings_.data_centre}, upstream_name{own_.name});
     table_.takes_work = fresh && wanted;
     table_.leaving = stopping_.load() || !upstream_alive_;
     const auto policy = view_->upstreams.find(own_.name);
@@ -168,12 +170,15 @@
     question.method = "GET";
     question.target = "/load";
     try {
-        const http::response answer = co_await http::fetch_whole(own_.upstream, std::move(question), health_limit);
+        const http::response answer =
+            co_await http::fetch_whole(own_.upstream, std::move(question), health_limit);
         boost::system::error_code wrong;
         const boost::json::value parsed = boost::json::parse(answer.body, wrong);
-        if (!wrong && parsed.is_object() && parsed.as_object().contains("slots") && parsed.at("slots").is_int64()) {
+        if (!wrong && parsed.is_object() && parsed.as_object().contains("slots") &&
+            parsed.at("slots").is_int64()) {
             const std::lock_guard lock(mutex_);
-            scheduling::note_reported(window_, static_cast<std::uint64_t>(std::max<std::int64_t>(0, parsed.at("slots").as_int64())));
+            scheduling::note_reported(window_, static_cast<std::uint64_t>(
+                                                   std::max<std::int64_t>(0, parsed.at("slots").as_int64())));
         }
         co_return true;
     }
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -12,7 +12,8 @@
 
 constexpr duration stop_poll = 20ms;
 constexpr duration announce_limit = 3s; ///< a stop waits this long for its announcement
-constexpr duration lonely_limit = 10s;  ///< a stop waits this long for an entry that takes the ends of attempts
+constexpr duration lonely_limit =
+    10s; ///< a stop waits this long for an entry that takes the ends of attempts
 
 scheduling::window_options make_window_options(const sidecar_settings& own)
 {
@@ -21,7 +22,8 @@
 
 } // namespace
 
-sidecar_process::sidecar_process(const settings& given, const sidecar_settings& own, platform::worker_pool& pool)
+sidecar_process::sidecar_process(const settings& given, const sidecar_settings& own,
+                                 platform::worker_pool& pool)
     : settings_(given), own_(own), pool_(pool), self_(random_id())
 {
     table_.incarnation = incarnation_id{random_id()};
@@ -38,7 +40,15 @@
 void sidecar_process::start()
 {
     links_ = std::make_unique<wire::link>(pool_.executor(), settings_.links, self_);
-    links_->listen(own_.listen_link.empty() ? own_.link : own_.listen_link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
+    links_->listen(
+        own_.listen_link.empty() ? own_.link : own_.listen_link,
+        [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
+    add_metrics();
+    if (!settings_.metrics_listen.empty()) {
+        metrics_server_ =
+            std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
+                                           http::make_metrics_handler(metrics_));
+    }
     pool_.spawn(poll_loop());
     pool_.spawn(health_loop());
     pool_.spawn(announce_loop());
@@ -174,7 +184,8 @@
     send_chunk(to, chunk);
 }
 
-void sidecar_process::join(const wire::peer_route& from, const wire::run_request& request, const record_ptr& record)
+void sidecar_process::join(const wire::peer_route& from, const wire::run_request& request,
+                           const record_ptr& record)
 {
     // The same entry asks again over a new connection, or another entry joins; both get what they lack.
     for (std::size_t i = request.from_chunk(); i < record->chunks.size(); ++i) {
@@ -183,7 +194,9 @@
     if (record->ended) {
         return;
     }
-    std::erase_if(record->receivers, [&](const chunk_receiver& one) { return one.route.identity == from.identity && one.route.call == from.call; });
+    std::erase_if(record->receivers, [&](const chunk_receiver& one) {
+        return one.route.identity == from.identity && one.route.call == from.call;
+    });
     record->receivers.push_back({from});
 }
 
@@ -193,7 +206,8 @@
     auto record = std::make_shared<attempt_record>();
     record->request = request;
     record->receivers.push_back({from});
-    record->expected_cost = scheduling::expected_cost(request.prompt_tokens(), request.cached_tokens(), request.most_tokens());
+    record->expected_cost =
+        scheduling::expected_cost(request.prompt_tokens(), request.cached_tokens(), request.most_tokens());
     scheduling::queued_call call;
     call.attempt = attempt_id{request.attempt()};
     call.organisation = organisation_name{request.organisation()};
@@ -245,7 +259,8 @@
 
 void sidecar_process::receive_free(const wire::peer_route& from, const wire::free_request& request)
 {
-    pool_.spawn([](sidecar_process* self, wire::peer_route to, wire::free_request wish) -> boost::asio::awaitable<void> {
+    pool_.spawn([](sidecar_process* self, wire::peer_route to,
+                   wire::free_request wish) -> boost::asio::awaitable<void> {
         co_await self->free_memory(wish.organisation(), wish.program());
         wire::envelope reply;
         reply.mutable_done();
@@ -272,9 +287,29 @@
     links_->reply(from, std::move(reply));
 }
 
-std::string sidecar_process::metrics()
+void sidecar_process::add_metrics()
 {
-    return {};
+    const auto locked = [this](auto read) {
+        return [this, read] {
+            const std::lock_guard lock(mutex_);
+            return static_cast<double>(read(*this));
+        };
+    };
+    using self = const sidecar_process&;
+    metrics_.add({"guavawick_sidecar_running", "Calls that run at the upstream.", false,
+                  locked([](self one) { return one.window_.running; }), own_.name});
+    metrics_.add({"guavawick_sidecar_queued", "Calls that wait.", false,
+                  locked([](self one) { return one.queue_.calls.size(); }), own_.name});
+    metrics_.add({"guavawick_sidecar_window", "Calls that may run at once.", false,
+                  locked([](self one) { return scheduling::window_limit(one.window_); }), own_.name});
+    metrics_.add({"guavawick_sidecar_window_resets_total", "Times that the window went back to one.", true,
+                  locked([](self one) { return one.window_.resets; }), own_.name});
+    metrics_.add({"guavawick_sidecar_finished_total", "Attempts that ended.", true,
+                  locked([](self one) { return one.finished_count_; }), own_.name});
+    metrics_.add({"guavawick_sidecar_refused_total", "Attempts that never started.", true,
+                  locked([](self one) { return one.refused_count_; }), own_.name});
+    metrics_.add({"guavawick_sidecar_unconfirmed", "Attempts kept until their end is confirmed.", false,
+                  locked([](self one) { return one.records_.size(); }), own_.name});
 }
 
 } // namespace guavawick::sidecar
--- a/src/sidecar/sidecar_process.hpp
+++ b/src/sidecar/sidecar_process.hpp
@@ -3,6 +3,7 @@
 
 #include "base/settings_type.hpp"
 #include "configuration/configuration_func.hpp"
+#include "http/metrics_type.hpp"
 #include "platform/worker_pool.hpp"
 #include "scheduling/attempt_func.hpp"
 #include "scheduling/queue_func.hpp"
@@ -27,10 +28,9 @@
     void stop();
     /// Closes the links. @pre stop() returned and the pool's threads have stopped.
     void close();
-    /// Writes Prometheus text.
-    std::string metrics();
 
 private:
+    void add_metrics();
     using record_ptr = std::shared_ptr<attempt_record>;
 
     // Requests of entries (sidecar_process.cpp).
@@ -48,7 +48,8 @@
     // Running attempts (attempt_runner.cpp).
     void pump();
     boost::asio::awaitable<void> run(attempt_id attempt, record_ptr record);
-    boost::asio::awaitable<bool> take_part(attempt_id attempt, record_ptr record, int status, const std::string& content_type, std::string part);
+    boost::asio::awaitable<bool> take_part(attempt_id attempt, record_ptr record, int status,
+                                           const std::string& content_type, std::string part);
     void add_chunk(const record_ptr& record, chunk_kind kind, std::string data);
     void end(attempt_id attempt, const record_ptr& record, failure why);
     void send_chunk(const wire::peer_route& to, const wire::run_chunk& chunk);
@@ -72,12 +73,14 @@
     settings settings_;
     sidecar_settings own_;
     platform::worker_pool& pool_;
-    incarnation_id self_;                 ///< of this process
+    incarnation_id self_; ///< of this process
     std::unique_ptr<wire::link> links_;
+    http::metric_set metrics_;
+    std::unique_ptr<http::server> metrics_server_;
     std::atomic<bool> stopping_{false};
     std::atomic<std::size_t> entry_turn_{0};
 
-    mutable std::mutex mutex_;            ///< guards everything below
+    mutable std::mutex mutex_; ///< guards everything below
     scheduling::attempt_table table_;
     scheduling::call_queue queue_;
     scheduling::window_state window_;
@@ -85,11 +88,11 @@
     configuration::object_set objects_;
     configuration::view_ptr view_;
     std::uint64_t revision_ = 0;
-    time_point confirmed_at_{};           ///< since when the configuration is known to be current
-    time_point entry_heard_at_{};         ///< when an entry last answered
+    time_point confirmed_at_{};   ///< since when the configuration is known to be current
+    time_point entry_heard_at_{}; ///< when an entry last answered
     bool upstream_alive_ = false;
     bool announced_leaving_ = false;
-    std::uint64_t control_term_ = 0;      ///< newest fencing number seen
+    std::uint64_t control_term_ = 0; ///< newest fencing number seen
     double mean_call_seconds_ = 1.0;
     double seconds_per_token_ = 0.02;
     double prefill_tokens_per_second_ = 4000;
--- a/src/standalone/first_set.cpp
+++ b/src/standalone/first_set.cpp
@@ -16,9 +16,12 @@
 
 constexpr duration publish_limit = 20s;
 
-wire::envelope_ptr call_control(platform::worker_pool& pool, wire::group_client& client, wire::envelope question)
+wire::envelope_ptr call_control(platform::worker_pool& pool, wire::group_client& client,
+                                wire::envelope question)
 {
-    return boost::asio::co_spawn(boost::asio::make_strand(pool.executor()), client.call(0, std::move(question), publish_limit), boost::asio::use_future).get();
+    return boost::asio::co_spawn(boost::asio::make_strand(pool.executor()),
+                                 client.call(0, std::move(question), publish_limit), boost::asio::use_future)
+        .get();
 }
 
 } // namespace
--- a/src/standalone/roles.cpp
+++ b/src/standalone/roles.cpp
@@ -33,7 +33,8 @@
     return names[static_cast<std::size_t>(role)];
 }
 
-/// The processes of one settings file. Destroyed after the pool's threads have stopped and before the pool itself.
+/// The processes of one settings file. Destroyed after the pool's threads have stopped and before the pool
+/// itself.
 struct role_set {
     std::unique_ptr<replica::replica_process> replica;
     std::vector<std::unique_ptr<sidecar::sidecar_process>> sidecars;
@@ -117,7 +118,8 @@
     const settings given = role == role_kind::standalone ? complete_standalone(wanted) : wanted;
     start_logging(given.log_file, to_severity(given.log_level));
     platform::block_signals();
-    platform::worker_pool pool(worker_count(given, role)); // outlives the roles, whose sockets and timers belong to it
+    platform::worker_pool pool(
+        worker_count(given, role)); // outlives the roles, whose sockets and timers belong to it
     role_set roles;
     int code = 0;
     try {
--- a/src/table/command_table.hpp
+++ b/src/table/command_table.hpp
@@ -19,7 +19,8 @@
     bool needs_file;               ///< --file is needed
 };
 
-constexpr const char* role_help = "  --settings FILE    TOML settings\n  --check_settings   check them, print every fault and exit";
+constexpr const char* role_help =
+    "  --settings FILE    TOML settings\n  --check_settings   check them, print every fault and exit";
 constexpr const char* client_help =
     "  --operator_address URL   a replica's operator address, http://127.0.0.1:8090 if not given\n"
     "  --operator_key KEY       or GUAVAWICK_OPERATOR_KEY\n"
@@ -32,19 +33,27 @@
     "  --operator_address URL, --operator_key KEY, --json as for the other commands";
 
 constexpr std::array command_table{
-    command_row{"entry", "--settings FILE", "serves callers behind the balancer", role_help, role_kind::entry, false},
+    command_row{"entry", "--settings FILE", "serves callers behind the balancer", role_help, role_kind::entry,
+                false},
     command_row{"sidecar", "--settings FILE", "guards one upstream", role_help, role_kind::sidecar, false},
-    command_row{"replica", "--settings FILE | remove NAME", "holds the durable state; `replica remove NAME` is the operator's command", role_help, role_kind::replica, false},
-    command_row{"standalone", "--settings FILE", "runs every role in one process", role_help, role_kind::standalone, false},
-    command_row{"check", "--file FILE", "checks a configuration set without a replica", "  --file FILE   the whole set", std::nullopt, true},
+    command_row{"replica", "--settings FILE | remove NAME",
+                "holds the durable state; `replica remove NAME` is the operator's command", role_help,
+                role_kind::replica, false},
+    command_row{"standalone", "--settings FILE", "runs every role in one process", role_help,
+                role_kind::standalone, false},
+    command_row{"check", "--file FILE", "checks a configuration set without a replica",
+                "  --file FILE   the whole set", std::nullopt, true},
     command_row{"apply", "--file FILE", "publishes a configuration set", apply_help, std::nullopt, true},
     command_row{"diff", "--file FILE", "shows what a set would change", client_help, std::nullopt, true},
     command_row{"get", "", "prints the configuration in force", client_help, std::nullopt, false},
     command_row{"audit", "[--after N]", "prints the audit trail", client_help, std::nullopt, false},
     command_row{"status", "", "shows groups, upstreams and processes", client_help, std::nullopt, false},
-    command_row{"drain", "(data_centre|upstream) NAME [off]", "takes a data centre or an upstream out, or back in", client_help, std::nullopt, false},
-    command_row{"lift", "BODY_HASH", "lifts the quarantine of a request body", client_help, std::nullopt, false},
-    command_row{"hash-key", "< FILE", "reads a key from standard input and prints its SHA-256", "", std::nullopt, false},
+    command_row{"drain", "(data_centre|upstream) NAME [off]",
+                "takes a data centre or an upstream out, or back in", client_help, std::nullopt, false},
+    command_row{"lift", "BODY_HASH", "lifts the quarantine of a request body", client_help, std::nullopt,
+                false},
+    command_row{"hash-key", "< FILE", "reads a key from standard input and prints its SHA-256", "",
+                std::nullopt, false},
 };
 
 /// @return the row of a command, or nullptr.
--- a/src/table/object_table.hpp
+++ b/src/table/object_table.hpp
@@ -12,18 +12,18 @@
 
 /// One row of the field catalogue.
 struct field_row {
-    object_kind kind;    ///< the object's kind
-    const char* name;    ///< the field's name
-    field_type type;     ///< what it holds
-    bool required;       ///< must be present
-    double least;        ///< numbers: smallest allowed
-    double most;         ///< numbers: largest allowed
-    object_kind target;  ///< references: kind of what is named
-    const char* words;   ///< word: allowed ones, separated by '|'
+    object_kind kind;   ///< the object's kind
+    const char* name;   ///< the field's name
+    field_type type;    ///< what it holds
+    bool required;      ///< must be present
+    double least;       ///< numbers: smallest allowed
+    double most;        ///< numbers: largest allowed
+    object_kind target; ///< references: kind of what is named
+    const char* words;  ///< word: allowed ones, separated by '|'
 };
 
-constexpr double max_rate = 1e6;      ///< requests a second
-constexpr double max_burst = 1e6;     ///< requests
+constexpr double max_rate = 1e6;  ///< requests a second
+constexpr double max_burst = 1e6; ///< requests
 constexpr double max_weight = 1000;
 constexpr double max_calls = 1e9;
 constexpr double max_tokens = 1e12;
@@ -66,8 +66,12 @@
 };
 
 constexpr std::array kind_table{
-    kind_row{k::organisation, "organisation"}, kind_row{k::key, "key"},       kind_row{k::upstream, "upstream"},
-    kind_row{k::data_centre, "data_centre"},   kind_row{k::budget, "budget"}, kind_row{k::route, "route"},
+    kind_row{k::organisation, "organisation"},
+    kind_row{k::key, "key"},
+    kind_row{k::upstream, "upstream"},
+    kind_row{k::data_centre, "data_centre"},
+    kind_row{k::budget, "budget"},
+    kind_row{k::route, "route"},
 };
 
 } // namespace guavawick::configuration
--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -10,14 +10,17 @@
 namespace guavawick::wire {
 namespace {
 
-constexpr duration silence = 600ms;        ///< a replica that gives no sign of life for this long is passed over
-constexpr duration look_around = 100ms;    ///< how often a waiting call looks whether its replica is alive
-constexpr duration longest_try = 2s;       ///< beyond what the leader may hold a request
-constexpr duration redirect_pause = 30ms;  ///< while there is no leader
+constexpr duration silence = 600ms;     ///< a replica that gives no sign of life for this long is passed over
+constexpr duration look_around = 100ms; ///< how often a waiting call looks whether its replica is alive
+constexpr duration longest_try = 2s;    ///< beyond what the leader may hold a request
+constexpr duration redirect_pause = 30ms; ///< while there is no leader
 
 } // namespace
 
-group_client::group_client(link& links, std::vector<replica_address> replicas) : links_(links), replicas_(std::move(replicas)) {}
+group_client::group_client(link& links, std::vector<replica_address> replicas)
+    : links_(links), replicas_(std::move(replicas))
+{
+}
 
 std::string group_client::leader_of(std::uint32_t group)
 {
@@ -57,10 +60,12 @@
 }
 
 /// @return nullptr if the replica is silent or its answer is overdue.
-boost::asio::awaitable<envelope_ptr> group_client::try_one(std::string endpoint, envelope request, duration limit, duration held)
+boost::asio::awaitable<envelope_ptr> group_client::try_one(std::string endpoint, envelope request,
+                                                           duration limit, duration held)
 {
     const time_point overdue = runtime_clock::now() + held + longest_try;
-    const std::unique_ptr<reply_stream> stream = links_.open_stream(endpoint, std::move(request), limit, look_around);
+    const std::unique_ptr<reply_stream> stream =
+        links_.open_stream(endpoint, std::move(request), limit, look_around);
     while (true) {
         envelope_ptr answer = co_await stream->next();
         const bool notice = answer && answer->body_case() == envelope::BODY_NOT_SET;
@@ -73,13 +78,15 @@
     }
 }
 
-boost::asio::awaitable<envelope_ptr> group_client::call(std::uint32_t group, envelope request, duration limit, duration held)
+boost::asio::awaitable<envelope_ptr> group_client::call(std::uint32_t group, envelope request, duration limit,
+                                                        duration held)
 {
     request.set_group(group);
     const time_point deadline = runtime_clock::now() + limit;
     while (runtime_clock::now() < deadline) {
         const std::string endpoint = leader_of(group);
-        const envelope_ptr answer = co_await try_one(endpoint, request, deadline - runtime_clock::now(), held);
+        const envelope_ptr answer =
+            co_await try_one(endpoint, request, deadline - runtime_clock::now(), held);
         if (!answer) {
             next_replica(group, endpoint);
             co_await platform::wait_for(redirect_pause);
--- a/src/wire/group_client.hpp
+++ b/src/wire/group_client.hpp
@@ -18,13 +18,15 @@
     group_client(link& links, std::vector<replica_address> replicas);
     /// Sends a request to the leader of a group. @throw link_error if no leader answered within the limit.
     /// @param held how long the leader may hold the request before it answers.
-    boost::asio::awaitable<envelope_ptr> call(std::uint32_t group, envelope request, duration limit, duration held = {});
+    boost::asio::awaitable<envelope_ptr> call(std::uint32_t group, envelope request, duration limit,
+                                              duration held = {});
 
 private:
     [[nodiscard]] std::string leader_of(std::uint32_t group);
     void note_leader(std::uint32_t group, const std::string& endpoint);
     void next_replica(std::uint32_t group, const std::string& failed);
-    boost::asio::awaitable<envelope_ptr> try_one(std::string endpoint, envelope request, duration limit, duration held);
+    boost::asio::awaitable<envelope_ptr> try_one(std::string endpoint, envelope request, duration limit,
+                                                 duration held);
 
     link& links_;
     std::vector<replica_address> replicas_;
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -33,8 +33,8 @@
 constexpr duration first_resend = 2s;
 constexpr duration most_resend = 16s;
 constexpr duration idle_peer_limit = 120s; ///< an unused connection is closed after this
-constexpr int linger_ms = 300;             ///< a stopping process waits this long for its last messages to leave
-constexpr int queue_limit = 200000;        ///< messages that wait for one connection
+constexpr int linger_ms = 300;      ///< a stopping process waits this long for its last messages to leave
+constexpr int queue_limit = 200000; ///< messages that wait for one connection
 
 } // namespace
 
@@ -44,11 +44,11 @@
 
     std::uint64_t id = 0;
     std::string endpoint;
-    std::string bytes;         ///< the serialised request, for sending it again
+    std::string bytes; ///< the serialised request, for sending it again
     time_point deadline{};
     time_point resend_at{};
     duration resend_step = first_resend;
-    duration notice_step{};    ///< zero: no idle notices
+    duration notice_step{}; ///< zero: no idle notices
     time_point notice_at{};
     reply_channel replies;
 };
@@ -66,8 +66,8 @@
 
 /// Something another thread asks the link's thread to do.
 struct link_order {
-    std::string endpoint;               ///< where to send, or
-    std::string identity;               ///< whom to reply
+    std::string endpoint; ///< where to send, or
+    std::string identity; ///< whom to reply
     std::string bytes;
     std::shared_ptr<pending_call> call; ///< a call to start
 };
@@ -77,7 +77,8 @@
 /// Shared by the link and its streams. Lock order: `mutex` is a leaf.
 struct link_core {
     link_core(asio::any_io_executor executor, const link_settings& keys, incarnation_id own)
-        : pool(std::move(executor)), settings(keys), self(own), wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+        : pool(std::move(executor)), settings(keys), self(own),
+          wake_fd(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
     {
     }
 
@@ -88,13 +89,13 @@
     incarnation_id self;
     int wake_fd;
     zmq::context_t context{1};
-    mutable std::mutex mutex;                                               ///< guards the next five
+    mutable std::mutex mutex; ///< guards the next five
     std::deque<link_order> orders;
     std::unordered_map<std::uint64_t, std::shared_ptr<pending_call>> calls;
-    std::unordered_map<std::string, time_point> heard;                      ///< by endpoint: last sign of life
+    std::unordered_map<std::string, time_point> heard; ///< by endpoint: last sign of life
     std::optional<zmq::socket_t> fresh_router;
     bool stopping = false;
-    receive_handler handler;                                                ///< set before the router exists
+    receive_handler handler; ///< set before the router exists
     std::atomic<std::uint64_t> next_call{1};
     std::atomic<std::uint64_t> reconnect_count{0};
     std::thread thread;
@@ -179,7 +180,8 @@
     {
         if (!order.identity.empty()) {
             if (router) {
-                const auto sent = router->send(zmq::buffer(order.identity), zmq::send_flags::sndmore | zmq::send_flags::dontwait);
+                const auto sent = router->send(zmq::buffer(order.identity),
+                                               zmq::send_flags::sndmore | zmq::send_flags::dontwait);
                 if (sent) {
                     router->send(zmq::buffer(order.bytes), zmq::send_flags::dontwait);
                 }
@@ -457,15 +459,18 @@
         bool allowed = false;
         if (frames.size() > key_frame) {
             std::array<char, 41> text{};
-            zmq_z85_encode(text.data(), reinterpret_cast<const std::uint8_t*>(frames[key_frame].data()), frames[key_frame].size());
+            zmq_z85_encode(text.data(), reinterpret_cast<const std::uint8_t*>(frames[key_frame].data()),
+                           frames[key_frame].size());
             for (const std::string& key : settings.allowed_keys) {
                 allowed = allowed || equal_in_constant_time(key, text.data());
             }
         }
         const std::string request = frames.size() > request_frame ? frames[request_frame] : "";
-        const std::vector<std::string> answer{"1.0", request, allowed ? "200" : "400", allowed ? "OK" : "unknown key", "", ""};
+        const std::vector<std::string> answer{
+            "1.0", request, allowed ? "200" : "400", allowed ? "OK" : "unknown key", "", ""};
         for (std::size_t i = 0; i < answer.size(); ++i) {
-            socket.send(zmq::buffer(answer[i]), i + 1 < answer.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
+            socket.send(zmq::buffer(answer[i]),
+                        i + 1 < answer.size() ? zmq::send_flags::sndmore : zmq::send_flags::none);
         }
     }
 
@@ -559,7 +564,8 @@
     core_->push(std::move(order));
 }
 
-std::unique_ptr<reply_stream> link::open_stream(const std::string& endpoint, envelope message, duration limit, duration idle_notice)
+std::unique_ptr<reply_stream> link::open_stream(const std::string& endpoint, envelope message, duration limit,
+                                                duration idle_notice)
 {
     auto call = std::make_shared<pending_call>(core_->pool);
     call->id = core_->next_call.fetch_add(1);
--- a/src/wire/link_type.hpp
+++ b/src/wire/link_type.hpp
@@ -1,4 +1,5 @@
-// Links between the system's processes: protobuf envelopes over ZeroMQ, with calls, streams and silence detection.
+// Links between the system's processes: protobuf envelopes over ZeroMQ, with calls, streams and silence
+// detection.
 #pragma once
 
 #include "base/clock_type.hpp"
@@ -17,7 +18,7 @@
 
 /// Where a received envelope came from, for replies. Valid until the peer connects anew.
 struct peer_route {
-    std::string identity; ///< ZeroMQ routing id
+    std::string identity;   ///< ZeroMQ routing id
     std::uint64_t call = 0; ///< the call that the peer waits for
 };
 
@@ -35,8 +36,8 @@
     ~reply_stream();
     reply_stream(const reply_stream&) = delete;
     reply_stream& operator=(const reply_stream&) = delete;
-    /// Waits for the next reply. @return nullptr once the deadline has passed; an envelope without a body is an
-    /// idle notice, if open_stream() asked for them.
+    /// Waits for the next reply. @return nullptr once the deadline has passed; an envelope without a body is
+    /// an idle notice, if open_stream() asked for them.
     boost::asio::awaitable<envelope_ptr> next();
 
 private:
@@ -57,21 +58,25 @@
     /// Stops the thread that drives the sockets; nothing is sent or received any more. May be called again.
     /// @pre the pool's executor still exists.
     void close();
-    /// Accepts peers at an endpoint. @pre called once, before peers connect. @throw link_error if it can't be bound.
+    /// Accepts peers at an endpoint. @pre called once, before peers connect. @throw link_error if it can't be
+    /// bound.
     void listen(const std::string& endpoint, receive_handler handler);
     /// Sends an envelope that needs no reply; it may be lost.
     void send(const std::string& endpoint, envelope message);
-    /// Sends a request and waits for its first reply; sends it again with the same call id over a new connection
-    /// when the present one goes silent. @throw link_error at the deadline.
+    /// Sends a request and waits for its first reply; sends it again with the same call id over a new
+    /// connection when the present one goes silent. @throw link_error at the deadline.
     boost::asio::awaitable<envelope_ptr> call(std::string endpoint, envelope message, duration limit);
     /// Like call(), for requests that have several replies.
-    /// @param idle_notice if not zero, next() returns an empty envelope about this often, so that its caller can look around.
-    std::unique_ptr<reply_stream> open_stream(const std::string& endpoint, envelope message, duration limit, duration idle_notice = {});
+    /// @param idle_notice if not zero, next() returns an empty envelope about this often, so that its caller
+    /// can look around.
+    std::unique_ptr<reply_stream> open_stream(const std::string& endpoint, envelope message, duration limit,
+                                              duration idle_notice = {});
     /// Answers a received envelope. @pre the message's body is set.
     void reply(const peer_route& to, envelope message);
     /// @return the incarnation of this process.
     [[nodiscard]] incarnation_id self() const;
-    /// @return whether a peer gave a sign of life within a span; a peer that was never called counts as alive.
+    /// @return whether a peer gave a sign of life within a span; a peer that was never called counts as
+    /// alive.
     [[nodiscard]] bool heard_within(const std::string& endpoint, duration span) const;
     /// @return how often a silent connection was opened anew.
     [[nodiscard]] std::uint64_t reconnects() const;
--- a/tests/fakes/engine_model.hpp
+++ b/tests/fakes/engine_model.hpp
@@ -13,13 +13,13 @@
 
 /// Speed and size of a stand-in engine.
 struct engine_options {
-    std::uint32_t slots = 8;                    ///< calls in one batch
+    std::uint32_t slots = 8; ///< calls in one batch
     double prefill_tokens_per_second = 4000;
-    double seconds_per_token = 0.02;            ///< of one call alone
-    double batch_slow_down = 0.05;              ///< share by which each further call slows the others
-    std::uint64_t cache_tokens = 200000;        ///< room for prefixes
-    double cold_seconds = 0;                    ///< extra delay of the first answers
-    std::uint32_t cold_answers = 0;             ///< how many answers are slow after a start
+    double seconds_per_token = 0.02;     ///< of one call alone
+    double batch_slow_down = 0.05;       ///< share by which each further call slows the others
+    std::uint64_t cache_tokens = 200000; ///< room for prefixes
+    double cold_seconds = 0;             ///< extra delay of the first answers
+    std::uint32_t cold_answers = 0;      ///< how many answers are slow after a start
 };
 
 /// A stand-in engine's state.
@@ -27,11 +27,11 @@
     engine_options options;
     std::uint32_t running = 0;
     std::uint64_t answered = 0;
-    std::uint64_t prefilled_tokens = 0;         ///< work done
-    std::uint64_t repeated_tokens = 0;          ///< work done again on what was cached somewhere before
+    std::uint64_t prefilled_tokens = 0;          ///< work done
+    std::uint64_t repeated_tokens = 0;           ///< work done again on what was cached somewhere before
     std::map<std::string, std::uint64_t> cached; ///< program to cached tokens
-    std::list<std::string> age;                 ///< least recently used first
-    std::uint64_t held = 0;                     ///< sum of cached tokens
+    std::list<std::string> age;                  ///< least recently used first
+    std::uint64_t held = 0;                      ///< sum of cached tokens
 };
 
 /// @return the tokens of a program that are cached.
@@ -87,7 +87,8 @@
 {
     const double in_batch = std::min<double>(engine.running, engine.options.slots);
     const double shared = std::max(1.0, static_cast<double>(engine.running) / engine.options.slots);
-    return engine.options.seconds_per_token * (1.0 + engine.options.batch_slow_down * std::max(0.0, in_batch - 1.0)) * shared * shared;
+    return engine.options.seconds_per_token *
+           (1.0 + engine.options.batch_slow_down * std::max(0.0, in_batch - 1.0)) * shared * shared;
 }
 
 /// Ends a call and keeps its prefix.
--- a/tests/fakes/fake_upstream.cpp
+++ b/tests/fakes/fake_upstream.cpp
@@ -1,7 +1,8 @@
-// Stand-in upstream on loopback: a model engine or a plain service, with a run log from which tests prove what ran.
+// Stand-in upstream on loopback: a model engine or a plain service, with a run log from which tests prove
+// what ran.
 //
-// Markers in the request's text steer it: [crash] ends the process, [hang] never answers, [slow:N] answers N tokens
-// or, for a service, after N milliseconds, [cut] closes the stream before its end, [fail] answers 500.
+// Markers in the request's text steer it: [crash] ends the process, [hang] never answers, [slow:N] answers N
+// tokens or, for a service, after N milliseconds, [cut] closes the stream before its end, [fail] answers 500.
 #include "base/event_type.hpp"
 #include "base/hash_func.hpp"
 #include "fakes/engine_model.hpp"
@@ -45,20 +46,27 @@
     std::uint64_t fencing = 0;
 };
 
-void write_log(upstream_state& state, const char* what, const http::request& received, const std::string& text)
+void write_log(upstream_state& state, const char* what, const http::request& received,
+               const std::string& text)
 {
     json::object headers;
     for (const auto& [name, value] : received.headers) {
         headers[name] = value;
     }
     const std::lock_guard lock(state.mutex);
-    state.log << json::serialize(json::object{{"what", what}, {"target", received.target}, {"text", text}, {"headers", headers}, {"body", received.body}}) << std::endl;
+    state.log << json::serialize(json::object{{"what", what},
+                                              {"target", received.target},
+                                              {"text", text},
+                                              {"headers", headers},
+                                              {"body", received.body}})
+              << std::endl;
 }
 
 std::uint64_t read_marker(const std::string& text, const std::string& name, std::uint64_t otherwise)
 {
     const std::size_t at = text.rfind("[" + name + ":");
-    return at == std::string::npos ? otherwise : std::strtoull(text.c_str() + at + name.size() + 2, nullptr, 10);
+    return at == std::string::npos ? otherwise
+                                   : std::strtoull(text.c_str() + at + name.size() + 2, nullptr, 10);
 }
 
 bool has_marker(const std::string& text, const char* name)
@@ -83,16 +91,34 @@
 
 std::string make_event(const json::value& delta, const char* finish)
 {
-    json::object choice{{"index", 0}, {"delta", delta}, {"finish_reason", finish == nullptr ? json::value(nullptr) : json::value(finish)}};
+    json::object choice{{"index", 0},
+                        {"delta", delta},
+                        {"finish_reason", finish == nullptr ? json::value(nullptr) : json::value(finish)}};
     json::array choices;
     choices.push_back(std::move(choice));
-    return "data: " + json::serialize(json::object{{"id", "chatcmpl-1"}, {"object", "chat.completion.chunk"}, {"created", 1}, {"model", "m"}, {"choices", choices}}) + "\n\n";
+    return "data: " +
+           json::serialize(json::object{{"id", "chatcmpl-1"},
+                                        {"object", "chat.completion.chunk"},
+                                        {"created", 1},
+                                        {"model", "m"},
+                                        {"choices", choices}}) +
+           "\n\n";
 }
 
 std::string make_usage(std::uint64_t prompt, std::uint64_t completion, std::uint64_t cached)
 {
-    json::object usage{{"prompt_tokens", prompt}, {"completion_tokens", completion}, {"total_tokens", prompt + completion}, {"prompt_tokens_details", json::object{{"cached_tokens", cached}}}};
-    return "data: " + json::serialize(json::object{{"id", "chatcmpl-1"}, {"object", "chat.completion.chunk"}, {"created", 1}, {"model", "m"}, {"choices", json::array{}}, {"usage", usage}}) + "\n\n";
+    json::object usage{{"prompt_tokens", prompt},
+                       {"completion_tokens", completion},
+                       {"total_tokens", prompt + completion},
+                       {"prompt_tokens_details", json::object{{"cached_tokens", cached}}}};
+    return "data: " +
+           json::serialize(json::object{{"id", "chatcmpl-1"},
+                                        {"object", "chat.completion.chunk"},
+                                        {"created", 1},
+                                        {"model", "m"},
+                                        {"choices", json::array{}},
+                                        {"usage", usage}}) +
+           "\n\n";
 }
 
 asio::awaitable<void> serve_chat(upstream_state& state, http::request& received, http::responder& out)
@@ -100,7 +126,8 @@
     const json::value body = json::parse(received.body);
     const json::array& messages = body.at("messages").as_array();
     const json::value* content = messages.back().as_object().if_contains("content");
-    const std::string text = content != nullptr && content->is_string() ? std::string(content->as_string()) : "";
+    const std::string text =
+        content != nullptr && content->is_string() ? std::string(content->as_string()) : "";
     write_log(state, "start", received, text);
     if (has_marker(text, "crash")) {
         std::_Exit(9);
@@ -113,9 +140,11 @@
         co_await out.send(make_json(500, R"({"error":{"message":"asked to fail"}})"));
         co_return;
     }
-    const std::string program = received.header("x-guavawick-organisation") + "/" + received.header("x-guavawick-program");
+    const std::string program =
+        received.header("x-guavawick-organisation") + "/" + received.header("x-guavawick-program");
     const std::uint64_t prompt = received.body.size() / bytes_per_token + 1;
-    const std::uint64_t tokens = read_marker(text, "slow", static_cast<std::uint64_t>(absl::GetFlag(FLAGS_answer_tokens)));
+    const std::uint64_t tokens =
+        read_marker(text, "slow", static_cast<std::uint64_t>(absl::GetFlag(FLAGS_answer_tokens)));
     double first = 0;
     std::uint64_t cached = 0;
     {
@@ -128,7 +157,10 @@
     http::response head;
     head.content_type = "text/event-stream";
     co_await out.start_stream(std::move(head));
-    const std::string opening = make_event(json::object{{"role", "assistant"}, {"content", "seen=" + std::to_string(messages.size()) + " last=" + text + " "}}, nullptr);
+    const std::string opening = make_event(
+        json::object{{"role", "assistant"},
+                     {"content", "seen=" + std::to_string(messages.size()) + " last=" + text + " "}},
+        nullptr);
     co_await out.write(opening);
     std::uint64_t sent = 1;
     while (sent < tokens && !out.caller_left()) {
@@ -141,7 +173,8 @@
         if (has_marker(text, "cut") && sent > tokens / 2) {
             break;
         }
-        const std::string word = make_event(json::object{{"content", "w" + std::to_string(sent) + " "}}, nullptr);
+        const std::string word =
+            make_event(json::object{{"content", "w" + std::to_string(sent) + " "}}, nullptr);
         co_await out.write(word);
         ++sent;
     }
@@ -200,14 +233,18 @@
 {
     const std::lock_guard lock(state.mutex);
     const engine_model& engine = state.engine;
-    return json::serialize(json::object{{"slots", engine.options.slots}, {"running", engine.running}, {"held_tokens", engine.held}, {"programs", engine.cached.size()}});
+    return json::serialize(json::object{{"slots", engine.options.slots},
+                                        {"running", engine.running},
+                                        {"held_tokens", engine.held},
+                                        {"programs", engine.cached.size()}});
 }
 
 void free_memory(upstream_state& state, const json::object& wish)
 {
     const std::lock_guard lock(state.mutex);
     if (!wish.contains("all")) {
-        free_program(state.engine, std::string(wish.at("organisation").as_string()) + "/" + std::string(wish.at("program").as_string()));
+        free_program(state.engine, std::string(wish.at("organisation").as_string()) + "/" +
+                                       std::string(wish.at("program").as_string()));
         return;
     }
     state.engine.cached.clear();
@@ -257,7 +294,9 @@
     const std::string path = absl::GetFlag(FLAGS_run_log);
     state.log.open(path.empty() ? "/dev/null" : path, std::ios::app);
     platform::worker_pool pool(2);
-    http::server server(pool.executor(), absl::GetFlag(FLAGS_listen), {}, [&state](http::request& received, http::responder& out) { return serve(state, received, out); });
+    http::server server(
+        pool.executor(), absl::GetFlag(FLAGS_listen), {},
+        [&state](http::request& received, http::responder& out) { return serve(state, received, out); });
     platform::wait_for_stop_signal();
     pool.stop();
     return 0;
--- a/tests/scenarios/main.cpp
+++ b/tests/scenarios/main.cpp
@@ -24,10 +24,12 @@
     start_logging("", severity::error);
     int failed = 0;
     for (std::size_t i = 1; i < files.size(); ++i) {
-        const std::string folder = (std::filesystem::temp_directory_path() / ("guavawick-" + to_hex(random_id()))).string();
+        const std::string folder =
+            (std::filesystem::temp_directory_path() / ("guavawick-" + to_hex(random_id()))).string();
         platform::worker_pool pool(3);
         try {
-            scenarios::process_set processes(absl::GetFlag(FLAGS_bin), folder, absl::GetFlag(FLAGS_fixed_ports), pool.executor());
+            scenarios::process_set processes(absl::GetFlag(FLAGS_bin), folder,
+                                             absl::GetFlag(FLAGS_fixed_ports), pool.executor());
             scenarios::runner runner(processes, pool, absl::GetFlag(FLAGS_verbose));
             runner.run(scenarios::read_script(files[i]));
             std::cout << files[i] << ": held" << std::endl;
--- a/tests/scenarios/processes.cpp
+++ b/tests/scenarios/processes.cpp
@@ -71,12 +71,16 @@
 
 } // namespace
 
-process_set::process_set(std::string programs, std::string folder, bool fixed, boost::asio::any_io_executor pool)
-    : programs_(fs::absolute(programs).string()), folder_(std::move(folder)), fixed_(fixed), pool_(std::move(pool))
+process_set::process_set(std::string programs, std::string folder, bool fixed,
+                         boost::asio::any_io_executor pool)
+    : programs_(fs::absolute(programs).string()), folder_(std::move(folder)), fixed_(fixed),
+      pool_(std::move(pool))
 {
     fs::remove_all(folder_);
     fs::create_directories(folder_);
-    port_ = fixed_ ? fixed_first_port : static_cast<unsigned short>(first_port + (static_cast<unsigned>(getpid()) % runs) * ports_per_run);
+    port_ = fixed_ ? fixed_first_port
+                   : static_cast<unsigned short>(first_port +
+                                                 (static_cast<unsigned>(getpid()) % runs) * ports_per_run);
 }
 
 process_set::~process_set()
@@ -104,7 +108,9 @@
         return "tcp://" + at(listens_at);
     }
     const unsigned short shown = next_port();
-    relays_[owner] = std::make_unique<relay>(pool_, owner, shown, listens_at, [this](unsigned short local, unsigned short remote) { return owner_of(local, remote); });
+    relays_[owner] = std::make_unique<relay>(
+        pool_, owner, shown, listens_at,
+        [this](unsigned short local, unsigned short remote) { return owner_of(local, remote); });
     return "tcp://" + at(shown);
 }
 
@@ -134,16 +140,19 @@
     std::vector<std::string> entry_links;
     std::vector<unsigned short> entry_ports(static_cast<std::size_t>(plan.entries));
     for (int i = 0; i < plan.entries; ++i) {
-        entry_links.push_back(link_endpoint("entry-" + std::to_string(i + 1), entry_ports[static_cast<std::size_t>(i)]));
+        entry_links.push_back(
+            link_endpoint("entry-" + std::to_string(i + 1), entry_ports[static_cast<std::size_t>(i)]));
     }
     const auto head = [&](const std::string& name, const std::string& centre) {
-        return "data_centre = \"" + centre + "\"\nlog_file = \"" + folder_ + "/" + name + ".log\"\nlog_level = \"debug\"\nledger_shards = " + std::to_string(plan.shards) + "\n";
+        return "data_centre = \"" + centre + "\"\nlog_file = \"" + folder_ + "/" + name +
+               ".log\"\nlog_level = \"debug\"\nledger_shards = " + std::to_string(plan.shards) + "\n";
     };
     for (const upstream_plan& one : upstreams) {
         const unsigned short port = next_port();
         const std::string run_log = folder_ + "/" + one.name + ".runs";
         run_logs_.push_back(run_log);
-        std::vector<std::string> command{programs_ + "/tests/fake_upstream", "--listen=" + at(port), "--kind=" + one.kind, "--run_log=" + run_log};
+        std::vector<std::string> command{programs_ + "/tests/fake_upstream", "--listen=" + at(port),
+                                         "--kind=" + one.kind, "--run_log=" + run_log};
         for (const auto& [flag, value] : one.engine) {
             command.push_back("--" + flag + "=" + value);
         }
@@ -156,8 +165,11 @@
             entries += (entries.empty() ? "\"" : ", \"") + link + "\"";
         }
         const std::string listen = relayed_ ? "listen_link = \"tcp://" + at(link_port) + "\"\n" : "";
-        write_file(folder_ + "/" + name + ".toml", head(name, one.centre) + "[[sidecars]]\nname = \"" + one.name + "\"\nlink = \"" + shown + "\"\n" + listen + "entries = [" + entries +
-                                                       "]\nkind = \"" + one.kind + "\"\nserves = \"" + one.serves + "\"\nupstream = \"http://" + at(port) + "\"\n" + extra(plan.sidecar_settings));
+        write_file(folder_ + "/" + name + ".toml",
+                   head(name, one.centre) + "[[sidecars]]\nname = \"" + one.name + "\"\nlink = \"" + shown +
+                       "\"\n" + listen + "entries = [" + entries + "]\nkind = \"" + one.kind +
+                       "\"\nserves = \"" + one.serves + "\"\nupstream = \"http://" + at(port) + "\"\n" +
+                       extra(plan.sidecar_settings));
         add(name, {programs_ + "/guavawick", "sidecar", "--settings=" + folder_ + "/" + name + ".toml"});
     }
     for (int i = 0; i < plan.replicas; ++i) {
@@ -165,10 +177,15 @@
         const unsigned short admin = fixed_ ? static_cast<unsigned short>(8090 + i) : next_port();
         operator_addresses_[name] = "http://" + at(admin);
         const std::string& shown = replica_links[static_cast<std::size_t>(i)];
-        const std::string listen = relayed_ ? "listen_link = \"tcp://" + at(replica_ports[static_cast<std::size_t>(i)]) + "\"\n" : "";
-        write_file(folder_ + "/" + name + ".toml", head(name, centres[static_cast<std::size_t>(i) % centres.size()]) + replicas + "[replica]\nname = \"" + name + "\"\nlink = \"" + shown + "\"\n" + listen +
-                                                       "operator_listen = \"" + at(admin) + "\"\ndata_folder = \"" + folder_ + "/" + name + ".data\"\noperator_keys = [\"ops:" + operator_hash + "\", \"second:" +
-                                                       second_hash + "\"]\n" + extra(plan.replica_settings));
+        const std::string listen =
+            relayed_ ? "listen_link = \"tcp://" + at(replica_ports[static_cast<std::size_t>(i)]) + "\"\n"
+                     : "";
+        write_file(folder_ + "/" + name + ".toml",
+                   head(name, centres[static_cast<std::size_t>(i) % centres.size()]) + replicas +
+                       "[replica]\nname = \"" + name + "\"\nlink = \"" + shown + "\"\n" + listen +
+                       "operator_listen = \"" + at(admin) + "\"\ndata_folder = \"" + folder_ + "/" + name +
+                       ".data\"\noperator_keys = [\"ops:" + operator_hash + "\", \"second:" + second_hash +
+                       "\"]\n" + extra(plan.replica_settings));
         add(name, {programs_ + "/guavawick", "replica", "--settings=" + folder_ + "/" + name + ".toml"});
     }
     for (int i = 0; i < plan.entries; ++i) {
@@ -176,7 +193,10 @@
         const unsigned short port = fixed_ ? static_cast<unsigned short>(8080 + i) : next_port();
         entry_addresses_[name] = "http://" + at(port);
         const std::string link = "tcp://" + at(entry_ports[static_cast<std::size_t>(i)]);
-        write_file(folder_ + "/" + name + ".toml", head(name, centres[static_cast<std::size_t>(i) % centres.size()]) + replicas + "[entry]\nlisten = \"" + at(port) + "\"\nlink = \"" + link + "\"\n" + extra(plan.entry_settings));
+        write_file(folder_ + "/" + name + ".toml",
+                   head(name, centres[static_cast<std::size_t>(i) % centres.size()]) + replicas +
+                       "[entry]\nlisten = \"" + at(port) + "\"\nlink = \"" + link + "\"\n" +
+                       extra(plan.entry_settings));
         add(name, {programs_ + "/guavawick", "entry", "--settings=" + folder_ + "/" + name + ".toml"});
     }
 }
@@ -338,13 +358,17 @@
     std::string inode;
     for (std::string line; std::getline(table, line);) {
         std::istringstream words(line);
-        std::vector<std::string> fields((std::istream_iterator<std::string>(words)), std::istream_iterator<std::string>());
+        std::vector<std::string> fields((std::istream_iterator<std::string>(words)),
+                                        std::istream_iterator<std::string>());
         constexpr std::size_t inode_field = 9;
         if (fields.size() <= inode_field) {
             continue;
         }
-        const auto port_of = [](const std::string& address) { return std::stoul(address.substr(address.find(':') + 1), nullptr, 16); };
-        if (fields[1].find(':') != std::string::npos && fields[0] != "sl" && port_of(fields[1]) == local_port && port_of(fields[2]) == remote_port) {
+        const auto port_of = [](const std::string& address) {
+            return std::stoul(address.substr(address.find(':') + 1), nullptr, 16);
+        };
+        if (fields[1].find(':') != std::string::npos && fields[0] != "sl" &&
+            port_of(fields[1]) == local_port && port_of(fields[2]) == remote_port) {
             inode = "socket:[" + fields[inode_field] + "]";
         }
     }
--- a/tests/scenarios/processes.hpp
+++ b/tests/scenarios/processes.hpp
@@ -48,7 +48,8 @@
 /// Starts, stops and watches the processes. Thread safety: one thread, but owner_of() may be called from any.
 class process_set {
 public:
-    /// @param programs folder of the built binaries. @param folder scratch folder, made afresh. @param fixed the ports of `make up`.
+    /// @param programs folder of the built binaries. @param folder scratch folder, made afresh. @param fixed
+    /// the ports of `make up`.
     process_set(std::string programs, std::string folder, bool fixed, boost::asio::any_io_executor pool);
     ~process_set();
     process_set(const process_set&) = delete;
@@ -70,9 +71,15 @@
     [[nodiscard]] std::vector<std::string> names() const { return order_; }
     [[nodiscard]] const process& get(const std::string& name) const { return processes_.at(name); }
     [[nodiscard]] bool has(const std::string& name) const { return processes_.count(name) != 0; }
-    [[nodiscard]] std::string entry_address(const std::string& name) const { return entry_addresses_.at(name); }
+    [[nodiscard]] std::string entry_address(const std::string& name) const
+    {
+        return entry_addresses_.at(name);
+    }
     [[nodiscard]] std::vector<std::string> operator_addresses() const;
-    [[nodiscard]] std::string operator_address(const std::string& name) const { return operator_addresses_.at(name); }
+    [[nodiscard]] std::string operator_address(const std::string& name) const
+    {
+        return operator_addresses_.at(name);
+    }
     [[nodiscard]] std::string folder() const { return folder_; }
     /// @return every line of every run log.
     [[nodiscard]] std::vector<boost::json::object> run_log() const;
--- a/tests/scenarios/relay.cpp
+++ b/tests/scenarios/relay.cpp
@@ -37,7 +37,8 @@
 /// Shared by the acceptor and its connections. `mutex` guards the cuts and the list.
 struct relay_core {
     relay_core(asio::any_io_executor executor, std::string name, unsigned short to, owner_finder find)
-        : pool(std::move(executor)), owner(std::move(name)), target(to), find_owner(std::move(find)), acceptor(asio::make_strand(pool))
+        : pool(std::move(executor)), owner(std::move(name)), target(to), find_owner(std::move(find)),
+          acceptor(asio::make_strand(pool))
     {
     }
 
@@ -59,17 +60,20 @@
 
 namespace {
 
-asio::awaitable<void> pump(std::shared_ptr<relay_core> core, std::shared_ptr<connection> one, tcp::socket& from, tcp::socket& to)
+asio::awaitable<void> pump(std::shared_ptr<relay_core> core, std::shared_ptr<connection> one,
+                           tcp::socket& from, tcp::socket& to)
 {
     std::vector<char> buffer(buffer_size);
     boost::system::error_code failed;
     while (!failed) {
-        const std::size_t got = co_await from.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, failed));
+        const std::size_t got = co_await from.async_read_some(
+            asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, failed));
         while (core->is_cut(*one)) {
             co_await platform::wait_for(cut_poll); // held back; a muted connection stays here
         }
         if (got != 0) {
-            co_await asio::async_write(to, asio::buffer(buffer.data(), got), asio::redirect_error(asio::use_awaitable, failed));
+            co_await asio::async_write(to, asio::buffer(buffer.data(), got),
+                                       asio::redirect_error(asio::use_awaitable, failed));
         }
     }
     boost::system::error_code ignored;
@@ -92,7 +96,8 @@
     }
     one->near_side.set_option(tcp::no_delay(true), failed);
     one->far_side.set_option(tcp::no_delay(true), failed);
-    asio::co_spawn(one->near_side.get_executor(), pump(core, one, one->near_side, one->far_side), [](const std::exception_ptr&) {});
+    asio::co_spawn(one->near_side.get_executor(), pump(core, one, one->near_side, one->far_side),
+                   [](const std::exception_ptr&) {});
     co_await pump(core, one, one->far_side, one->near_side);
 }
 
@@ -101,7 +106,8 @@
     while (true) {
         auto one = std::make_shared<connection>(asio::make_strand(core->pool));
         boost::system::error_code failed;
-        co_await core->acceptor.async_accept(one->near_side, asio::redirect_error(asio::use_awaitable, failed));
+        co_await core->acceptor.async_accept(one->near_side,
+                                             asio::redirect_error(asio::use_awaitable, failed));
         if (failed) {
             co_return;
         }
@@ -115,7 +121,8 @@
 
 } // namespace
 
-relay::relay(asio::any_io_executor pool, std::string owner, unsigned short from, unsigned short to, owner_finder find_owner)
+relay::relay(asio::any_io_executor pool, std::string owner, unsigned short from, unsigned short to,
+             owner_finder find_owner)
     : core_(std::make_shared<relay_core>(std::move(pool), std::move(owner), to, std::move(find_owner)))
 {
     const tcp::endpoint here(asio::ip::address_v4::loopback(), from);
--- a/tests/scenarios/relay.hpp
+++ b/tests/scenarios/relay.hpp
@@ -18,11 +18,13 @@
 /// Relays connections to one process. Thread safety: every function from any thread.
 class relay {
 public:
-    relay(boost::asio::any_io_executor pool, std::string owner, unsigned short from, unsigned short to, owner_finder find_owner);
+    relay(boost::asio::any_io_executor pool, std::string owner, unsigned short from, unsigned short to,
+          owner_finder find_owner);
     ~relay();
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
-    /// Silences all connections of a process to this one, present and later, until heal(). "*" means every process.
+    /// Silences all connections of a process to this one, present and later, until heal(). "*" means every
+    /// process.
     void cut(const std::string& source);
     /// Ends a cut; bytes that were held go on.
     void heal(const std::string& source);
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -42,12 +42,14 @@
     if (value == nullptr || !value->is_number()) {
         return 0;
     }
-    return value->is_uint64() ? value->as_uint64() : static_cast<std::uint64_t>(value->to_number<std::int64_t>());
+    return value->is_uint64() ? value->as_uint64()
+                              : static_cast<std::uint64_t>(value->to_number<std::int64_t>());
 }
 
 asio::awaitable<void> send_call(std::shared_ptr<running_call> made)
 {
-    http::part_handler parts = [made](int status, const std::string&, std::string part) -> asio::awaitable<bool> {
+    http::part_handler parts = [made](int status, const std::string&,
+                                      std::string part) -> asio::awaitable<bool> {
         const std::lock_guard lock(made->mutex);
         made->status = status;
         made->body += part;
@@ -57,7 +59,8 @@
     int status = 0;
     try {
         http::request request = made->request;
-        status = co_await http::fetch(made->address, std::move(request), call_limit, made->stop, std::move(parts));
+        status =
+            co_await http::fetch(made->address, std::move(request), call_limit, made->stop, std::move(parts));
     }
     catch (const error& failed) {
         fault = failed.what();
@@ -71,7 +74,10 @@
 
 } // namespace
 
-runner::runner(process_set& processes, platform::worker_pool& pool, bool verbose) : processes_(processes), pool_(pool), verbose_(verbose) {}
+runner::runner(process_set& processes, platform::worker_pool& pool, bool verbose)
+    : processes_(processes), pool_(pool), verbose_(verbose)
+{
+}
 
 void runner::run(const std::vector<statement>& script)
 {
@@ -93,7 +99,8 @@
         {"system", [&] { define_system(one); }},
         {"upstream", [&] { define_upstream(one); }},
         {"object", [&] { define_object(one); }},
-        {"withdraw", [&] {
+        {"withdraw",
+         [&] {
              const std::string& key = one.words.at(0);
              const std::size_t dot = key.find('.');
              objects_[key.substr(0, dot)].as_object().erase(key.substr(dot + 1));
@@ -106,7 +113,11 @@
         {"thaw", [&] { send_signal(one, SIGCONT); }},
         {"wipe", [&] { processes_.wipe(one.words.at(0)); }},
         {"tear", [&] { processes_.tear(one.words.at(0)); }},
-        {"cut", [&] { processes_.cut(resolve(one.words.at(0), one), resolve(one.words.at(1), one), one.option("ways", "both") == "both"); }},
+        {"cut",
+         [&] {
+             processes_.cut(resolve(one.words.at(0), one), resolve(one.words.at(1), one),
+                            one.option("ways", "both") == "both");
+         }},
         {"heal", [&] { processes_.heal(one.words.at(0), one.words.at(1)); }},
         {"mute", [&] { processes_.mute(resolve(one.words.at(0), one), resolve(one.words.at(1), one)); }},
         {"call", [&] { call(one); }},
@@ -127,7 +138,9 @@
 
 void runner::define_system(const statement& one)
 {
-    const auto number = [&](const char* name, int otherwise) { return one.option(name).empty() ? otherwise : std::stoi(one.option(name)); };
+    const auto number = [&](const char* name, int otherwise) {
+        return one.option(name).empty() ? otherwise : std::stoi(one.option(name));
+    };
     plan_.replicas = number("replicas", plan_.replicas);
     plan_.entries = number("entries", plan_.entries);
     plan_.shards = number("shards", plan_.shards);
@@ -139,7 +152,9 @@
             continue;
         }
         const std::string role = name.substr(0, dot);
-        auto& target = role == "entry" ? plan_.entry_settings : role == "sidecar" ? plan_.sidecar_settings : plan_.replica_settings;
+        auto& target = role == "entry"     ? plan_.entry_settings
+                       : role == "sidecar" ? plan_.sidecar_settings
+                                           : plan_.replica_settings;
         target[name.substr(dot + 1)] = value;
     }
 }
@@ -247,7 +262,8 @@
     }
     for (const char* prefix : {"entry-", "sidecar-", "replica-", ""}) {
         for (const std::string& name : processes_.names()) {
-            const bool role = name.rfind("entry-", 0) == 0 || name.rfind("sidecar-", 0) == 0 || name.rfind("replica-", 0) == 0;
+            const bool role = name.rfind("entry-", 0) == 0 || name.rfind("sidecar-", 0) == 0 ||
+                              name.rfind("replica-", 0) == 0;
             if (std::string(prefix).empty() ? !role : name.rfind(prefix, 0) == 0) {
                 processes_.signal(name, SIGTERM);
             }
@@ -266,7 +282,9 @@
     }
 }
 
-json::object runner::ask_operator(const std::string& address, const std::string& method, const std::string& target, const std::string& body, const std::string& key, int* status)
+json::object runner::ask_operator(const std::string& address, const std::string& method,
+                                  const std::string& target, const std::string& body, const std::string& key,
+                                  int* status)
 {
     http::request wanted;
     wanted.method = method;
@@ -275,7 +293,11 @@
     wanted.body = body;
     try {
         const http::response answer =
-            asio::co_spawn(asio::make_strand(pool_.executor()), http::fetch_whole(address, std::move(wanted), status == nullptr ? ask_limit : 5 * ask_limit), asio::use_future).get();
+            asio::co_spawn(
+                asio::make_strand(pool_.executor()),
+                http::fetch_whole(address, std::move(wanted), status == nullptr ? ask_limit : 5 * ask_limit),
+                asio::use_future)
+                .get();
         if (status != nullptr) {
             *status = answer.status;
         }
@@ -314,7 +336,8 @@
 
 void runner::publish(const statement& one)
 {
-    const std::string name = one.words.empty() ? "publication-" + std::to_string(++publication_count_) : one.words[0];
+    const std::string name =
+        one.words.empty() ? "publication-" + std::to_string(++publication_count_) : one.words[0];
     const std::string key = one.option("by", "ops") == "second" ? "second-key" : operator_key;
     const time_point limit = runtime_clock::now() + one.within;
     std::string body;
@@ -328,15 +351,22 @@
         }
         for (const std::string& address : addresses) {
             if (body.empty()) {
-                const json::object present = ask_operator(address, "GET", "/admin/v1/configuration", "", key, nullptr);
+                const json::object present =
+                    ask_operator(address, "GET", "/admin/v1/configuration", "", key, nullptr);
                 if (!present.contains("revision")) {
                     continue;
                 }
-                const std::uint64_t expected = one.option("expect").empty() ? number_of(present, "revision") : std::stoull(one.option("expect"));
-                body = json::serialize(json::object{{"expect_revision", expected}, {"request_id", one.option("request", to_hex(random_id()))}, {"objects", objects_}});
+                const std::uint64_t expected = one.option("expect").empty()
+                                                   ? number_of(present, "revision")
+                                                   : std::stoull(one.option("expect"));
+                body =
+                    json::serialize(json::object{{"expect_revision", expected},
+                                                 {"request_id", one.option("request", to_hex(random_id()))},
+                                                 {"objects", objects_}});
             }
             int status = 0;
-            const json::object answer = ask_operator(address, "POST", "/admin/v1/configuration", body, key, &status);
+            const json::object answer =
+                ask_operator(address, "POST", "/admin/v1/configuration", body, key, &status);
             if (answer.contains("failure")) {
                 publications_[name] = answer;
                 publication_bodies_[name] = body;
@@ -359,7 +389,8 @@
     made->text = one.option("text", "hello");
     made->address = processes_.entry_address("entry-" + one.option("entry", "1"));
     made->request.method = one.option("method", "POST");
-    for (const auto& [option, header] : std::map<std::string, std::string>{{"program", "Guavawick-Program"}, {"parent", "Guavawick-Parent"}, {"idem", "Idempotency-Key"}}) {
+    for (const auto& [option, header] : std::map<std::string, std::string>{
+             {"program", "Guavawick-Program"}, {"parent", "Guavawick-Parent"}, {"idem", "Idempotency-Key"}}) {
         if (!one.option(option).empty()) {
             made->request.headers[header] = one.option(option);
         }
@@ -379,14 +410,18 @@
     else {
         json::array messages;
         messages.push_back(json::object{{"role", "user"}, {"content", made->text}});
-        json::object body{{"model", one.option("model", "m")}, {"messages", messages}, {"stream", one.option("stream") == "yes"}};
+        json::object body{{"model", one.option("model", "m")},
+                          {"messages", messages},
+                          {"stream", one.option("stream") == "yes"}};
         if (!one.option("max_tokens").empty()) {
             body["max_tokens"] = std::stoi(one.option("max_tokens"));
         }
         made->request.target = "/v1/chat/completions";
         made->request.body = json::serialize(body);
     }
-    const duration hang_up = one.option("hang_up").empty() ? duration{} : duration{std::chrono::milliseconds(std::stoi(one.option("hang_up")))};
+    const duration hang_up = one.option("hang_up").empty()
+                                 ? duration{}
+                                 : duration{std::chrono::milliseconds(std::stoi(one.option("hang_up")))};
     launch(one.words.at(0), std::move(made), hang_up);
 }
 
@@ -459,7 +494,9 @@
         return check_count(one, count_runs("free", one.words.at(1)));
     }
     if (what == "logged") {
-        return processes_.all_logs().find(one.words.at(1)) != std::string::npos ? "" : "no log line has \"" + one.words.at(1) + "\"";
+        return processes_.all_logs().find(one.words.at(1)) != std::string::npos
+                   ? ""
+                   : "no log line has \"" + one.words.at(1) + "\"";
     }
     return check_call(one);
 }
@@ -468,7 +505,10 @@
 {
     const std::string& relation = one.words.at(2);
     const std::size_t wanted = std::stoul(one.words.at(3));
-    const bool holds = relation == "==" ? found == wanted : relation == ">=" ? found >= wanted : relation == "<=" ? found <= wanted : false;
+    const bool holds = relation == "=="   ? found == wanted
+                       : relation == ">=" ? found >= wanted
+                       : relation == "<=" ? found <= wanted
+                                          : false;
     return holds ? "" : "found " + std::to_string(found);
 }
 
@@ -476,7 +516,8 @@
 {
     std::size_t count = 0;
     for (const json::object& line : processes_.run_log()) {
-        count += text_of(line, "what") == what && text_of(line, "text").find(text) != std::string::npos ? 1 : 0;
+        count +=
+            text_of(line, "what") == what && text_of(line, "text").find(text) != std::string::npos ? 1 : 0;
     }
     return count;
 }
@@ -497,7 +538,8 @@
         }
         for (const json::value& item : state.at("groups").as_array()) {
             const json::object& seen = item.as_object();
-            if (number_of(seen, "group") != std::stoul(one.words.at(1)) || text_of(seen, "role") != "leader") {
+            if (number_of(seen, "group") != std::stoul(one.words.at(1)) ||
+                text_of(seen, "role") != "leader") {
                 continue;
             }
             std::size_t voters = 0;
@@ -507,7 +549,9 @@
                 voters += voter && member.at("in_touch").as_bool() ? 1 : 0;
                 others += voter && member.at("in_touch").as_bool() ? 0 : 1;
             }
-            return voters == wanted && others == 0 ? "" : std::to_string(voters) + " voters in touch, " + std::to_string(others) + " other members";
+            return voters == wanted && others == 0 ? ""
+                                                   : std::to_string(voters) + " voters in touch, " +
+                                                         std::to_string(others) + " other members";
         }
     }
     return "no leader answers";
@@ -519,7 +563,9 @@
     for (const std::string& address : processes_.operator_addresses()) {
         const json::object state = status_of(address);
         const json::value* seen = state.if_contains("processes");
-        if (seen == nullptr || !seen->is_array() || seen->as_array().size() < static_cast<std::size_t>(std::stoi(one.option("entries", std::to_string(plan_.entries))))) {
+        if (seen == nullptr || !seen->is_array() ||
+            seen->as_array().size() <
+                static_cast<std::size_t>(std::stoi(one.option("entries", std::to_string(plan_.entries))))) {
             continue;
         }
         bool all = true;
@@ -565,7 +611,8 @@
     if (!seen.ended) {
         return "it runs";
     }
-    return seen.exit_code == std::stoi(one.words.at(2)) ? "" : "it exited with " + std::to_string(seen.exit_code);
+    return seen.exit_code == std::stoi(one.words.at(2)) ? ""
+                                                        : "it exited with " + std::to_string(seen.exit_code);
 }
 
 std::string runner::check_ready(const statement& one)
@@ -575,7 +622,12 @@
     wanted.target = "/healthz";
     const int expected = std::stoi(one.option("status", "200"));
     try {
-        const http::response answer = asio::co_spawn(asio::make_strand(pool_.executor()), http::fetch_whole(processes_.entry_address(one.words.at(1)), std::move(wanted), ask_limit), asio::use_future).get();
+        const http::response answer =
+            asio::co_spawn(
+                asio::make_strand(pool_.executor()),
+                http::fetch_whole(processes_.entry_address(one.words.at(1)), std::move(wanted), ask_limit),
+                asio::use_future)
+                .get();
         return answer.status == expected ? "" : "status " + std::to_string(answer.status);
     }
     catch (const error& fault) {
@@ -589,12 +641,17 @@
     const auto published = publications_.find(name);
     if (published != publications_.end()) {
         const std::string shown = json::serialize(published->second);
-        if (!one.option("failure").empty() && text_of(published->second, "failure") != one.option("failure")) {
+        if (!one.option("failure").empty() &&
+            text_of(published->second, "failure") != one.option("failure")) {
             return shown;
         }
-        const bool number_right = one.option("revision").empty() || number_of(published->second, "revision") == std::stoull(one.option("revision"));
-        const bool by_right = one.option("published_by").empty() || text_of(published->second, "published_by") == one.option("published_by");
-        return number_right && by_right && shown.find(one.option("contains")) != std::string::npos ? "" : shown;
+        const bool number_right =
+            one.option("revision").empty() ||
+            number_of(published->second, "revision") == std::stoull(one.option("revision"));
+        const bool by_right = one.option("published_by").empty() ||
+                              text_of(published->second, "published_by") == one.option("published_by");
+        return number_right && by_right && shown.find(one.option("contains")) != std::string::npos ? ""
+                                                                                                   : shown;
     }
     const auto found = calls_.find(name);
     if (found == calls_.end()) {
@@ -602,7 +659,8 @@
     }
     running_call& made = *found->second;
     const std::lock_guard lock(made.mutex);
-    const std::string shown = "status " + std::to_string(made.status) + ", " + (made.fault.empty() ? made.body.substr(0, 600) : made.fault);
+    const std::string shown = "status " + std::to_string(made.status) + ", " +
+                              (made.fault.empty() ? made.body.substr(0, 600) : made.fault);
     if (one.option("state") == "running") {
         return made.done ? shown : "";
     }
@@ -612,7 +670,8 @@
     const json::object problem = parse_object(made.body);
     const bool status_right = one.option("status").empty() || made.status == std::stoi(one.option("status"));
     const bool ran_right = one.option("ran").empty() || text_of(problem, "ran") == one.option("ran");
-    const bool failure_right = one.option("failure").empty() || text_of(problem, "type") == "urn:guavawick:failure:" + one.option("failure");
+    const bool failure_right = one.option("failure").empty() ||
+                               text_of(problem, "type") == "urn:guavawick:failure:" + one.option("failure");
     const bool text_right = made.body.find(one.option("contains")) != std::string::npos;
     const bool whole_right = one.option("whole").empty() || made.whole == (one.option("whole") == "yes");
     return status_right && ran_right && failure_right && text_right && whole_right ? "" : shown;
@@ -654,9 +713,11 @@
     }
     for (const auto& [name, made] : calls_) {
         const std::lock_guard lock(made->mutex);
-        const bool answered = made->done && made->whole && made->status == 200 && made->request.method == "POST";
+        const bool answered =
+            made->done && made->whole && made->status == 200 && made->request.method == "POST";
         if (answered && made->body.find(made->text) == std::string::npos) {
-            throw scenario_failure("call " + name + " got an answer that is not its own: " + made->body.substr(0, 300));
+            throw scenario_failure("call " + name +
+                                   " got an answer that is not its own: " + made->body.substr(0, 300));
         }
     }
 }
--- a/tests/scenarios/runner.hpp
+++ b/tests/scenarios/runner.hpp
@@ -21,7 +21,7 @@
     std::shared_ptr<http::cancellation> stop = std::make_shared<http::cancellation>();
     std::mutex mutex; ///< guards the rest
     bool done = false;
-    bool whole = false;  ///< the answer ended as it should
+    bool whole = false; ///< the answer ended as it should
     int status = 0;
     std::string body;
     std::string fault;
@@ -59,7 +59,9 @@
     [[nodiscard]] std::string check_ready(const statement& one);
     [[nodiscard]] std::string resolve(const std::string& name, const statement& one);
     [[nodiscard]] std::vector<std::string> resolve_all(const statement& one);
-    [[nodiscard]] boost::json::object ask_operator(const std::string& address, const std::string& method, const std::string& target, const std::string& body, const std::string& key, int* status);
+    [[nodiscard]] boost::json::object ask_operator(const std::string& address, const std::string& method,
+                                                   const std::string& target, const std::string& body,
+                                                   const std::string& key, int* status);
     [[nodiscard]] boost::json::object status_of(const std::string& address);
     [[nodiscard]] std::string leader_of(int group);
     [[nodiscard]] std::size_t count_runs(const std::string& what, const std::string& text) const;
@@ -72,10 +74,10 @@
     system_plan plan_;
     std::vector<upstream_plan> upstreams_;
     bool laid_out_ = false;
-    boost::json::object objects_;                                  ///< kind to name to fields
-    std::vector<std::string> keys_;                                ///< every key that a caller may present
+    boost::json::object objects_;   ///< kind to name to fields
+    std::vector<std::string> keys_; ///< every key that a caller may present
     std::map<std::string, std::shared_ptr<running_call>> calls_;
-    std::map<std::string, boost::json::object> publications_;      ///< answers by name
+    std::map<std::string, boost::json::object> publications_; ///< answers by name
     std::map<std::string, std::string> publication_bodies_;
     std::uint64_t publication_count_ = 0;
 };
--- a/tests/scenarios/script.cpp
+++ b/tests/scenarios/script.cpp
@@ -76,12 +76,16 @@
 
 const std::set<std::string>& known_verbs()
 {
-    static const std::set<std::string> verbs{"system", "upstream", "object", "withdraw", "publish", "start", "stop", "kill", "freeze", "thaw", "cut", "heal", "mute",
-                                             "wipe", "call", "resend", "expect", "pause", "say", "wait_for_signal", "tear", "status"};
+    static const std::set<std::string> verbs{"system", "upstream", "object", "withdraw", "publish",
+                                             "start",  "stop",     "kill",   "freeze",   "thaw",
+                                             "cut",    "heal",     "mute",   "wipe",     "call",
+                                             "resend", "expect",   "pause",  "say",      "wait_for_signal",
+                                             "tear",   "status"};
     return verbs;
 }
 
-statement make_statement(const std::string& path, int line, const std::string& text, std::vector<std::string> tokens)
+statement make_statement(const std::string& path, int line, const std::string& text,
+                         std::vector<std::string> tokens)
 {
     statement made;
     made.file = path;
@@ -104,7 +108,8 @@
             continue;
         }
         const std::size_t equals = tokens[i].find('=');
-        if (equals == std::string::npos || equals == 0 || tokens[i] == "==" || tokens[i] == ">=" || tokens[i] == "<=") {
+        if (equals == std::string::npos || equals == 0 || tokens[i] == "==" || tokens[i] == ">=" ||
+            tokens[i] == "<=") {
             made.words.push_back(tokens[i]);
             continue;
         }
@@ -138,7 +143,8 @@
                 fail(path, line, "expected include FILE, at most 4 deep");
             }
             const std::size_t slash = path.rfind('/');
-            read_into((slash == std::string::npos ? "" : path.substr(0, slash + 1)) + tokens[1], depth + 1, into);
+            read_into((slash == std::string::npos ? "" : path.substr(0, slash + 1)) + tokens[1], depth + 1,
+                      into);
             continue;
         }
         if (tokens.front() != "repeat") {
--- a/tests/unit/catalogue_test.cpp
+++ b/tests/unit/catalogue_test.cpp
@@ -33,7 +33,8 @@
         BOOST_TEST(numbers.insert(number).second);
         const std::string line = "| GW" + std::to_string(number) + " | `" + row.name + "` |";
         BOOST_TEST(page.find(line) != std::string::npos, "docs/EVENTS.md lacks " << line);
-        BOOST_TEST(page.find(row.meaning) != std::string::npos, "docs/EVENTS.md lacks the meaning of " << row.name);
+        BOOST_TEST(page.find(row.meaning) != std::string::npos,
+                   "docs/EVENTS.md lacks the meaning of " << row.name);
     }
     for (std::size_t at = page.find("| GW"); at != std::string::npos; at = page.find("| GW", at + 1)) {
         ++rows;
@@ -48,7 +49,8 @@
         if (row.kind == failure::none) {
             continue;
         }
-        const std::string line = std::string("| `") + row.name + "` | " + std::to_string(row.status) + " | " + to_string(row.ran) + " |";
+        const std::string line = std::string("| `") + row.name + "` | " + std::to_string(row.status) + " | " +
+                                 to_string(row.ran) + " |";
         BOOST_TEST(page.find(line) != std::string::npos, "docs/ERRORS.md lacks " << line);
     }
 }
--- a/tests/unit/chat_test.cpp
+++ b/tests/unit/chat_test.cpp
@@ -14,17 +14,24 @@
 
 BOOST_AUTO_TEST_CASE(wrong_requests_are_refused_as_bad)
 {
-    for (const char* body : {"", "{", "[]", "{}", R"({"model":"m"})", R"({"model":"m","messages":[]})", R"({"model":"m","messages":[{"content":"x"}]})",
-                             R"({"model":7,"messages":[{"role":"user"}]})", R"({"model":"m","messages":[{"role":"user"}],"max_tokens":-1})",
-                             R"({"model":"m","messages":[{"role":"user"}],"stream":"yes"})", R"({"model":"m","messages":[{"role":"user"}],"n":2})"}) {
-        BOOST_CHECK_EXCEPTION(parse_chat(body), refusal_error, [](const refusal_error& fault) { return fault.kind == failure::bad_request && fault.ran == ran_state::no; });
+    for (const char* body :
+         {"", "{", "[]", "{}", R"({"model":"m"})", R"({"model":"m","messages":[]})",
+          R"({"model":"m","messages":[{"content":"x"}]})", R"({"model":7,"messages":[{"role":"user"}]})",
+          R"({"model":"m","messages":[{"role":"user"}],"max_tokens":-1})",
+          R"({"model":"m","messages":[{"role":"user"}],"stream":"yes"})",
+          R"({"model":"m","messages":[{"role":"user"}],"n":2})"}) {
+        BOOST_CHECK_EXCEPTION(parse_chat(body), refusal_error, [](const refusal_error& fault) {
+            return fault.kind == failure::bad_request && fault.ran == ran_state::no;
+        });
     }
 }
 
 BOOST_AUTO_TEST_CASE(body_for_an_upstream_has_history_before_the_new_messages_and_keeps_other_members)
 {
-    const chat_call call = parse_chat(R"({"model":"m","temperature":0.5,"messages":[{"role":"user","content":"new"}]})");
-    const auto body = boost::json::parse(build_body(call, {R"({"role":"user","content":"old"})"})).as_object();
+    const chat_call call =
+        parse_chat(R"({"model":"m","temperature":0.5,"messages":[{"role":"user","content":"new"}]})");
+    const auto body =
+        boost::json::parse(build_body(call, {R"({"role":"user","content":"old"})"})).as_object();
     BOOST_TEST(body.at("messages").as_array().size() == 2U);
     BOOST_TEST(body.at("messages").at(0).at("content").as_string() == "old");
     BOOST_TEST(body.at("temperature").as_double() == 0.5);
@@ -49,10 +56,14 @@
 BOOST_AUTO_TEST_CASE(answer_is_put_together_from_text_tool_calls_and_usage)
 {
     answer_builder builder;
-    builder.feed(R"({"id":"x","model":"m","created":3,"choices":[{"index":0,"delta":{"role":"assistant","content":"Hel"}}]})");
-    builder.feed(R"({"choices":[{"index":0,"delta":{"content":"lo","tool_calls":[{"index":0,"id":"c1","function":{"name":"f","arguments":"{\"a\""}}]}}]})");
-    builder.feed(R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]})");
-    builder.feed(R"({"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}})");
+    builder.feed(
+        R"({"id":"x","model":"m","created":3,"choices":[{"index":0,"delta":{"role":"assistant","content":"Hel"}}]})");
+    builder.feed(
+        R"({"choices":[{"index":0,"delta":{"content":"lo","tool_calls":[{"index":0,"id":"c1","function":{"name":"f","arguments":"{\"a\""}}]}}]})");
+    builder.feed(
+        R"({"choices":[{"index":0,"delta":{"tool_calls":[{"index":0,"function":{"arguments":":1}"}}]},"finish_reason":"tool_calls"}]})");
+    builder.feed(
+        R"({"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":4}}})");
     const auto body = boost::json::parse(builder.body()).as_object();
     const auto& message = body.at("choices").at(0).at("message").as_object();
     BOOST_TEST(message.at("content").as_string() == "Hello");
@@ -64,7 +75,8 @@
 
 BOOST_AUTO_TEST_CASE(refusal_is_told_as_a_problem_with_its_type_and_whether_it_ran)
 {
-    const http::response answer = make_problem(refusal_error(failure::rate_exceeded, "too many", 1500U), "req-1");
+    const http::response answer =
+        make_problem(refusal_error(failure::rate_exceeded, "too many", 1500U), "req-1");
     BOOST_TEST(answer.status == 429);
     BOOST_TEST(answer.headers.at("Retry-After") == "2");
     BOOST_TEST(answer.headers.at("X-Request-Id") == "req-1");
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -24,7 +24,8 @@
     return objects;
 }
 
-publication wish(revision_number expected, const std::string& request, const std::string& who, object_set objects)
+publication wish(revision_number expected, const std::string& request, const std::string& who,
+                 object_set objects)
 {
     return {expected, request, who, std::move(objects), 0};
 }
@@ -32,7 +33,10 @@
 struct published_once {
     configuration_state state;
 
-    published_once() { BOOST_REQUIRE((publish(state, wish(0, "first", "ops", small_set())).why == failure::none)); }
+    published_once()
+    {
+        BOOST_REQUIRE((publish(state, wish(0, "first", "ops", small_set())).why == failure::none));
+    }
 };
 
 } // namespace
@@ -43,13 +47,15 @@
 {
     object_set objects = small_set();
     objects[{object_kind::key, "bad"}] = {{"organisation", "nobody"}, {"sha256", "xyz"}};
-    objects[{object_kind::organisation, "greedy"}] = {{"rate", "99999999"}, {"burst", "0"}, {"colour", "red"}};
+    objects[{object_kind::organisation, "greedy"}] = {
+        {"rate", "99999999"}, {"burst", "0"}, {"colour", "red"}};
     objects[{object_kind::route, "again"}] = {{"kind", "model"}, {"serves", "m"}};
     objects[{object_kind::organisation, "two words"}] = {{"rate", "1"}};
     configuration_state state;
     const publish_result result = publish(state, wish(0, "r", "ops", objects));
     BOOST_TEST((result.why == failure::configuration_invalid));
-    BOOST_TEST(result.faults.size() == 8U); // reference, hash, rate, burst, unknown field, route twice, name, missing burst
+    BOOST_TEST(result.faults.size() ==
+               8U); // reference, hash, rate, burst, unknown field, route twice, name, missing burst
     BOOST_TEST(state.revision == 0U);
 }
 
@@ -62,7 +68,8 @@
     BOOST_TEST(second.revision == 2U);
 }
 
-BOOST_FIXTURE_TEST_CASE(resend_of_an_accepted_request_gets_its_first_answer_after_later_revisions, published_once)
+BOOST_FIXTURE_TEST_CASE(resend_of_an_accepted_request_gets_its_first_answer_after_later_revisions,
+                        published_once)
 {
     BOOST_REQUIRE((publish(state, wish(1, "a", "ann", small_set())).why == failure::none));
     const publish_result again = publish(state, wish(0, "first", "ops", small_set()));
@@ -71,7 +78,8 @@
     BOOST_TEST(state.revision == 2U);
 }
 
-BOOST_FIXTURE_TEST_CASE(state_restored_from_a_snapshot_answers_resends_and_keeps_the_audit_trail, published_once)
+BOOST_FIXTURE_TEST_CASE(state_restored_from_a_snapshot_answers_resends_and_keeps_the_audit_trail,
+                        published_once)
 {
     directory_state directory;
     configuration_state restored;
@@ -119,7 +127,8 @@
                 else {
                     objects[key] = {{"rate", std::to_string(1 + next_random(random) % 50)}, {"burst", "5"}};
                 }
-                const publish_result result = publish(state, wish(state.revision, "q" + std::to_string(i), "ops", objects));
+                const publish_result result =
+                    publish(state, wish(state.revision, "q" + std::to_string(i), "ops", objects));
                 BOOST_REQUIRE((result.why == failure::none));
                 if (next_random(random) % 20 == 0) {
                     const auto changed = changes_since(state, seen);
@@ -165,7 +174,8 @@
     const body_hash killer{7};
     const body_hash bystander{8};
     BOOST_TEST(note_loss(state, upstream_name{"a"}, incarnation_id{1}, {killer, bystander}).empty());
-    BOOST_TEST(note_loss(state, upstream_name{"a"}, incarnation_id{1}, {killer}).empty()); // the same loss told again
+    BOOST_TEST(note_loss(state, upstream_name{"a"}, incarnation_id{1}, {killer})
+                   .empty()); // the same loss told again
     clear_suspicion(state, bystander);
     BOOST_TEST(state.suspicions.count(bystander) == 0U);
     BOOST_TEST(note_loss(state, upstream_name{"b"}, incarnation_id{2}, {killer}).size() == 1U);
--- a/tests/unit/consensus_cluster.cpp
+++ b/tests/unit/consensus_cluster.cpp
@@ -54,7 +54,8 @@
         return;
     }
     if (wanted.truncate_after) {
-        std::erase_if(member.disk.entries, [&](const log_entry& entry) { return entry.index > *wanted.truncate_after; });
+        std::erase_if(member.disk.entries,
+                      [&](const log_entry& entry) { return entry.index > *wanted.truncate_after; });
     }
     member.disk.entries.insert(member.disk.entries.end(), wanted.appended.begin(), wanted.appended.end());
 }
@@ -65,7 +66,8 @@
 {
     membership first;
     for (std::size_t i = 0; i < size; ++i) {
-        first.members.push_back({member_id{i + 1}, "r" + std::to_string(i + 1), "e" + std::to_string(i + 1), true, 0});
+        first.members.push_back(
+            {member_id{i + 1}, "r" + std::to_string(i + 1), "e" + std::to_string(i + 1), true, 0});
     }
     auto founding = std::make_shared<snapshot>();
     founding->index = 1;
@@ -107,12 +109,14 @@
     }
     for (const log_entry& entry : wanted.committed) {
         const auto [known, fresh] = committed.emplace(entry.index, entry.payload);
-        BOOST_REQUIRE_MESSAGE(known->second == entry.payload, "two members applied different entries at index " << entry.index);
+        BOOST_REQUIRE_MESSAGE(known->second == entry.payload,
+                              "two members applied different entries at index " << entry.index);
         if (entry.kind == entry_kind::command) {
             member.applied.push_back(entry.payload);
         }
         const auto proposed = proposals.find(entry.index);
-        const bool own = proposed != proposals.end() && proposed->second.term == entry.term && member.state.role == role_type::leader;
+        const bool own = proposed != proposals.end() && proposed->second.term == entry.term &&
+                         member.state.role == role_type::leader;
         if (own && member.state.term == entry.term) {
             acknowledged[entry.index] = entry.payload;
             highest_acknowledged = std::max(highest_acknowledged, entry.index);
@@ -187,7 +191,8 @@
         taken->state = encode(member.applied);
         compact(member.state, taken);
         member.disk.newest_snapshot = taken;
-        std::erase_if(member.disk.entries, [&](const log_entry& entry) { return entry.index <= member.state.base_index; });
+        std::erase_if(member.disk.entries,
+                      [&](const log_entry& entry) { return entry.index <= member.state.base_index; });
     }
 }
 
@@ -209,7 +214,8 @@
 void fake_cluster::restart(fake_member& member)
 {
     member.state = make_state(member.id, make_options(), member.disk, {}, now, next_random(random));
-    member.applied = member.disk.newest_snapshot ? decode(member.disk.newest_snapshot->state) : std::vector<std::string>{};
+    member.applied =
+        member.disk.newest_snapshot ? decode(member.disk.newest_snapshot->state) : std::vector<std::string>{};
     member.running = true;
     member.frozen = false;
 }
@@ -223,7 +229,8 @@
             continue;
         }
         ++voters;
-        const bool present = std::any_of(members.begin(), members.end(), [&](const fake_member& m) { return m.id == voter.id; });
+        const bool present = std::any_of(members.begin(), members.end(),
+                                         [&](const fake_member& m) { return m.id == voter.id; });
         intact += present && voter.id != lost ? 1 : 0;
     }
     return voters == 0 || intact >= voters / 2 + 1;
@@ -242,7 +249,8 @@
     }
     for (const message& under_way : network) {
         for (const log_entry& entry : under_way.entries) {
-            if (entry.kind == entry_kind::membership && !keeps_quorum(decode_membership(entry.payload), lost.id)) {
+            if (entry.kind == entry_kind::membership &&
+                !keeps_quorum(decode_membership(entry.payload), lost.id)) {
                 return false;
             }
         }
@@ -294,7 +302,8 @@
         }
         ++reads;
         BOOST_REQUIRE_MESSAGE(one.state.applied >= highest_acknowledged,
-                              "a read at " << one.name << " would miss index " << highest_acknowledged << ", it has " << one.state.applied);
+                              "a read at " << one.name << " would miss index " << highest_acknowledged
+                                           << ", it has " << one.state.applied);
     }
 }
 
@@ -315,11 +324,14 @@
 {
     std::string text;
     for (const fake_member& one : members) {
-        text += "\n" + one.name + "#" + std::to_string(one.id.value) + " role " + std::to_string(static_cast<int>(one.state.role)) +
-                " term " + std::to_string(one.state.term) + " base " + std::to_string(one.state.base_index) + " last " + std::to_string(last_index(one.state)) +
-                " commit " + std::to_string(one.state.commit) + " members";
+        text += "\n" + one.name + "#" + std::to_string(one.id.value) + " role " +
+                std::to_string(static_cast<int>(one.state.role)) + " term " + std::to_string(one.state.term) +
+                " base " + std::to_string(one.state.base_index) + " last " +
+                std::to_string(last_index(one.state)) + " commit " + std::to_string(one.state.commit) +
+                " members";
         for (const member& other : current_members(one.state).members) {
-            text += " " + other.name + "#" + std::to_string(other.id.value) + (other.voter ? "" : "(learner)");
+            text +=
+                " " + other.name + "#" + std::to_string(other.id.value) + (other.voter ? "" : "(learner)");
         }
     }
     return text;
@@ -337,9 +349,11 @@
         deliver_all();
         check_invariants();
         fake_member* leader = find_leader();
-        const bool level = leader != nullptr && std::all_of(members.begin(), members.end(), [&](const fake_member& one) {
-            return one.state.applied == leader->state.applied && find_member(current_members(leader->state), one.id) != nullptr;
-        });
+        const bool level =
+            leader != nullptr && std::all_of(members.begin(), members.end(), [&](const fake_member& one) {
+                return one.state.applied == leader->state.applied &&
+                       find_member(current_members(leader->state), one.id) != nullptr;
+            });
         if (level && current_members(leader->state).members.size() == members.size()) {
             return true;
         }
--- a/tests/unit/consensus_cluster.hpp
+++ b/tests/unit/consensus_cluster.hpp
@@ -18,8 +18,8 @@
     std::string name;
     consensus::member_id id;
     consensus::group_state state;
-    consensus::persisted_state disk;       ///< what survives a crash
-    std::vector<std::string> applied;      ///< payloads after the snapshot base
+    consensus::persisted_state disk;  ///< what survives a crash
+    std::vector<std::string> applied; ///< payloads after the snapshot base
     bool running = true;
     bool frozen = false;
     time_point frozen_until{};
@@ -40,12 +40,12 @@
     time_point now{std::chrono::hours(1)};
     std::vector<fake_member> members;
     std::deque<consensus::message> network;
-    std::map<consensus::term_number, consensus::member_id> leaders;         ///< by term
-    std::map<consensus::log_index, std::string> committed;                  ///< first payload seen at each index
-    std::map<consensus::log_index, std::string> acknowledged;               ///< told to a client
+    std::map<consensus::term_number, consensus::member_id> leaders; ///< by term
+    std::map<consensus::log_index, std::string> committed;          ///< first payload seen at each index
+    std::map<consensus::log_index, std::string> acknowledged;       ///< told to a client
     std::map<consensus::log_index, fake_proposal> proposals;
     consensus::log_index highest_acknowledged = 0;
-    std::uint64_t crash_one_in = 0;  ///< steps of which one ends in a crash before the sync; 0: none
+    std::uint64_t crash_one_in = 0; ///< steps of which one ends in a crash before the sync; 0: none
     std::uint64_t next_payload = 1;
     std::uint64_t next_id = 100;
     std::uint64_t elections = 0;
@@ -71,7 +71,8 @@
     /// Loses a member's disk and starts it blank, under a new id.
     void wipe(fake_member& member);
     /// @return whether a membership keeps a quorum of intact disks without one.
-    [[nodiscard]] bool keeps_quorum(const consensus::membership& members_then, consensus::member_id lost) const;
+    [[nodiscard]] bool keeps_quorum(const consensus::membership& members_then,
+                                    consensus::member_id lost) const;
     /// @return whether a quorum of intact disks would remain without this member's.
     [[nodiscard]] bool may_lose(const fake_member& member) const;
     /// Asks the leader to take in members that are not part of the group.
@@ -82,7 +83,8 @@
     void pass(duration span);
     /// @return one line a member, for failures.
     [[nodiscard]] std::string describe() const;
-    /// Runs without faults until a leader has everything applied everywhere, or gives up. @return whether it got there.
+    /// Runs without faults until a leader has everything applied everywhere, or gives up. @return whether it
+    /// got there.
     bool settle();
     /// Checks what must hold at all times.
     void check_invariants();
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -72,7 +72,8 @@
 void check_all_kept(fake_cluster& cluster)
 {
     for (const auto& [index, payload] : cluster.acknowledged) {
-        BOOST_REQUIRE_MESSAGE(cluster.committed.at(index) == payload, "acknowledged index " << index << " was replaced");
+        BOOST_REQUIRE_MESSAGE(cluster.committed.at(index) == payload,
+                              "acknowledged index " << index << " was replaced");
     }
     for (const fake_member& one : cluster.members) {
         const std::set<std::string> held(one.applied.begin(), one.applied.end());
@@ -92,12 +93,14 @@
         for (std::size_t i = 0; i < steps_per_seed; ++i) {
             random_step(cluster);
         }
-        BOOST_REQUIRE_MESSAGE(cluster.settle(), "no stable group after the faults ended" << cluster.describe());
+        BOOST_REQUIRE_MESSAGE(cluster.settle(),
+                              "no stable group after the faults ended" << cluster.describe());
         check_all_kept(cluster);
         BOOST_TEST(cluster.acknowledged.size() > 20U);
         BOOST_TEST(cluster.reads > 100U);
-        BOOST_TEST_MESSAGE("seed " << seed << ": " << cluster.elections << " elections, " << cluster.wipes << " lost disks, "
-                                   << cluster.acknowledged.size() << " acknowledged, " << cluster.reads << " reads");
+        BOOST_TEST_MESSAGE("seed " << seed << ": " << cluster.elections << " elections, " << cluster.wipes
+                                   << " lost disks, " << cluster.acknowledged.size() << " acknowledged, "
+                                   << cluster.reads << " reads");
     }
 }
 
@@ -245,7 +248,8 @@
 BOOST_FIXTURE_TEST_CASE(name_of_a_living_member_is_refused_to_another_disk, three_members)
 {
     effects wanted;
-    const auto result = add_learner(leader().state, {member_id{999}, follower().name, "e", false, 0}, cluster.now, wanted);
+    const auto result =
+        add_learner(leader().state, {member_id{999}, follower().name, "e", false, 0}, cluster.now, wanted);
     BOOST_TEST((result == change_result::name_in_use));
 }
 
--- a/tests/unit/decoder_test.cpp
+++ b/tests/unit/decoder_test.cpp
@@ -1,4 +1,5 @@
-// Every decoder of bytes from outside, under arbitrary and damaged input: a typed error or a value, never a crash.
+// Every decoder of bytes from outside, under arbitrary and damaged input: a typed error or a value, never a
+// crash.
 #include "base/failure_type.hpp"
 #include "base/settings_type.hpp"
 #include "caller/chat.hpp"
@@ -49,8 +50,10 @@
     return ledger::encode_state(state);
 }
 
-const std::string valid_settings = "data_centre = \"dc1\"\n[[replicas]]\nname = \"r1\"\nendpoint = \"tcp://127.0.0.1:1\"\n[entry]\nqueue_limit = \"30s\"\n";
-const std::string valid_set = "[organisation.a]\nrate = 1.5\nburst = 2\n[key.k]\norganisation = \"a\"\nsha256 = \"00\"\n";
+const std::string valid_settings = "data_centre = \"dc1\"\n[[replicas]]\nname = \"r1\"\nendpoint = "
+                                   "\"tcp://127.0.0.1:1\"\n[entry]\nqueue_limit = \"30s\"\n";
+const std::string valid_set =
+    "[organisation.a]\nrate = 1.5\nburst = 2\n[key.k]\norganisation = \"a\"\nsha256 = \"00\"\n";
 const std::string valid_chat = R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":5})";
 
 } // namespace
@@ -64,15 +67,18 @@
 
 RC_BOOST_PROP(damaged_settings_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
 {
-    RC_ASSERT(gives_value_or_typed_error([&] { parse_settings(damage(valid_settings, place, value), "f", role_kind::entry); }));
+    RC_ASSERT(gives_value_or_typed_error(
+        [&] { parse_settings(damage(valid_settings, place, value), "f", role_kind::entry); }));
 }
 
 RC_BOOST_PROP(damaged_set_files_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
 {
-    RC_ASSERT(gives_value_or_typed_error([&] { operators::parse_set(damage(valid_set, place, value), "f"); }));
+    RC_ASSERT(
+        gives_value_or_typed_error([&] { operators::parse_set(damage(valid_set, place, value), "f"); }));
 }
 
-RC_BOOST_PROP(damaged_chat_requests_are_read_or_refused, (std::uint32_t place, std::uint8_t value, const std::string& text))
+RC_BOOST_PROP(damaged_chat_requests_are_read_or_refused,
+              (std::uint32_t place, std::uint8_t value, const std::string& text))
 {
     RC_ASSERT(gives_value_or_typed_error([&] { caller::parse_chat(damage(valid_chat, place, value)); }));
     RC_ASSERT(gives_value_or_typed_error([&] { caller::parse_chat(text); }));
@@ -83,7 +89,8 @@
 
 RC_BOOST_PROP(damaged_publications_are_read_or_refused, (std::uint32_t place, std::uint8_t value))
 {
-    const std::string valid = R"({"expect_revision":1,"request_id":"r","objects":{"organisation":{"a":{"rate":"1"}}}})";
+    const std::string valid =
+        R"({"expect_revision":1,"request_id":"r","objects":{"organisation":{"a":{"rate":"1"}}}})";
     wire::apply_request into;
     RC_ASSERT(gives_value_or_typed_error([&] { operators::read_apply(damage(valid, place, value), &into); }));
 }
@@ -98,7 +105,8 @@
 {
     configuration::configuration_state published;
     configuration::directory_state directory;
-    RC_ASSERT(gives_value_or_typed_error([&] { configuration::decode_control_state(bytes, published, directory); }));
+    RC_ASSERT(gives_value_or_typed_error(
+        [&] { configuration::decode_control_state(bytes, published, directory); }));
 }
 
 RC_BOOST_PROP(arbitrary_wire_messages_are_read_or_refused, (const std::string& bytes))
@@ -110,7 +118,8 @@
     RC_ASSERT(gives_value_or_typed_error([&] { consensus::decode_membership(bytes); }));
 }
 
-RC_BOOST_PROP(consensus_message_survives_its_encoding, (std::uint64_t term, std::uint64_t index, const std::string& payload, bool reject))
+RC_BOOST_PROP(consensus_message_survives_its_encoding,
+              (std::uint64_t term, std::uint64_t index, const std::string& payload, bool reject))
 {
     consensus::message sent;
     sent.kind = consensus::message_kind::append_request;
@@ -127,7 +136,8 @@
     RC_ASSERT(read.entries.size() == 1U && read.entries[0].payload == payload);
 }
 
-RC_BOOST_PROP(damaged_log_records_never_change_an_intact_prefix, (const std::vector<std::string>& payloads, std::uint32_t place, std::uint8_t value))
+RC_BOOST_PROP(damaged_log_records_never_change_an_intact_prefix,
+              (const std::vector<std::string>& payloads, std::uint32_t place, std::uint8_t value))
 {
     std::string bytes;
     std::vector<std::string> framed;
--- a/tests/unit/ledger_test.cpp
+++ b/tests/unit/ledger_test.cpp
@@ -46,7 +46,10 @@
     ledger_state state;
     open_result first;
 
-    running_call() : first(open_call(state, make_open(demo_p, "one", 1))) { BOOST_REQUIRE((first.outcome == open_outcome::granted)); }
+    running_call() : first(open_call(state, make_open(demo_p, "one", 1)))
+    {
+        BOOST_REQUIRE((first.outcome == open_outcome::granted));
+    }
 };
 
 } // namespace
@@ -147,7 +150,8 @@
     BOOST_REQUIRE((open_call(state, root).outcome == open_outcome::granted)); // 10 reserved
     std::uint64_t granted = 0;
     for (std::uint64_t i = 2; i <= 9; ++i) {
-        open_request child = make_open({organisation_name{"demo"}, program_name{"c" + std::to_string(i)}}, "call", i);
+        open_request child =
+            make_open({organisation_name{"demo"}, program_name{"c" + std::to_string(i)}}, "call", i);
         child.root = demo_p.program;
         child.parent = demo_p.program;
         granted += open_call(state, child).outcome == open_outcome::granted ? 1 : 0;
@@ -166,13 +170,16 @@
     BOOST_TEST(find_program(state, demo_p)->tokens == 10U);
 }
 
-BOOST_FIXTURE_TEST_CASE(next_call_goes_where_the_history_is_cached_unless_another_upstream_is_sooner, running_call)
+BOOST_FIXTURE_TEST_CASE(next_call_goes_where_the_history_is_cached_unless_another_upstream_is_sooner,
+                        running_call)
 {
     close_request report = make_close(demo_p, 1, call_outcome::done);
     report.prompt_tokens = 8000;
     close_call(state, report);
-    std::vector<upstream_choice> choices{{upstream_name{"eng-b"}, incarnation_id{2}, "b", 1.0, 4000}, {upstream_name{"eng-a"}, incarnation_id{1}, "a", 2.5, 4000}};
-    BOOST_TEST(choose_upstream(find_program(state, demo_p), choices).value() == 1U); // two seconds of prefill saved
+    std::vector<upstream_choice> choices{{upstream_name{"eng-b"}, incarnation_id{2}, "b", 1.0, 4000},
+                                         {upstream_name{"eng-a"}, incarnation_id{1}, "a", 2.5, 4000}};
+    BOOST_TEST(choose_upstream(find_program(state, demo_p), choices).value() ==
+               1U); // two seconds of prefill saved
     choices[1].seconds = 3.5;
     BOOST_TEST(choose_upstream(find_program(state, demo_p), choices).value() == 0U);
     BOOST_TEST(choose_upstream(nullptr, choices).value() == 0U);
@@ -187,7 +194,8 @@
     BOOST_TEST((open_call(state, child).why == failure::program_ended));
 }
 
-BOOST_FIXTURE_TEST_CASE(ended_program_leaves_engine_memory_to_free_until_each_upstream_confirmed, running_call)
+BOOST_FIXTURE_TEST_CASE(ended_program_leaves_engine_memory_to_free_until_each_upstream_confirmed,
+                        running_call)
 {
     open_request child = make_open({organisation_name{"demo"}, program_name{"c"}}, "call", 2);
     child.root = demo_p.program;
@@ -241,11 +249,13 @@
             std::map<std::string, std::vector<std::string>> closed_order;
             std::uint64_t next = 1;
             for (int i = 0; i < 4000; ++i) {
-                const program_key key{organisation_name{"o" + std::to_string(next_random(random) % 2)}, program_name{"p" + std::to_string(next_random(random) % 3)}};
+                const program_key key{organisation_name{"o" + std::to_string(next_random(random) % 2)},
+                                      program_name{"p" + std::to_string(next_random(random) % 3)}};
                 const std::uint64_t what = next_random(random) % 10;
                 if (what < 5) {
                     const std::uint64_t attempt = next++;
-                    open_request wish = make_open(key, "r" + std::to_string(next_random(random) % 2000), attempt);
+                    open_request wish =
+                        make_open(key, "r" + std::to_string(next_random(random) % 2000), attempt);
                     wish.budget.calls = 400;
                     open_call(state, wish);
                 }
@@ -254,11 +264,15 @@
                     if (program != nullptr && !program->open.empty()) {
                         const call_state& first = program->open.front();
                         const std::uint64_t fate = next_random(random) % 6;
-                        const call_outcome outcome = fate < 3 ? call_outcome::done : static_cast<call_outcome>(1 + next_random(random) % 4);
+                        const call_outcome outcome =
+                            fate < 3 ? call_outcome::done
+                                     : static_cast<call_outcome>(1 + next_random(random) % 4);
                         if (outcome == call_outcome::done) {
-                            closed_order[key.organisation.value + key.program.value].push_back(first.request.value);
+                            closed_order[key.organisation.value + key.program.value].push_back(
+                                first.request.value);
                         }
-                        BOOST_REQUIRE(close_call(state, make_close(key, first.bound.attempt.value, outcome)).accepted);
+                        BOOST_REQUIRE(
+                            close_call(state, make_close(key, first.bound.attempt.value, outcome)).accepted);
                     }
                 }
                 else {
--- a/tests/unit/limit_test.cpp
+++ b/tests/unit/limit_test.cpp
@@ -112,7 +112,10 @@
         owner = make_bucket(allowed, owner_lends_at);
     }
 
-    void restart_entry(std::size_t place) { entries[place] = {incarnation_id{1000 + pick(1U << 30U)}, {}, 0, false, {}}; }
+    void restart_entry(std::size_t place)
+    {
+        entries[place] = {incarnation_id{1000 + pick(1U << 30U)}, {}, 0, false, {}};
+    }
 };
 
 void check_windows(const fake_fleet& fleet)
@@ -122,7 +125,9 @@
         for (std::size_t last = first; last < times.size() && last < first + 400; ++last) {
             const double most = fleet.allowed.burst + fleet.allowed.rate * (times[last] - times[first]);
             const double count = static_cast<double>(last - first + 1);
-            BOOST_REQUIRE_MESSAGE(count <= most + 1e-6, count << " admitted within " << times[last] - times[first] << " s, at most " << most << " allowed");
+            BOOST_REQUIRE_MESSAGE(count <= most + 1e-6, count << " admitted within "
+                                                              << times[last] - times[first] << " s, at most "
+                                                              << most << " allowed");
         }
     }
 }
--- a/tests/unit/scheduling_test.cpp
+++ b/tests/unit/scheduling_test.cpp
@@ -25,10 +25,15 @@
         table.takes_work = true;
     }
 
-    offer_result give(std::uint64_t attempt, std::uint64_t incarnation = 5) { return offer(table, {attempt_id{attempt}, incarnation_id{incarnation}, body_hash{attempt}, false, false}); }
+    offer_result give(std::uint64_t attempt, std::uint64_t incarnation = 5)
+    {
+        return offer(table,
+                     {attempt_id{attempt}, incarnation_id{incarnation}, body_hash{attempt}, false, false});
+    }
 };
 
-queued_call make_call(std::uint64_t attempt, const std::string& who, double cost, time_point at, std::uint64_t attained = 0)
+queued_call make_call(std::uint64_t attempt, const std::string& who, double cost, time_point at,
+                      std::uint64_t attained = 0)
 {
     queued_call call;
     call.attempt = attempt_id{attempt};
@@ -87,12 +92,15 @@
 
 BOOST_FIXTURE_TEST_CASE(two_suspects_never_run_side_by_side, open_gate)
 {
-    BOOST_TEST((offer(table, {attempt_id{1}, incarnation_id{5}, body_hash{1}, true, false}).verdict == offer_verdict::queue));
-    BOOST_TEST((offer(table, {attempt_id{2}, incarnation_id{5}, body_hash{2}, true, false}).why == failure::busy));
+    BOOST_TEST((offer(table, {attempt_id{1}, incarnation_id{5}, body_hash{1}, true, false}).verdict ==
+                offer_verdict::queue));
+    BOOST_TEST(
+        (offer(table, {attempt_id{2}, incarnation_id{5}, body_hash{2}, true, false}).why == failure::busy));
     BOOST_TEST((give(3).verdict == offer_verdict::queue));
     note_started(table, attempt_id{1});
     note_finished(table, attempt_id{1});
-    BOOST_TEST((offer(table, {attempt_id{4}, incarnation_id{5}, body_hash{2}, true, false}).verdict == offer_verdict::queue));
+    BOOST_TEST((offer(table, {attempt_id{4}, incarnation_id{5}, body_hash{2}, true, false}).verdict ==
+                offer_verdict::queue));
 }
 
 BOOST_FIXTURE_TEST_CASE(random_offers_start_each_attempt_at_most_once, open_gate)
@@ -109,7 +117,9 @@
                 switch (next_random(random) % 8) {
                 case 0:
                 case 1:
-                    told_not_run[attempt] = give(attempt, table.incarnation.value).verdict == offer_verdict::refuse && starts[attempt] == 0;
+                    told_not_run[attempt] =
+                        give(attempt, table.incarnation.value).verdict == offer_verdict::refuse &&
+                        starts[attempt] == 0;
                     break;
                 case 2:
                     if (status == attempt_status::queued) {
@@ -127,7 +137,9 @@
                     release(table, attempt_id{attempt});
                     break;
                 case 5:
-                    told_not_run[attempt] = tombstone(table, attempt_id{attempt}) == attempt_status::tombstoned && starts[attempt] == 0;
+                    told_not_run[attempt] =
+                        tombstone(table, attempt_id{attempt}) == attempt_status::tombstoned &&
+                        starts[attempt] == 0;
                     break;
                 case 6:
                     table.takes_work = next_random(random) % 4 != 0;
@@ -298,7 +310,9 @@
             for (int i = 0; i < 20000; ++i) {
                 const std::uint64_t what = next_random(random) % 10;
                 if (what < 5) {
-                    push(queue, make_call(++attempt, "o" + std::to_string(next_random(random) % 9), 1.0 + static_cast<double>(next_random(random) % 100), start_of_test));
+                    push(queue,
+                         make_call(++attempt, "o" + std::to_string(next_random(random) % 9),
+                                   1.0 + static_cast<double>(next_random(random) % 100), start_of_test));
                     waiting[attempt] = true;
                 }
                 else if (what < 9) {
@@ -310,7 +324,8 @@
                     const std::uint64_t victim = 1 + next_random(random) % (attempt + 1);
                     BOOST_REQUIRE(remove(queue, attempt_id{victim}) == (waiting.erase(victim) == 1U));
                 }
-                charge_difference(queue, organisation_name{"o1"}, 10, static_cast<double>(next_random(random) % 30));
+                charge_difference(queue, organisation_name{"o1"}, 10,
+                                  static_cast<double>(next_random(random) % 30));
             }
             BOOST_TEST(queue.calls.size() == waiting.size());
         }
--- a/tests/unit/settings_test.cpp
+++ b/tests/unit/settings_test.cpp
@@ -19,7 +19,8 @@
     return "";
 }
 
-const std::string good_entry = "data_centre = \"dc1\"\n[[replicas]]\nname = \"r1\"\nendpoint = \"tcp://127.0.0.1:1\"\n[entry]\n";
+const std::string good_entry =
+    "data_centre = \"dc1\"\n[[replicas]]\nname = \"r1\"\nendpoint = \"tcp://127.0.0.1:1\"\n[entry]\n";
 
 } // namespace
 
@@ -27,41 +28,53 @@
 
 BOOST_AUTO_TEST_CASE(settings_with_several_faults_tell_each_with_its_line)
 {
-    const std::string text = "data_centre = 5\n[[replicas]]\nname = \"r1\"\nendpoint = \"nowhere\"\n[entry]\nlisten = \"127.0.0.1:8080\"\nqueue_limit = \"30\"\nworkers = 0\ncolour = \"red\"\n";
+    const std::string text =
+        "data_centre = 5\n[[replicas]]\nname = \"r1\"\nendpoint = \"nowhere\"\n[entry]\nlisten = "
+        "\"127.0.0.1:8080\"\nqueue_limit = \"30\"\nworkers = 0\ncolour = \"red\"\n";
     const std::string faults = faults_of(text, role_kind::entry);
     BOOST_TEST(faults.find("s.toml:1: data_centre") != std::string::npos);
     BOOST_TEST(faults.find("s.toml:4: replicas.endpoint: expected tcp://IP:PORT") != std::string::npos);
     BOOST_TEST(faults.find("s.toml:7: entry.queue_limit: expected a time with unit") != std::string::npos);
-    BOOST_TEST(faults.find("s.toml:8: entry.workers: expected a whole number from 1 to 64") != std::string::npos);
+    BOOST_TEST(faults.find("s.toml:8: entry.workers: expected a whole number from 1 to 64") !=
+               std::string::npos);
     BOOST_TEST(faults.find("s.toml:9: entry.colour: unknown key") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(settings_without_their_role_are_refused)
 {
-    BOOST_TEST(faults_of("data_centre = \"dc1\"\n", role_kind::entry).find("expected a section [entry]") != std::string::npos);
-    BOOST_TEST(faults_of(good_entry, role_kind::sidecar).find("exactly one [[sidecars]]") != std::string::npos);
+    BOOST_TEST(faults_of("data_centre = \"dc1\"\n", role_kind::entry).find("expected a section [entry]") !=
+               std::string::npos);
+    BOOST_TEST(faults_of(good_entry, role_kind::sidecar).find("exactly one [[sidecars]]") !=
+               std::string::npos);
     BOOST_TEST(faults_of(good_entry, role_kind::entry).empty());
 }
 
 BOOST_AUTO_TEST_CASE(replica_that_is_not_listed_is_refused)
 {
-    const std::string text = good_entry + "[replica]\nname = \"r9\"\nlink = \"tcp://127.0.0.1:9\"\ndata_folder = \"d\"\n";
+    const std::string text =
+        good_entry + "[replica]\nname = \"r9\"\nlink = \"tcp://127.0.0.1:9\"\ndata_folder = \"d\"\n";
     BOOST_TEST(faults_of(text, role_kind::replica).find("is not among [[replicas]]") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(text_that_is_no_toml_is_told_with_its_line)
 {
-    BOOST_TEST(faults_of("data_centre = \"dc1\"\n[entry\n", role_kind::entry).find("s.toml:2") != std::string::npos);
+    BOOST_TEST(faults_of("data_centre = \"dc1\"\n[entry\n", role_kind::entry).find("s.toml:2") !=
+               std::string::npos);
 }
 
 BOOST_AUTO_TEST_CASE(set_file_tells_the_line_of_an_unknown_kind_and_of_a_fault)
 {
-    BOOST_CHECK_EXCEPTION(operators::parse_set("[animal.cat]\nname = 1\n", "set.toml"), settings_error,
-                          [](const settings_error& fault) { return std::string(fault.what()).find("set.toml:1") == 0; });
-    const operators::set_file file = operators::parse_set("[organisation.a]\nrate = 1.5\nburst = 2\n[route.r]\nkind = \"model\"\nserves = \"m\"\norganisations = [\"a\", \"b\"]\n", "set.toml");
+    BOOST_CHECK_EXCEPTION(
+        operators::parse_set("[animal.cat]\nname = 1\n", "set.toml"), settings_error,
+        [](const settings_error& fault) { return std::string(fault.what()).find("set.toml:1") == 0; });
+    const operators::set_file file =
+        operators::parse_set("[organisation.a]\nrate = 1.5\nburst = 2\n[route.r]\nkind = \"model\"\nserves = "
+                             "\"m\"\norganisations = [\"a\", \"b\"]\n",
+                             "set.toml");
     BOOST_TEST(file.objects.at({configuration::object_kind::organisation, "a"}).at("rate") == "1.5");
     BOOST_TEST(file.objects.at({configuration::object_kind::route, "r"}).at("organisations") == "a,b");
-    BOOST_TEST(operators::describe_fault(file, "set.toml", {"route.r", "organisations", "x"}) == "set.toml:7: route.r.organisations: x");
+    BOOST_TEST(operators::describe_fault(file, "set.toml", {"route.r", "organisations", "x"}) ==
+               "set.toml:7: route.r.organisations: x");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
