--- a/src/entry/call_flow.cpp
+++ b/src/entry/call_flow.cpp
@@ -630,7 +630,6 @@
         co_await settle(flow, body);
         co_return false;
     case ledger::open_outcome::stored:
-        co_return false;
     case ledger::open_outcome::waiting:
         co_return false;
     case ledger::open_outcome::refused:
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -119,7 +119,7 @@
     }
 }
 
-void cancellation::on_cancel(std::function<void()> action)
+void cancellation::on_cancel(const std::function<void()>& action)
 {
     bool now = false;
     {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -43,8 +43,6 @@
 
 namespace {
 
-constexpr int status_cut = 0; ///< a head that was never sent
-
 tcp::endpoint parse_address(const std::string& address)
 {
     const std::size_t colon = address.rfind(':');
--- a/src/http/http_type.hpp
+++ b/src/http/http_type.hpp
@@ -112,7 +112,7 @@
     /// Breaks the request off, now or as soon as it starts. Thread safe.
     void cancel();
     /// Registers what cancel() calls. Thread safe.
-    void on_cancel(std::function<void()> action);
+    void on_cancel(const std::function<void()>& action);
     /// @return whether cancel() was called. Thread safe.
     [[nodiscard]] bool cancelled() const;
 
--- a/src/operator/set_file.cpp
+++ b/src/operator/set_file.cpp
@@ -68,8 +68,10 @@
     configuration::object_fields& made = into.objects[key];
     for (const auto& [name, node] : fields) {
         const std::string field(name.str());
-        into.lines[shown + "." + field] = node.source().begin.line;
-        made[field] = field_text(path, shown + "." + field, node);
+        std::string full = shown;
+        full.append(".").append(field);
+        into.lines[full] = node.source().begin.line;
+        made[field] = field_text(path, full, node);
     }
 }
 
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -245,6 +245,41 @@
     BOOST_REQUIRE(cluster.settle());
 }
 
+BOOST_FIXTURE_TEST_CASE(follower_that_hears_its_leader_ignores_a_late_vote_request, three_members)
+{
+    fake_member& member = follower();
+    cluster.pass(100ms);
+    message late;
+    late.kind = message_kind::vote_request;
+    late.from = member_id{99};
+    late.to = member.id;
+    late.term = member.state.term + 5;
+    late.index = last_index(member.state) + 10;
+    late.log_term = member.state.term + 4;
+    effects wanted;
+    step(member.state, late, cluster.now, wanted);
+    BOOST_TEST(wanted.messages.empty());
+    BOOST_TEST(member.state.term == leader().state.term); // the leader's lease rests on this
+}
+
+BOOST_FIXTURE_TEST_CASE(entry_of_an_earlier_term_is_not_committed_by_counting_copies, three_members)
+{
+    fake_member& first = leader();
+    const log_index committed = first.state.commit;
+    effects wanted;
+    propose(first.state, entry_kind::command, "old", wanted);
+    first.state.term += 1; // as if elected again, with its own entry still on its way
+    note_synced(first.state, last_index(first.state), wanted);
+    message copied;
+    copied.kind = message_kind::append_reply;
+    copied.from = follower().id;
+    copied.to = first.id;
+    copied.term = first.state.term;
+    copied.index = last_index(first.state);
+    step(first.state, copied, cluster.now, wanted);
+    BOOST_TEST(first.state.commit == committed);
+}
+
 BOOST_FIXTURE_TEST_CASE(name_of_a_living_member_is_refused_to_another_disk, three_members)
 {
     effects wanted;
