--- a/bench/slope_bench.cpp
+++ b/bench/slope_bench.cpp
@@ -310,6 +310,61 @@
 }
 BENCHMARK(announce_again);
 
+/// Sizes of the messages that processes exchange all the time.
+void bytes_of_a_ping(benchmark::State& run)
+{
+    wire::envelope message;
+    message.set_sender(~0ULL);
+    message.mutable_heartbeat();
+    for (auto step : run) {
+        benchmark::DoNotOptimize(message.SerializeAsString());
+    }
+    run.counters["bytes"] = static_cast<double>(message.ByteSizeLong());
+}
+BENCHMARK(bytes_of_a_ping);
+
+void bytes_of_a_load_answer(benchmark::State& run)
+{
+    wire::envelope message;
+    message.set_sender(~0ULL);
+    message.set_call(1U << 20U);
+    wire::load_report* load = message.mutable_load();
+    load->set_running(16);
+    load->set_queued(9);
+    load->set_window(16);
+    load->set_queued_tokens(900.5);
+    load->set_seconds_per_token(0.02);
+    load->set_prefill_tokens_per_second(4000.5);
+    load->set_mean_call_seconds(4.5);
+    for (auto step : run) {
+        benchmark::DoNotOptimize(message.SerializeAsString());
+    }
+    run.counters["bytes"] = static_cast<double>(message.ByteSizeLong());
+}
+BENCHMARK(bytes_of_a_load_answer);
+
+void bytes_of_an_open_with_its_choices(benchmark::State& run)
+{
+    wire::envelope message;
+    wire::open_call_request* open = message.mutable_open();
+    open->set_organisation("organisation-1234");
+    open->set_program("program-123456");
+    open->set_request_id(to_hex(7));
+    for (int i = 0; i < subset; ++i) {
+        wire::upstream_choice* one = open->add_choices();
+        one->set_upstream(name_of("upstream-", i));
+        one->set_incarnation(~0ULL);
+        one->set_endpoint("tcp://10.0.0.17:7500");
+        one->set_seconds(1.5);
+        one->set_prefill_tokens_per_second(4000.5);
+    }
+    for (auto step : run) {
+        benchmark::DoNotOptimize(message.SerializeAsString());
+    }
+    run.counters["bytes"] = static_cast<double>(message.ByteSizeLong());
+}
+BENCHMARK(bytes_of_an_open_with_its_choices);
+
 /// Keeps every figure for the lines at the end.
 class collector : public benchmark::ConsoleReporter {
 public:
--- a/src/configuration/publish_cmd.cpp
+++ b/src/configuration/publish_cmd.cpp
@@ -158,6 +158,14 @@
     return field == "sha256" ? value.substr(0, shown_hash_digits) + "..." : value;
 }
 
+std::string describe_field(const std::string& shown, const std::string& field, const std::string& old,
+                           const std::string& fresh)
+{
+    std::string line = "  ";
+    line.append(shown).append(".").append(field).append(": ").append(old).append(" -> ").append(fresh);
+    return line;
+}
+
 void describe_object(const object_key& key, const object_fields* before, const object_fields* after,
                      std::vector<std::string>& into)
 {
@@ -175,14 +183,14 @@
             continue;
         }
         const std::string old = had ? shown_value(name, before->at(name)) : "unset";
-        into.push_back("  " + shown + "." + name + ": " + old + " -> " + shown_value(name, value));
+        into.push_back(describe_field(shown, name, old, shown_value(name, value)));
     }
     if (before == nullptr) {
         return;
     }
     for (const auto& [name, value] : *before) {
         if (after->count(name) == 0) {
-            into.push_back("  " + shown + "." + name + ": " + shown_value(name, value) + " -> unset");
+            into.push_back(describe_field(shown, name, shown_value(name, value), "unset"));
         }
     }
 }
