--- a/src/sidecar/attempt_runner.cpp
+++ b/src/sidecar/attempt_runner.cpp
@@ -323,13 +323,25 @@
     record->ended_at = runtime_clock::now();
 }
 
-asio::awaitable<void> sidecar_process::free_memory(std::string organisation, std::string program)
+namespace {
+
+http::request make_free_request(const std::string& body)
 {
     http::request wish;
     wish.method = "POST";
     wish.target = "/v1/free";
     wish.headers["Content-Type"] = "application/json";
-    wish.body = R"({"organisation":")" + organisation + R"(","program":")" + program + R"("})";
+    wish.body = body;
+    return wish;
+}
+
+} // namespace
+
+asio::awaitable<void> sidecar_process::free_memory(std::string organisation, std::string program)
+{
+    // Both names were checked by the entry: they hold no character that JSON escapes.
+    http::request wish =
+        make_free_request(R"({"organisation":")" + organisation + R"(","program":")" + program + R"("})");
     try {
         co_await http::fetch_whole(own_.upstream, std::move(wish), free_limit);
         log_event(event::memory_freed, {{"upstream", own_.name}, {"program", program}});
@@ -339,4 +351,17 @@
     }
 }
 
+/// Frees what an engine may still hold from before this sidecar's start, also of programs that ended
+/// meanwhile.
+asio::awaitable<void> sidecar_process::free_all_memory()
+{
+    http::request wish = make_free_request(R"({"all":true})");
+    try {
+        co_await http::fetch_whole(own_.upstream, std::move(wish), free_limit);
+    }
+    catch (const http::client_error&) {
+        // Not every upstream has engine memory to free.
+    }
+}
+
 } // namespace guavawick::sidecar
--- a/src/sidecar/sidecar_links.cpp
+++ b/src/sidecar/sidecar_links.cpp
@@ -191,8 +191,13 @@
 asio::awaitable<void> sidecar_process::health_loop()
 {
     int failures = 0;
+    bool cleared = own_.kind != "model";
     while (links_) {
         const bool alive = co_await is_upstream_alive();
+        if (alive && !cleared) {
+            co_await free_all_memory();
+            cleared = true;
+        }
         failures = alive ? 0 : failures + 1;
         bool was_alive = false;
         {
--- a/src/sidecar/sidecar_process.hpp
+++ b/src/sidecar/sidecar_process.hpp
@@ -57,6 +57,7 @@
     boost::asio::awaitable<void> close_self(attempt_id attempt, record_ptr record);
     boost::asio::awaitable<void> note_upstream_lost();
     boost::asio::awaitable<void> free_memory(std::string organisation, std::string program);
+    boost::asio::awaitable<void> free_all_memory();
 
     // Talk with entries and the upstream (sidecar_links.cpp).
     boost::asio::awaitable<void> announce_loop();
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -490,6 +490,9 @@
     if (what == "ends") {
         return check_count(one, count_runs("end", one.words.at(1)));
     }
+    if (what == "broken") {
+        return check_count(one, count_runs("broken", one.words.at(1)));
+    }
     if (what == "freed") {
         return check_count(one, count_runs("free", one.words.at(1)));
     }
