--- a/tests/fakes/fake_upstream.cpp
+++ b/tests/fakes/fake_upstream.cpp
@@ -55,6 +55,7 @@
     }
     const std::lock_guard lock(state.mutex);
     state.log << json::serialize(json::object{{"what", what},
+                                              {"at_ms", to_ms(runtime_clock::now().time_since_epoch())},
                                               {"target", received.target},
                                               {"text", text},
                                               {"headers", headers},
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -490,6 +490,9 @@
     if (what == "ends") {
         return check_count(one, count_runs("end", one.words.at(1)));
     }
+    if (what == "pace") {
+        return check_pace(one);
+    }
     if (what == "broken") {
         return check_count(one, count_runs("broken", one.words.at(1)));
     }
@@ -515,6 +518,33 @@
     return holds ? "" : "found " + std::to_string(found);
 }
 
+/// Looks at every window of the stand-ins' starts. Their clocks are one, but a start comes up to `lag` after
+/// its admission.
+std::string runner::check_pace(const statement& one)
+{
+    constexpr double lag_seconds = 1.0;
+    const double rate = std::stod(one.option("rate"));
+    const double burst = std::stod(one.option("burst"));
+    std::vector<double> starts;
+    for (const json::object& line : processes_.run_log()) {
+        if (text_of(line, "what") == "start" &&
+            text_of(line, "text").find(one.words.at(1)) != std::string::npos) {
+            starts.push_back(static_cast<double>(number_of(line, "at_ms")) / 1000.0);
+        }
+    }
+    std::sort(starts.begin(), starts.end());
+    for (std::size_t first = 0; first < starts.size(); ++first) {
+        for (std::size_t last = first; last < starts.size(); ++last) {
+            const double span = starts[last] - starts[first];
+            const double most = burst + rate * (span + lag_seconds);
+            if (static_cast<double>(last - first + 1) > most) {
+                return std::to_string(last - first + 1) + " starts within " + std::to_string(span) + " s";
+            }
+        }
+    }
+    return "";
+}
+
 std::size_t runner::count_runs(const std::string& what, const std::string& text) const
 {
     std::size_t count = 0;
--- a/tests/scenarios/runner.hpp
+++ b/tests/scenarios/runner.hpp
@@ -51,6 +51,7 @@
     [[nodiscard]] std::string check(const statement& one);
     [[nodiscard]] std::string check_call(const statement& one);
     [[nodiscard]] std::string check_count(const statement& one, std::size_t found);
+    [[nodiscard]] std::string check_pace(const statement& one);
     [[nodiscard]] std::string check_leader(const statement& one);
     [[nodiscard]] std::string check_members(const statement& one);
     [[nodiscard]] std::string check_revision(const statement& one);
