Keep a scenario's processes in groups of their own, and end them with a runner that is killed

Cause: Ctrl-C of make up reached every process at once, and the runner's own stop was then the second signal, which cuts. Six stand-ins of early runs had also outlived their runner.

--- a/tests/scenarios/processes.cpp
+++ b/tests/scenarios/processes.cpp
@@ -12,6 +12,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -215,6 +216,8 @@
         const int fd = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(fd, STDOUT_FILENO);
         ::dup2(fd, STDERR_FILENO);
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // nothing outlives a runner that is killed
+        ::setpgid(0, 0);                    // Ctrl-C reaches the runner, which stops the others in order
         sigset_t none;
         sigemptyset(&none);
         ::sigprocmask(SIG_SETMASK, &none, nullptr);
