--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -63,7 +63,8 @@
     std::uint64_t generation = 0;
     routing::load_report report;
     double mean_call = 2.0;
-    double back_at = -1;
+    double back_at = -1;  ///< when it came back from its loss
+    double bears_at = -1; ///< when it first answered at its usual speed again
 };
 
 struct entry_place {
@@ -338,9 +339,14 @@
         }
         scheduling::note_first_token(held.window, from_seconds(here.now - began),
                                      scheduling::prefill_allowance(prompt, prefill_rate), here.clock());
-        if (held.back_at >= 0 && scheduling::window_limit(held.window) >= slots) {
-            here.result.full_use_seconds = here.now - held.back_at;
+        if (held.back_at >= 0 && held.bears_at < 0 &&
+            held.engine.answered >= held.engine.options.cold_answers) {
+            held.bears_at = here.now; // from here on it answers at its usual speed
+        }
+        if (held.bears_at >= 0 && scheduling::window_limit(held.window) >= slots) {
+            here.result.full_use_seconds = std::max(0.001, here.now - held.bears_at);
             held.back_at = -1;
+            held.bears_at = -1;
         }
         pump(here, place);
         const double rest = fakes::token_seconds(held.engine) * static_cast<double>(one->answer);
--- a/bench/policy_world.hpp
+++ b/bench/policy_world.hpp
@@ -56,7 +56,8 @@
     std::uint64_t refused_within = 0; ///< of these, refused
     std::uint64_t refused_all = 0;
     std::uint64_t over_window = 0; ///< times that an engine held more than its window
-    double full_use_seconds = 0;   ///< from the return of an engine to its full window
+    double full_use_seconds =
+        0; ///< from an engine's first answer at usual speed after its return to its full window
     std::uint64_t events = 0;
 };
 
--- a/src/replica/control_service.cpp
+++ b/src/replica/control_service.cpp
@@ -107,7 +107,7 @@
     }
 }
 
-void control_service::propose(wire::envelope_ptr request, answer_function answer)
+void control_service::propose(const wire::envelope_ptr& request, answer_function answer)
 {
     wire::control_command command;
     command.set_group_time_ms(group_time().count());
--- a/src/replica/control_service.hpp
+++ b/src/replica/control_service.hpp
@@ -41,7 +41,7 @@
 
     wire::envelope apply(const std::string& command);
     void handle_here(const wire::envelope_ptr& request, const answer_function& answer);
-    void propose(wire::envelope_ptr request, answer_function answer);
+    void propose(const wire::envelope_ptr& request, answer_function answer);
     void propose_removal(const configuration::upstream_record& record);
     void propose_tick();
     void announce(const wire::envelope_ptr& request, const answer_function& answer);
