Ask for lapsed quarantines and due expiries without a scratch state

A leader's tick copied all suspicions into a second state ten times a second only to carry a time, and the ledger made an empty state for the same reason. The time is an argument now. Also dropped: a retry hint that nobody read.

--- a/src/configuration/directory_cmd.cpp
+++ b/src/configuration/directory_cmd.cpp
@@ -74,10 +74,10 @@
     }
 }
 
-bool has_lapsed_quarantine(const directory_state& state)
+bool has_lapsed_quarantine(const directory_state& state, std::chrono::milliseconds now)
 {
     return std::any_of(state.suspicions.begin(), state.suspicions.end(),
-                       [&](const auto& item) { return item.second.since + quarantine_limit <= state.now; });
+                       [now](const auto& item) { return item.second.since + quarantine_limit <= now; });
 }
 
 void drop_lapsed_quarantines(directory_state& state)
--- a/src/configuration/directory_func.hpp
+++ b/src/configuration/directory_func.hpp
@@ -17,8 +17,8 @@
 void clear_suspicion(directory_state& state, body_hash body);
 /// Lifts a quarantine by an operator's order.
 void lift_quarantine(directory_state& state, body_hash body);
-/// Tells whether a suspicion has lapsed.
-bool has_lapsed_quarantine(const directory_state& state);
+/// Tells whether a suspicion will have lapsed at a group time.
+bool has_lapsed_quarantine(const directory_state& state, std::chrono::milliseconds now);
 /// Drops suspicions that have lapsed.
 void drop_lapsed_quarantines(directory_state& state);
 
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -129,7 +129,6 @@
             continue;
         }
         limit::receive_tokens(found->second.purse, wish->second, item.tokens(), asked_at, now);
-        found->second.retry_ms = item.retry_ms();
         serve_waiters(found->second, now);
     }
 }
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -33,7 +33,6 @@
         limit::limits allowed;
         limit::purse purse;
         std::deque<std::shared_ptr<token_waiter>> waiting;
-        std::uint32_t retry_ms = 0;
     };
 
     using borrow_map = std::map<std::string, limit::borrow_request>; ///< by organisation
--- a/src/replica/control_service.cpp
+++ b/src/replica/control_service.cpp
@@ -319,14 +319,8 @@
             propose_removal(record);
         }
     }
-    directory_.now = std::max(directory_.now, std::chrono::milliseconds{0});
-    if (!directory_.suspicions.empty()) {
-        configuration::directory_state later;
-        later.now = group_time();
-        later.suspicions = directory_.suspicions;
-        if (configuration::has_lapsed_quarantine(later)) {
-            propose_tick();
-        }
+    if (configuration::has_lapsed_quarantine(directory_, group_time())) {
+        propose_tick();
     }
     std::erase_if(processes_, [now](const auto& item) { return now - item.second.at > process_memory; });
 }
--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -352,9 +352,7 @@
 
 void ledger_service::propose_expiry()
 {
-    ledger::ledger_state probe;
-    probe.now = group_time();
-    if (state_.expiries.empty() || state_.expiries.begin()->first > probe.now) {
+    if (state_.expiries.empty() || state_.expiries.begin()->first > group_time()) {
         return;
     }
     wire::ledger_command command;
--- a/tests/unit/configuration_test.cpp
+++ b/tests/unit/configuration_test.cpp
@@ -182,7 +182,7 @@
     clear_suspicion(state, killer); // a late success does not lift a quarantine
     BOOST_TEST(state.suspicions.at(killer).lost.size() == quarantine_losses);
     state.now += quarantine_limit;
-    BOOST_TEST(has_lapsed_quarantine(state));
+    BOOST_TEST(has_lapsed_quarantine(state, state.now));
     drop_lapsed_quarantines(state);
     BOOST_TEST(state.suspicions.empty());
 }
