--- a/bench/live_bench.cpp
+++ b/bench/live_bench.cpp
@@ -3,7 +3,7 @@
 #include "base/clock_type.hpp"
 #include "base/event_type.hpp"
 #include "http/http_error_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -99,7 +99,7 @@
 int main_of_bench()
 {
     start_logging("", severity::error);
-    platform::worker_pool pool(2);
+    runtime::worker_pool pool(2);
     load_run run;
     std::vector<std::string> entries;
     const std::string list = absl::GetFlag(FLAGS_entries) + ",";
--- a/src/base/clock_func.cpp
+++ b/src/base/clock_func.cpp
@@ -2,6 +2,7 @@
 #include "base/clock_type.hpp"
 
 #include <atomic>
+#include <ctime>
 
 namespace guavawick {
 namespace {
@@ -11,8 +12,12 @@
 
 std::int64_t steady_now() noexcept
 {
-    const auto since_start = std::chrono::steady_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(since_start).count();
+    // Counts the time that a suspended machine slept through, which the steady clock of the library leaves out:
+    // a lease must not seem to hold after it.
+    timespec since_boot{};
+    ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
+    constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
+    return since_boot.tv_sec * nanoseconds_per_second + since_boot.tv_nsec;
 }
 
 } // namespace
--- a/src/consensus/consensus_func.hpp
+++ b/src/consensus/consensus_func.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "consensus/consensus_type.hpp"
+#include "consensus/membership_plan.hpp"
 
 namespace guavawick::consensus {
 
@@ -67,6 +68,12 @@
 /// over, then promotes the learner.
 /// @return whether something was proposed.
 bool continue_repair(group_state& state, time_point now, effects& out);
+/// Proposes the next change of a group whose candidates come and go.
+/// @return what was planned.
+planned_change follow_plan(group_state& state, const membership_policy& policy, time_point now, effects& out);
+/// Tells whether a member of a group whose candidates come and go should ask to be taken in: the group does
+/// not know it, or it hears of no leader and may have been removed meanwhile.
+bool needs_contact(const group_state& state, time_point now);
 /// Tells whether this member should ask to be taken in: the group does not know it, or forgot that it is a
 /// learner.
 bool needs_join(const group_state& state, time_point now);
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -41,6 +41,7 @@
     std::string endpoint;         ///< address of its link
     bool voter = false;           ///< learners are not counted
     log_index learner_target = 0; ///< a learner may vote once its synced log has reached this
+    std::string data_centre = {}; ///< where it runs; empty where the settings list the replicas
 
     bool operator==(const member&) const = default;
 };
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -122,6 +122,44 @@
     return false;
 }
 
+planned_change follow_plan(group_state& state, const membership_policy& policy, time_point now, effects& out)
+{
+    if (check_change(state) != change_result::proposed) {
+        return {};
+    }
+    std::vector<member_view> views;
+    for (const member& one : current_members(state).members) {
+        const auto peer = state.peers.find(one.id);
+        const time_point heard =
+            peer == state.peers.end() ? state.quorum_checked_at
+                                      : std::max(peer->second.acked_sent_at, state.quorum_checked_at);
+        const bool own = one.id == state.self;
+        views.push_back({one, own, own || has_caught_up(state, one), own ? duration{} : now - heard});
+    }
+    const planned_change next = plan_change(views, policy);
+    switch (next.kind) {
+    case planned_kind::promote:
+        promote_learner(state, next.id, out);
+        break;
+    case planned_kind::remove:
+        remove_member(state, next.id, out);
+        break;
+    case planned_kind::hand_over:
+        transfer_leadership(state, now, out);
+        break;
+    case planned_kind::nothing:
+        break;
+    }
+    return next;
+}
+
+bool needs_contact(const group_state& state, time_point now)
+{
+    const bool member = find_member(current_members(state), state.self) != nullptr;
+    return state.role != role_type::leader &&
+           (!member || now - state.leader_seen_at > 2 * state.settings.election_timeout);
+}
+
 bool needs_join(const group_state& state, time_point now)
 {
     const member* own = find_member(current_members(state), state.self);
@@ -142,6 +180,7 @@
         into->set_endpoint(one.endpoint);
         into->set_voter(one.voter);
         into->set_learner_target(one.learner_target);
+        into->set_data_centre(one.data_centre);
     }
     return encoded.SerializeAsString();
 }
@@ -155,7 +194,7 @@
     membership members;
     for (const wire::member& one : encoded.members()) {
         members.members.push_back(
-            {member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target()});
+            {member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target(), one.data_centre()});
     }
     return members;
 }
--- a/src/entry/call_run.cpp
+++ b/src/entry/call_run.cpp
@@ -157,7 +157,7 @@
 {
     const duration jitter{
         static_cast<std::int64_t>(random_id() % static_cast<std::uint64_t>(flow.backoff.count()))};
-    co_await platform::wait_for(flow.backoff / 2 + jitter);
+    co_await runtime::wait_for(flow.backoff / 2 + jitter);
     flow.backoff = std::min(flow.backoff * 2, duration{most_backoff});
 }
 
--- a/src/entry/call_upstream.cpp
+++ b/src/entry/call_upstream.cpp
@@ -90,7 +90,7 @@
             throw refusal_error(failure::no_upstream, "no upstream serves " + flow.plan.route.serves + " now",
                                 1000U);
         }
-        co_await platform::wait_for(no_upstream_pause);
+        co_await runtime::wait_for(no_upstream_pause);
     }
 }
 
--- a/src/entry/entry_links.cpp
+++ b/src/entry/entry_links.cpp
@@ -50,7 +50,7 @@
             }
         }
         else {
-            co_await platform::wait_for(retry_pause);
+            co_await runtime::wait_for(retry_pause);
         }
         const bool fresh = tables_.is_fresh(runtime_clock::now());
         if (was_fresh && !fresh) {
@@ -80,7 +80,7 @@
                 }
             }
         }
-        co_await platform::wait_for(session_interval);
+        co_await runtime::wait_for(session_interval);
     }
 }
 
@@ -115,7 +115,7 @@
 {
     while (running()) {
         for (const auto& [name, endpoint] : tables_.endpoints()) {
-            platform::spawn(
+            runtime::spawn(
                 pool_.executor(),
                 [](entry_process* self, upstream_name who, std::string where) -> asio::awaitable<void> {
                     wire::envelope question;
@@ -130,7 +130,7 @@
                     }
                 }(this, name, endpoint));
         }
-        co_await platform::wait_for(load_interval);
+        co_await runtime::wait_for(load_interval);
     }
 }
 
@@ -179,7 +179,7 @@
     const time_point due =
         runtime_clock::now() + std::min<duration>(std::chrono::milliseconds(asked.wait_ms()), poll_wait);
     while (runtime_clock::now() < due && tables_.position().first == asked.after_revision()) {
-        co_await platform::wait_for(sidecar_poll_step);
+        co_await runtime::wait_for(sidecar_poll_step);
     }
     wire::envelope reply;
     const time_point now = runtime_clock::now();
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -103,7 +103,7 @@
 
 } // namespace
 
-entry_process::entry_process(const settings& given, platform::worker_pool& pool)
+entry_process::entry_process(const settings& given, runtime::worker_pool& pool)
     : settings_(given), pool_(pool), self_(random_id()),
       tables_(data_centre_name{given.data_centre}, given.entry.configuration_lease, given.entry.subset_size,
               hash_bytes(given.entry.listen))
--- a/src/entry/entry_process.hpp
+++ b/src/entry/entry_process.hpp
@@ -4,14 +4,14 @@
 #include "base/settings_type.hpp"
 #include "entry/call_flow.hpp"
 #include "http/metrics_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 
 namespace guavawick::entry {
 
 /// One entry. Thread safety: start() and stop() by one thread, the rest is internal.
 class entry_process {
 public:
-    entry_process(const settings& given, platform::worker_pool& pool);
+    entry_process(const settings& given, runtime::worker_pool& pool);
     ~entry_process();
     /// Starts to serve. @throw link_error.
     void start();
@@ -43,7 +43,7 @@
     [[nodiscard]] bool running() const { return !stopped_.load(); }
 
     settings settings_;
-    platform::worker_pool& pool_;
+    runtime::worker_pool& pool_;
     incarnation_id self_;
     std::unique_ptr<wire::link> links_;
     std::unique_ptr<wire::group_client> client_;
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -36,7 +36,8 @@
 
 rate_gate::~rate_gate() = default;
 
-asio::awaitable<void> rate_gate::pass(configuration::organisation who, duration limit)
+asio::awaitable<void> rate_gate::pass(configuration::organisation who, duration limit,
+                                      std::uint64_t plan_version)
 {
     const auto pool = co_await asio::this_coro::executor;
     auto waiter = std::make_shared<token_waiter>(pool);
@@ -45,6 +46,7 @@
         const time_point now = runtime_clock::now();
         account& one = accounts_[who.name.value];
         one.allowed = {who.rate, who.burst};
+        one.plan_version = plan_version;
         limit::note_demand(one.purse, now);
         if (one.waiting.empty() && limit::spend(one.purse, now)) {
             co_return;
@@ -111,6 +113,7 @@
             item->set_acked(wish.acked);
             item->set_rate(one.allowed.rate);
             item->set_burst(one.allowed.burst);
+            item->set_plan_version(one.plan_version);
             asked[name] = wish;
         }
         ++entry;
@@ -137,7 +140,7 @@
 {
     std::uint64_t sequence = 0;
     while (running()) {
-        co_await platform::wait_for(borrow_interval);
+        co_await runtime::wait_for(borrow_interval);
         borrow_map asked;
         const time_point asked_at = runtime_clock::now();
         wire::envelope question = make_request(shard, ++sequence, asked_at, asked);
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -3,7 +3,7 @@
 
 #include "configuration/configuration_type.hpp"
 #include "limit/bucket_func.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 #include "wire/group_client.hpp"
 
 #include <memory>
@@ -21,8 +21,9 @@
     rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards);
     ~rate_gate();
     /// Waits for one token of an organisation. @throw refusal_error `rate_exceeded` if none comes within the
-    /// limit.
-    boost::asio::awaitable<void> pass(configuration::organisation who, duration limit);
+    /// limit. @param plan_version orders limits of different ages at their owner.
+    boost::asio::awaitable<void> pass(configuration::organisation who, duration limit,
+                                          std::uint64_t plan_version = 0);
     /// Keeps borrowing for the organisations of one shard until `running` says no.
     boost::asio::awaitable<void> borrow_loop(std::uint32_t shard, std::function<bool()> running);
     /// @return requests that waited in vain.
@@ -31,6 +32,7 @@
 private:
     struct account {
         limit::limits allowed;
+        std::uint64_t plan_version = 0; ///< that the limits come from
         limit::purse purse;
         std::deque<std::shared_ptr<token_waiter>> waiting;
     };
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -6,6 +6,9 @@
 #include "operator/client_cmd.hpp"
 #include "standalone/roles.hpp"
 #include "table/command_table.hpp"
+#ifdef GUAVAWICK_WITH_PLATFORM
+#include "platform/platform_roles.hpp"
+#endif
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -115,6 +118,11 @@
         print_help(name.empty() ? std::cerr : std::cout);
         return name.empty() ? operators::exit_usage : operators::exit_done;
     }
+#ifdef GUAVAWICK_WITH_PLATFORM
+    if (const std::optional<int> code = platform::run_platform_role(name)) {
+        return *code;
+    }
+#endif
     const command_row* row = find_command(name);
     if (row == nullptr) {
         std::cerr << "unknown command \"" << name << "\"; see `guavawick --help`\n";
--- a/src/replica/consensus_codec.cpp
+++ b/src/replica/consensus_codec.cpp
@@ -33,6 +33,7 @@
         made->set_endpoint(one.endpoint);
         made->set_voter(one.voter);
         made->set_learner_target(one.learner_target);
+        made->set_data_centre(one.data_centre);
     }
 }
 
@@ -51,7 +52,7 @@
     made->term = from.term();
     for (const wire::member& one : from.members().members()) {
         made->members.members.push_back(
-            {consensus::member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target()});
+            {consensus::member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target(), one.data_centre()});
     }
     made->state = from.state();
     return made;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -7,6 +7,7 @@
 #include "replica/consensus_codec.hpp"
 #include "wire.pb.h"
 
+#include <algorithm>
 #include <cstdlib>
 
 namespace guavawick::replica {
@@ -106,6 +107,7 @@
     post([this, joining] {
         learned_endpoints_[joining.id] = joining.endpoint;
         if (is_blank()) {
+            blank_candidates_[joining.endpoint] = joining;
             blank_peers_[joining.name] = joining.id;
             return;
         }
@@ -153,9 +155,14 @@
     }
     if (leads() && now >= next_repair_) {
         next_repair_ = now + repair_interval;
-        consensus::continue_repair(state_, now, pending_);
+        plan_members(now);
+    }
+    if (managed_) {
+        found_managed(now);
+    }
+    else {
+        found_or_join(now);
     }
-    found_or_join(now);
     consensus::flush(state_, now, pending_);
     // Applying may bring new work of its own, which is carried out in the next round.
     consensus::effects wanted;
@@ -364,6 +371,96 @@
     }
 }
 
+void group::manage_members(const consensus::membership_policy& policy, std::string data_centre)
+{
+    managed_ = true;
+    data_centre_ = std::move(data_centre);
+    policy_ = policy;
+}
+
+void group::set_policy(const consensus::membership_policy& policy)
+{
+    post([this, policy] { policy_ = policy; });
+}
+
+void group::set_contacts(std::vector<std::string> endpoints)
+{
+    post([this, endpoints = std::move(endpoints)]() mutable { contacts_ = std::move(endpoints); });
+}
+
+void group::found_with_contacts()
+{
+    post([this] { founds_with_contacts_ = true; });
+}
+
+void group::found_with(consensus::membership founders)
+{
+    post([this, founders = std::move(founders)] {
+        if (is_blank() && !founders.members.empty() && founders.members.front().id == state_.self) {
+            found_members(founders);
+        }
+    });
+}
+
+void group::plan_members(time_point now)
+{
+    if (!managed_) {
+        consensus::continue_repair(state_, now, pending_);
+        return;
+    }
+    const consensus::planned_change next = consensus::follow_plan(state_, policy_, now, pending_);
+    if (next.kind != consensus::planned_kind::nothing) {
+        log_event(event::member_change_planned,
+                  {{"group", std::uint64_t{number_}},
+                   {"change", next.kind == consensus::planned_kind::promote  ? "promote"
+                              : next.kind == consensus::planned_kind::remove ? "remove"
+                                                                             : "hand_over"},
+                   {"member", to_hex(next.id.value)},
+                   {"endpoint", endpoint_of(next.id)},
+                   {"members", std::uint64_t{consensus::current_members(state_).members.size()}},
+                   {"commit", state_.commit}});
+    }
+}
+
+void group::found_managed(time_point now)
+{
+    if (now < next_probe_ || !consensus::needs_contact(state_, now)) {
+        return;
+    }
+    next_probe_ = now + probe_interval;
+    if (founds_with_contacts_ && is_blank() && !contacts_.empty() &&
+        *std::min_element(contacts_.begin(), contacts_.end()) == settings_.link) {
+        consensus::membership members;
+        for (const std::string& endpoint : contacts_) {
+            const auto blank = blank_candidates_.find(endpoint);
+            if (endpoint == settings_.link) {
+                members.members.push_back({state_.self, settings_.name, settings_.link, true, 0, data_centre_});
+            }
+            else if (blank != blank_candidates_.end()) {
+                members.members.push_back(blank->second);
+                members.members.back().voter = true;
+            }
+        }
+        if (members.members.size() == contacts_.size()) {
+            found_members(members);
+            return;
+        }
+    }
+    for (const std::string& endpoint : contacts_) {
+        if (endpoint == settings_.link) {
+            continue;
+        }
+        wire::envelope probe;
+        probe.set_group(number_);
+        probe.mutable_join()->set_group(number_);
+        probe.mutable_join()->set_id(state_.self.value);
+        probe.mutable_join()->set_name(settings_.name);
+        probe.mutable_join()->set_endpoint(settings_.link);
+        probe.mutable_join()->set_data_centre(data_centre_);
+        links_.send(endpoint, std::move(probe));
+    }
+}
+
 void group::found(const std::map<std::string, consensus::member_id>& ids)
 {
     consensus::membership members;
@@ -372,6 +469,11 @@
         members.members.push_back(
             {own ? state_.self : ids.at(address.name), address.name, address.endpoint, true, 0});
     }
+    found_members(members);
+}
+
+void group::found_members(const consensus::membership& members)
+{
     auto first = std::make_shared<consensus::snapshot>();
     first->index = 1;
     first->term = 1;
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -67,6 +67,19 @@
     group(const group&) = delete;
     group& operator=(const group&) = delete;
 
+    /// Lets candidates come and go: members are planned by a policy instead of the settings' list.
+    /// @pre before start().
+    void manage_members(const consensus::membership_policy& policy, std::string data_centre);
+    /// Replaces the policy. Thread safe.
+    void set_policy(const consensus::membership_policy& policy);
+    /// Names the addresses to ask for a place in the group. Thread safe.
+    void set_contacts(std::vector<std::string> endpoints);
+    /// Founds the group with these members. Does nothing where this replica's disk holds a group already.
+    /// Thread safe. @pre the same list is given to every founder.
+    void found_with(consensus::membership founders);
+    /// Founds the group with all contacts once each of them says that it is blank; the one with the smallest
+    /// address acts. Thread safe.
+    void found_with_contacts();
     /// Starts the thread. @pre called once.
     void start(state_machine machine);
     /// Hands leadership over if this replica leads, then stops the thread.
@@ -112,6 +125,9 @@
     void snapshot_if_due();
     void found_or_join(time_point now);
     void found(const std::map<std::string, consensus::member_id>& ids);
+    void found_members(const consensus::membership& members);
+    void found_managed(time_point now);
+    void plan_members(time_point now);
     [[nodiscard]] std::string endpoint_of(consensus::member_id id) const;
 
     std::uint32_t number_;
@@ -126,6 +142,12 @@
     std::map<consensus::member_id, std::string> learned_endpoints_;
     std::map<std::string, consensus::member_id>
         blank_peers_; ///< answers of blank replicas while this one is blank
+    std::string data_centre_; ///< of this replica; for managed groups
+    bool managed_ = false;              ///< candidates come and go
+    bool founds_with_contacts_ = false; ///< first start of the whole system
+    consensus::membership_policy policy_;
+    std::vector<std::string> contacts_; ///< endpoints that may know the group
+    std::map<std::string, consensus::member> blank_candidates_; ///< by endpoint, while this one is blank
     time_point next_probe_{};
     time_point next_machine_tick_{};
     time_point next_repair_{};
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -4,13 +4,14 @@
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
+#include "core/group_metrics.hpp"
 #include "operator/operator_api.hpp"
 #include "replica/consensus_codec.hpp"
 #include "wire.pb.h"
 
 namespace guavawick::replica {
 
-replica_process::replica_process(const settings& given, platform::worker_pool& pool)
+replica_process::replica_process(const settings& given, runtime::worker_pool& pool)
     : settings_(given), pool_(pool), self_(random_id()), disk_(open_identity(given.replica.data_folder))
 {
     if (disk_.blank) {
@@ -219,18 +220,7 @@
 void replica_process::add_metrics()
 {
     for (const auto& one : groups_) {
-        const std::string number = std::to_string(one->number());
-        const group_counters& counters = one->counters();
-        metrics_.add({"guavawick_replica_leads", "1 while this replica leads the group.", false,
-                      [&counters] { return counters.leads.load() ? 1.0 : 0.0; }, number});
-        metrics_.add({"guavawick_replica_applied_index", "Last log entry that was applied.", false,
-                      [&counters] { return static_cast<double>(counters.applied.load()); }, number});
-        metrics_.add({"guavawick_replica_proposals_total", "Commands proposed here.", true,
-                      [&counters] { return static_cast<double>(counters.proposals.load()); }, number});
-        metrics_.add({"guavawick_replica_syncs_total", "Times that the log was synced.", true,
-                      [&counters] { return static_cast<double>(counters.syncs.load()); }, number});
-        metrics_.add({"guavawick_replica_log_bytes", "Size of the log file.", false,
-                      [&counters] { return static_cast<double>(counters.log_bytes.load()); }, number});
+        core::add_group_metrics(metrics_, *one);
     }
 }
 
--- a/src/replica/replica_process.hpp
+++ b/src/replica/replica_process.hpp
@@ -4,7 +4,7 @@
 #include "base/settings_type.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 #include "replica/control_service.hpp"
 #include "replica/ledger_service.hpp"
 #include "wire/group_client.hpp"
@@ -14,7 +14,7 @@
 /// One replica. Thread safety: start() and stop() by one thread, the rest is internal.
 class replica_process {
 public:
-    replica_process(const settings& given, platform::worker_pool& pool);
+    replica_process(const settings& given, runtime::worker_pool& pool);
     ~replica_process();
     /// Starts to serve. @throw storage_error, link_error.
     void start();
@@ -33,7 +33,7 @@
     void answer_status(const answer_function& answer);
 
     settings settings_;
-    platform::worker_pool& pool_;
+    runtime::worker_pool& pool_;
     incarnation_id self_;
     disk_identity disk_;
     std::unique_ptr<wire::link> links_;
--- a/src/platform/worker_pool.cpp
+++ b/src/runtime/worker_pool.cpp
@@ -1,5 +1,5 @@
 // The pool of worker threads of a process and its stop signals.
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 
 #include "base/clock_type.hpp"
 #include "base/event_type.hpp"
@@ -14,7 +14,7 @@
 #include <cstdlib>
 #include <pthread.h>
 
-namespace guavawick::platform {
+namespace guavawick::runtime {
 
 namespace asio = boost::asio;
 
@@ -32,7 +32,7 @@
 
 void worker_pool::spawn(asio::awaitable<void> work)
 {
-    platform::spawn(context_.get_executor(), std::move(work));
+    runtime::spawn(context_.get_executor(), std::move(work));
 }
 
 void worker_pool::stop()
@@ -124,4 +124,4 @@
     }).detach();
 }
 
-} // namespace guavawick::platform
+} // namespace guavawick::runtime
--- a/src/platform/worker_pool.hpp
+++ b/src/runtime/worker_pool.hpp
@@ -13,7 +13,7 @@
 #include <thread>
 #include <vector>
 
-namespace guavawick::platform {
+namespace guavawick::runtime {
 
 /// Runs handlers and coroutines on a fixed number of threads. Thread safety: every function from any thread.
 class worker_pool {
@@ -50,4 +50,4 @@
 /// Ends the process with status 1 if it still runs after `limit`; 0 means never.
 void limit_stop(std::chrono::nanoseconds limit);
 
-} // namespace guavawick::platform
+} // namespace guavawick::runtime
--- a/src/sidecar/sidecar_links.cpp
+++ b/src/sidecar/sidecar_links.cpp
@@ -43,7 +43,7 @@
         }
         std::size_t expected = turn;
         entry_turn_.compare_exchange_strong(expected, turn + 1);
-        co_await platform::wait_for(answer ? announce_retry : duration{});
+        co_await runtime::wait_for(answer ? announce_retry : duration{});
     }
     throw link_error("no entry answered in time");
 }
@@ -101,7 +101,7 @@
             announced_alive = done ? alive : announced_alive;
             announced = done ? present : announced;
         }
-        co_await platform::wait_for(50ms);
+        co_await runtime::wait_for(50ms);
     }
 }
 
@@ -126,7 +126,7 @@
             answer = nullptr;
         }
         if (!answer || !answer->has_polled()) {
-            co_await platform::wait_for(announce_retry);
+            co_await runtime::wait_for(announce_retry);
             continue;
         }
         const wire::poll_reply& reply = answer->polled();
@@ -212,14 +212,14 @@
         if (was_alive && failures >= most_health_failures) {
             co_await note_upstream_lost();
         }
-        co_await platform::wait_for(health_interval);
+        co_await runtime::wait_for(health_interval);
     }
 }
 
 asio::awaitable<void> sidecar_process::check_loop()
 {
     while (links_) {
-        co_await platform::wait_for(check_interval);
+        co_await runtime::wait_for(check_interval);
         const time_point now = runtime_clock::now();
         {
             const std::lock_guard lock(mutex_);
--- a/src/sidecar/sidecar_process.cpp
+++ b/src/sidecar/sidecar_process.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 sidecar_process::sidecar_process(const settings& given, const sidecar_settings& own,
-                                 platform::worker_pool& pool)
+                                 runtime::worker_pool& pool)
     : settings_(given), own_(own), pool_(pool), self_(random_id())
 {
     table_.incarnation = incarnation_id{random_id()};
--- a/src/sidecar/sidecar_process.hpp
+++ b/src/sidecar/sidecar_process.hpp
@@ -4,7 +4,7 @@
 #include "base/settings_type.hpp"
 #include "configuration/configuration_func.hpp"
 #include "http/metrics_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 #include "scheduling/attempt_func.hpp"
 #include "scheduling/queue_func.hpp"
 #include "scheduling/window_func.hpp"
@@ -20,7 +20,7 @@
 /// Lock order: `mutex_` is taken before the link's.
 class sidecar_process {
 public:
-    sidecar_process(const settings& given, const sidecar_settings& own, platform::worker_pool& pool);
+    sidecar_process(const settings& given, const sidecar_settings& own, runtime::worker_pool& pool);
     ~sidecar_process();
     /// Starts to serve. @throw link_error.
     void start();
@@ -73,7 +73,7 @@
 
     settings settings_;
     sidecar_settings own_;
-    platform::worker_pool& pool_;
+    runtime::worker_pool& pool_;
     incarnation_id self_; ///< of this process
     std::unique_ptr<wire::link> links_;
     http::metric_set metrics_;
--- a/src/standalone/first_set.cpp
+++ b/src/standalone/first_set.cpp
@@ -16,7 +16,7 @@
 
 constexpr duration publish_limit = 20s;
 
-wire::envelope_ptr call_control(platform::worker_pool& pool, wire::group_client& client,
+wire::envelope_ptr call_control(runtime::worker_pool& pool, wire::group_client& client,
                                 wire::envelope question)
 {
     return boost::asio::co_spawn(boost::asio::make_strand(pool.executor()),
@@ -26,7 +26,7 @@
 
 } // namespace
 
-void publish_first_set(const settings& given, platform::worker_pool& pool)
+void publish_first_set(const settings& given, runtime::worker_pool& pool)
 {
     const operators::set_file file = operators::read_set(given.configuration_file);
     std::string faults;
--- a/src/standalone/first_set.hpp
+++ b/src/standalone/first_set.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include "base/settings_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 
 namespace guavawick {
 
 /// Publishes the set if the revision is 0. @throw settings_error if the set has faults or is refused.
-void publish_first_set(const settings& given, platform::worker_pool& pool);
+void publish_first_set(const settings& given, runtime::worker_pool& pool);
 
 } // namespace guavawick
--- a/src/standalone/roles.cpp
+++ b/src/standalone/roles.cpp
@@ -57,7 +57,7 @@
     return given;
 }
 
-void start_roles(role_set& roles, const settings& given, role_kind role, platform::worker_pool& pool)
+void start_roles(role_set& roles, const settings& given, role_kind role, runtime::worker_pool& pool)
 {
     const bool alone = role == role_kind::standalone;
     if (alone || role == role_kind::replica) {
@@ -117,8 +117,8 @@
 {
     const settings given = role == role_kind::standalone ? complete_standalone(wanted) : wanted;
     start_logging(given.log_file, to_severity(given.log_level));
-    platform::block_signals();
-    platform::worker_pool pool(
+    runtime::block_signals();
+    runtime::worker_pool pool(
         worker_count(given, role)); // outlives the roles, whose sockets and timers belong to it
     role_set roles;
     int code = 0;
@@ -128,9 +128,9 @@
             publish_first_set(given, pool);
         }
         log_event(event::process_started, {{"role", role_name(role)}, {"data_centre", given.data_centre}});
-        platform::wait_for_stop_signal();
+        runtime::wait_for_stop_signal();
         log_event(event::process_stopping, {{"role", role_name(role)}});
-        platform::limit_stop(given.stop_limit);
+        runtime::limit_stop(given.stop_limit);
         stop_roles(roles);
     }
     catch (const storage_error& fault) {
--- /dev/null
+++ b/src/turns/turn_cmd.cpp
@@ -0,0 +1,116 @@
+// Commands on turns: checked, then executed.
+#include "turns/turn_func.hpp"
+
+#include <algorithm>
+
+namespace guavawick::turns {
+namespace {
+
+std::uint64_t reserved_tokens(const program_account& account)
+{
+    std::uint64_t sum = 0;
+    for (const auto& [request, most] : account.reserved) {
+        sum += most;
+    }
+    return sum;
+}
+
+/// Collects a chain's bytes, oldest turn first. @return false if a turn is missing.
+bool collect_history(const turn_state& state, const organisation_name& who, const request_name& last,
+                     std::string& into)
+{
+    std::vector<const turn*> chain;
+    request_name next = last;
+    while (!next.empty() && chain.size() < max_chain) {
+        const auto found = state.turns.find({who, next});
+        if (found == state.turns.end()) {
+            return false;
+        }
+        chain.push_back(&found->second);
+        next = found->second.previous;
+    }
+    for (auto one = chain.rbegin(); one != chain.rend(); ++one) {
+        into += (*one)->input;
+        into += (*one)->output;
+    }
+    return true;
+}
+
+/// A turn is kept as long as any that continues from it.
+void extend_chain(turn_state& state, const organisation_name& who, request_name next, group_time until)
+{
+    for (std::size_t steps = 0; !next.empty() && steps < max_chain; ++steps) {
+        const auto found = state.turns.find({who, next});
+        if (found == state.turns.end()) {
+            return;
+        }
+        found->second.keep_until = std::max(found->second.keep_until, until);
+        next = found->second.previous;
+    }
+}
+
+} // namespace
+
+void advance(turn_state& state, group_time now)
+{
+    state.now = std::max(state.now, now);
+    std::erase_if(state.turns, [&](const auto& one) { return one.second.keep_until < state.now; });
+    std::erase_if(state.programs,
+                  [&](const auto& one) { return one.second.used_at + account_memory < state.now; });
+}
+
+open_answer open(turn_state& state, const open_request& wish)
+{
+    open_answer answer;
+    if (!wish.previous.empty()) {
+        const auto previous = state.turns.find({wish.organisation, wish.previous});
+        if (previous == state.turns.end() ||
+            !collect_history(state, wish.organisation, wish.previous, answer.history)) {
+            answer.outcome = open_outcome::unknown_turn;
+            return answer;
+        }
+        answer.upstream = previous->second.upstream;
+    }
+    if (wish.program.empty() || wish.budget_tokens == 0) {
+        return answer;
+    }
+    program_account& account = state.programs[{wish.organisation, wish.program}];
+    account.used_at = state.now;
+    answer.spent = account.spent;
+    answer.reserved = reserved_tokens(account);
+    if (account.reserved.contains(wish.request)) {
+        return answer;
+    }
+    if (account.spent + answer.reserved >= wish.budget_tokens) {
+        answer.outcome = open_outcome::budget_spent;
+        answer.history.clear();
+        return answer;
+    }
+    if (!account.settled.contains(wish.request)) {
+        account.reserved[wish.request] = wish.most_tokens;
+    }
+    return answer;
+}
+
+void close(turn_state& state, const close_request& ended)
+{
+    if (!ended.program.empty()) {
+        program_account& account = state.programs[{ended.organisation, ended.program}];
+        account.used_at = state.now;
+        if (account.settled.insert(ended.request).second) {
+            account.spent += ended.used_tokens;
+        }
+        account.reserved.erase(ended.request);
+    }
+    if (!ended.keep) {
+        return;
+    }
+    const group_time until = state.now + ended.retention + retention_slack;
+    const auto [kept, fresh] = state.turns.try_emplace({ended.organisation, ended.request});
+    if (fresh) {
+        kept->second = {ended.previous, ended.input, ended.output, ended.upstream, until};
+        extend_chain(state, ended.organisation, ended.previous, until);
+    }
+}
+
+} // namespace guavawick::turns
--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -2,7 +2,7 @@
 #include "wire/group_client.hpp"
 
 #include "base/failure_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 #include "wire.pb.h"
 
 #include <algorithm>
@@ -22,11 +22,17 @@
 {
 }
 
+void group_client::set_replicas(std::vector<replica_address> replicas)
+{
+    const std::lock_guard lock(mutex_);
+    replicas_ = std::move(replicas);
+}
+
 std::string group_client::leader_of(std::uint32_t group)
 {
     const std::lock_guard lock(mutex_);
     std::string& known = leaders_[group];
-    if (known.empty()) {
+    if (known.empty() && !replicas_.empty()) {
         known = replicas_[group % replicas_.size()].endpoint;
     }
     return known;
@@ -41,7 +47,7 @@
 void group_client::next_replica(std::uint32_t group, const std::string& failed)
 {
     const std::lock_guard lock(mutex_);
-    if (leaders_[group] != failed) {
+    if (leaders_[group] != failed || replicas_.empty()) {
         return; // another request already moved on
     }
     std::size_t place = 0;
@@ -85,11 +91,15 @@
     const time_point deadline = runtime_clock::now() + limit;
     while (runtime_clock::now() < deadline) {
         const std::string endpoint = leader_of(group);
+        if (endpoint.empty()) {
+            co_await runtime::wait_for(redirect_pause);
+            continue;
+        }
         const envelope_ptr answer =
             co_await try_one(endpoint, request, deadline - runtime_clock::now(), held);
         if (!answer) {
             next_replica(group, endpoint);
-            co_await platform::wait_for(redirect_pause);
+            co_await runtime::wait_for(redirect_pause);
             continue;
         }
         if (!answer->has_redirect()) {
@@ -101,7 +111,7 @@
             continue;
         }
         next_replica(group, endpoint);
-        co_await platform::wait_for(redirect_pause);
+        co_await runtime::wait_for(redirect_pause);
     }
     throw link_error("no leader of group " + std::to_string(group) + " answered in time");
 }
--- a/src/wire/group_client.hpp
+++ b/src/wire/group_client.hpp
@@ -16,6 +16,8 @@
 class group_client {
 public:
     group_client(link& links, std::vector<replica_address> replicas);
+    /// Replaces the replicas that are asked. With none known, calls wait until some are or their limit ends.
+    void set_replicas(std::vector<replica_address> replicas);
     /// Sends a request to the leader of a group. @throw link_error if no leader answered within the limit.
     /// @param held how long the leader may hold the request before it answers.
     boost::asio::awaitable<envelope_ptr> call(std::uint32_t group, envelope request, duration limit,
--- a/tests/fakes/fake_upstream.cpp
+++ b/tests/fakes/fake_upstream.cpp
@@ -7,7 +7,7 @@
 #include "base/hash_func.hpp"
 #include "fakes/engine_model.hpp"
 #include "http/http_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -86,7 +86,7 @@
 asio::awaitable<void> hang(http::responder& out)
 {
     while (!out.caller_left()) {
-        co_await platform::wait_for(std::chrono::milliseconds(50));
+        co_await runtime::wait_for(std::chrono::milliseconds(50));
     }
 }
 
@@ -154,7 +154,7 @@
         first = start_call(state.engine, program, prompt);
         ++state.runs;
     }
-    co_await platform::wait_for(from_seconds(first));
+    co_await runtime::wait_for(from_seconds(first));
     http::response head;
     head.content_type = "text/event-stream";
     co_await out.start_stream(std::move(head));
@@ -170,7 +170,7 @@
             const std::lock_guard lock(state.mutex);
             step = token_seconds(state.engine);
         }
-        co_await platform::wait_for(from_seconds(step));
+        co_await runtime::wait_for(from_seconds(step));
         if (has_marker(text, "cut") && sent > tokens / 2) {
             break;
         }
@@ -205,7 +205,7 @@
         co_await hang(out);
         co_return;
     }
-    co_await platform::wait_for(std::chrono::milliseconds(read_marker(received.body, "slow", 1)));
+    co_await runtime::wait_for(std::chrono::milliseconds(read_marker(received.body, "slow", 1)));
     std::uint64_t number = 0;
     {
         const std::lock_guard lock(state.mutex);
@@ -284,7 +284,7 @@
 
 int run()
 {
-    platform::block_signals();
+    runtime::block_signals();
     start_logging("", severity::warning);
     upstream_state state;
     state.engine.options.slots = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_slots));
@@ -294,11 +294,11 @@
     state.engine.options.cold_answers = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_cold_answers));
     const std::string path = absl::GetFlag(FLAGS_run_log);
     state.log.open(path.empty() ? "/dev/null" : path, std::ios::app);
-    platform::worker_pool pool(2);
+    runtime::worker_pool pool(2);
     http::server server(
         pool.executor(), absl::GetFlag(FLAGS_listen), {},
         [&state](http::request& received, http::responder& out) { return serve(state, received, out); });
-    platform::wait_for_stop_signal();
+    runtime::wait_for_stop_signal();
     pool.stop();
     return 0;
 }
--- a/tests/scenarios/main.cpp
+++ b/tests/scenarios/main.cpp
@@ -20,13 +20,13 @@
     using namespace guavawick;
     absl::SetProgramUsageMessage("scenario_runner [FLAGS] FILE...");
     const std::vector<char*> files = absl::ParseCommandLine(argc, argv);
-    platform::block_signals();
+    runtime::block_signals();
     start_logging("", severity::error);
     int failed = 0;
     for (std::size_t i = 1; i < files.size(); ++i) {
         const std::string folder =
             (std::filesystem::temp_directory_path() / ("guavawick-" + to_hex(random_id()))).string();
-        platform::worker_pool pool(3);
+        runtime::worker_pool pool(3);
         try {
             scenarios::process_set processes(absl::GetFlag(FLAGS_bin), folder,
                                              absl::GetFlag(FLAGS_fixed_ports), pool.executor());
--- a/tests/scenarios/relay.cpp
+++ b/tests/scenarios/relay.cpp
@@ -1,7 +1,7 @@
 // A TCP relay before a process's link.
 #include "relay.hpp"
 
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -69,7 +69,7 @@
         const std::size_t got = co_await from.async_read_some(
             asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, failed));
         while (core->is_cut(*one)) {
-            co_await platform::wait_for(cut_poll); // held back; a muted connection stays here
+            co_await runtime::wait_for(cut_poll); // held back; a muted connection stays here
         }
         if (got != 0) {
             co_await asio::async_write(to, asio::buffer(buffer.data(), got),
@@ -86,7 +86,7 @@
     const tcp::endpoint peer = one->near_side.remote_endpoint();
     one->source = core->find_owner(peer.port(), one->near_side.local_endpoint().port());
     while (core->is_cut(*one)) {
-        co_await platform::wait_for(cut_poll);
+        co_await runtime::wait_for(cut_poll);
     }
     boost::system::error_code failed;
     const tcp::endpoint there(asio::ip::address_v4::loopback(), core->target);
--- a/tests/scenarios/runner.cpp
+++ b/tests/scenarios/runner.cpp
@@ -74,7 +74,7 @@
 
 } // namespace
 
-runner::runner(process_set& processes, platform::worker_pool& pool, bool verbose)
+runner::runner(process_set& processes, runtime::worker_pool& pool, bool verbose)
     : processes_(processes), pool_(pool), verbose_(verbose)
 {
 }
@@ -126,7 +126,7 @@
         {"pause", [&] { std::this_thread::sleep_for(one.within); }},
         {"say", [&] { std::cout << one.words.at(0) << std::endl; }},
         {"status", [&] { show_status(); }},
-        {"wait_for_signal", [] { platform::wait_for_stop_signal(); }},
+        {"wait_for_signal", [] { runtime::wait_for_stop_signal(); }},
     };
     try {
         actions.at(one.verb)();
@@ -441,7 +441,7 @@
     pool_.spawn(send_call(made));
     if (hang_up != duration{}) {
         pool_.spawn([](std::shared_ptr<running_call> held, duration after) -> asio::awaitable<void> {
-            co_await platform::wait_for(after);
+            co_await runtime::wait_for(after);
             held->stop->cancel();
         }(made, hang_up));
     }
--- a/tests/scenarios/runner.hpp
+++ b/tests/scenarios/runner.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "http/http_type.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 #include "processes.hpp"
 #include "script.hpp"
 
@@ -30,7 +30,7 @@
 /// Runs the statements of one scenario. Thread safety: one thread.
 class runner {
 public:
-    runner(process_set& processes, platform::worker_pool& pool, bool verbose);
+    runner(process_set& processes, runtime::worker_pool& pool, bool verbose);
     /// Runs the script, then checks the invariants. @throw scenario_failure, script_error.
     void run(const std::vector<statement>& script);
 
@@ -70,7 +70,7 @@
     void show_status();
 
     process_set& processes_;
-    platform::worker_pool& pool_;
+    runtime::worker_pool& pool_;
     bool verbose_;
     system_plan plan_;
     std::vector<upstream_plan> upstreams_;
--- a/tests/unit/link_test.cpp
+++ b/tests/unit/link_test.cpp
@@ -1,7 +1,7 @@
 // Links between processes: calls, deadlines, and who may connect.
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
-#include "platform/worker_pool.hpp"
+#include "runtime/worker_pool.hpp"
 #include "wire.pb.h"
 #include "wire/link_type.hpp"
 
@@ -37,7 +37,7 @@
 }
 
 struct answering_link {
-    platform::worker_pool pool{2};
+    runtime::worker_pool pool{2};
     std::string endpoint;
     std::unique_ptr<wire::link> server;
 
