Keep a line of turns at the engine that read it; push views once a batch, confirmed ones first

Cause: the last part of a prompt is the whole line so far, and grows; placing took it for new everywhere, so every turn went to the least loaded engine and was read again: 2,200 tokens a call. Restarted control leaders pushed each old version to the entries while they replayed their log.

--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -218,34 +218,46 @@
         log_event(event::store_retiring, {{"store", command.retire().name()}});
     }
     publish_view();
-    if (group_->leads()) {
-        const fleet_view view = view_.load();
-        std::vector<std::string> endpoints;
-        {
-            const std::lock_guard lock(mutex_);
-            for (const auto& [endpoint, heard] : subscribers_) {
-                endpoints.push_back(endpoint);
-            }
-        }
-        for (const std::string& endpoint : endpoints) {
-            push_view(endpoint, *view, view->version == version ? version : 0);
-        }
+    if (!push_posted_) {
+        // After the whole batch: a new leader's first batch may be the history of hours.
+        push_posted_ = true;
+        group_->post([this, version] { push_to_all(version); });
     }
     return reply;
 }
 
+void control_process::push_to_all(std::uint64_t held_version)
+{
+    push_posted_ = false;
+    if (!group_->may_read()) {
+        return;
+    }
+    const fleet_view view = view_.load();
+    std::vector<std::string> endpoints;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [endpoint, heard] : subscribers_) {
+            endpoints.push_back(endpoint);
+        }
+    }
+    for (const std::string& endpoint : endpoints) {
+        push_view(endpoint, *view, view->version == held_version ? held_version : 0, true);
+    }
+}
+
 void control_process::publish_view()
 {
     view_.store(std::make_shared<const fleet_state>(state_));
 }
 
 void control_process::push_view(const std::string& endpoint, const fleet_state& view,
-                                std::uint64_t held_version)
+                                std::uint64_t held_version, bool confirmed)
 {
     wire::envelope message;
     wire::control_view* body = message.mutable_view();
     body->set_revision(view.revision);
     body->set_version(view.version);
+    body->set_confirmed(confirmed);
     body->set_has_document(held_version < view.version);
     if (body->has_document()) {
         body->set_document(view.document);
@@ -300,7 +312,7 @@
     links_->send(wish.endpoint(), make_hello(now));
     const fleet_view view = view_.load();
     if (!store && wish.revision() < view->revision) {
-        push_view(wish.endpoint(), *view, wish.version());
+        push_view(wish.endpoint(), *view, wish.version(), confirmed_.load());
     }
 }
 
@@ -338,6 +350,7 @@
 
 void control_process::tick(time_point now)
 {
+    confirmed_.store(group_->may_read());
     std::vector<std::string> members;
     for (const replica::member_report& one : group_->report().members) {
         members.push_back(one.who.endpoint);
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -72,7 +72,9 @@
     void take_directory(const wire::directory_update& update);
     wire::envelope apply(const std::string& command);
     void publish_view();
-    void push_view(const std::string& endpoint, const fleet_state& view, std::uint64_t held_version);
+    void push_view(const std::string& endpoint, const fleet_state& view, std::uint64_t held_version,
+                   bool confirmed);
+    void push_to_all(std::uint64_t held_version);
     void tick(time_point now);
     void found_ledger(time_point now);
     wire::envelope judge(const std::string& store, time_point now);
@@ -91,6 +93,8 @@
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
     bool leads_ = false;
+    bool push_posted_ = false;     ///< the view will be pushed after this batch
+    std::atomic<bool> confirmed_{false}; ///< this replica leads and a quorum confirmed it, as of the last tick
     time_point stores_seen_at_{}; ///< when the first store reported; for the founding of the ledger
     std::atomic<fleet_view> view_; ///< what was last applied
     std::atomic<bool> running_{true};
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -326,6 +326,7 @@
     body->set_program(run->facts.program.value);
     body->set_budget_tokens(run->facts.budget_tokens);
     body->set_most_tokens(run->facts.most_tokens);
+    body->set_line(run->facts.line);
     if (run->route->keeps_turns) {
         body->set_previous(run->facts.previous_turn.value);
     }
@@ -369,6 +370,7 @@
     body->set_program(run->facts.budget_tokens > 0 ? run->facts.program.value : "");
     body->set_used_tokens(run->events * per_event);
     body->set_upstream(run->ran_at);
+    body->set_line(run->facts.line);
     if (whole) {
         body->set_keep(true);
         body->set_previous(run->facts.previous_turn.value);
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -154,7 +154,6 @@
     wish.prompt_tokens = run.facts.prompt_tokens;
     if (!run.facts.prompt.empty()) {
         wish.shared_tokens = run.facts.prompt.front().tokens;
-        wish.new_tokens = run.facts.prompt.back().tokens;
     }
     wish.own_data_centre = data_centre_name{run.context.state->settings.data_centre};
     wish.tried = run.tried;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,6 +22,7 @@
 
 using namespace std::chrono_literals;
 
+constexpr duration confirmation_patience = 4s;  ///< a new leader of control is found within two seconds
 constexpr duration subscribe_interval = 500ms;  ///< a quarter of the time in which a plan must be in force
 constexpr duration balancer_notice = 3s;        ///< the balancer asks every second and wants two misses
 constexpr duration stop_margin = 700ms;         ///< before the platform kills the process
@@ -169,6 +170,12 @@
     if (view.revision() <= state_->revision) {
         return;
     }
+    // A replica that has just started or is cut off may hold an old view. An entry without any waits a while for
+    // one that a quorum confirmed; later the revision decides.
+    const bool patient = runtime_clock::now() - started_at_ < confirmation_patience;
+    if (!state_->plan && !view.confirmed() && patient) {
+        return;
+    }
     const std::uint64_t held = state_->plan ? state_->plan->plan.version.value : 0;
     if (view.version() > held && !view.has_document()) {
         return; // the next subscription asks for the document
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -96,6 +96,7 @@
     http::metric_set metrics_;
     std::unique_ptr<http::server> readiness_;
     std::unique_ptr<http::server> metrics_server_;
+    time_point started_at_ = runtime_clock::now();
     std::atomic<bool> running_{true};
     std::atomic<bool> ready_{false};
     std::atomic<bool> finished_{false};
--- a/src/placing/placing_func.cpp
+++ b/src/placing/placing_func.cpp
@@ -60,11 +60,9 @@
     waiting += std::max(0.0, running - std::max(1U, one.record->slots));
     double cost = wish.model ? running * costs.model_running_ms + waiting * costs.model_waiting_ms
                              : running * costs.service_running_ms + waiting * costs.service_waiting_ms;
-    if (wish.model) {
-        const std::uint64_t known = wish.shared_tokens + wish.new_tokens;
-        const std::uint64_t unread = preferred || wish.prompt_tokens < known ? wish.new_tokens
-                                                                             : wish.prompt_tokens - wish.shared_tokens;
-        cost += static_cast<double>(unread) / costs.prefill_tokens_per_ms;
+    if (wish.model && !preferred && wish.prompt_tokens > wish.shared_tokens) {
+        // What was said in this line is read again everywhere but where it is cached.
+        cost += static_cast<double>(wish.prompt_tokens - wish.shared_tokens) / costs.prefill_tokens_per_ms;
     }
     if (one.record->data_centre != wish.own_data_centre) {
         cost += costs.other_data_centre_ms;
--- a/src/placing/placing_type.hpp
+++ b/src/placing/placing_type.hpp
@@ -40,7 +40,6 @@
     std::string warm_instance;          ///< ran the previous turn; empty if unknown
     std::uint64_t prompt_tokens = 0;    ///< the whole prompt
     std::uint64_t shared_tokens = 0;    ///< the part that most instances hold
-    std::uint64_t new_tokens = 0;       ///< the part that none holds
     data_centre_name own_data_centre;
     std::set<std::string> tried;        ///< instances that this call was sent to
     double cold_share = 0;              ///< calls a second that a cold instance takes from this entry
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -53,7 +53,11 @@
 
 void advance(turn_state& state, group_time now)
 {
+    const group_time before = state.now;
     state.now = std::max(state.now, now);
+    if (state.now / sweep_interval == before / sweep_interval) {
+        return;
+    }
     std::erase_if(state.turns, [&](const auto& one) { return one.second.keep_until < state.now; });
     std::erase_if(state.programs,
                   [&](const auto& one) { return one.second.used_at + account_memory < state.now; });
@@ -76,6 +80,14 @@
     }
     program_account& account = state.programs[{wish.organisation, wish.program}];
     account.used_at = state.now;
+    // The prompt of a new line begins with that of the line that it was started from.
+    const auto line = account.upstreams.find(wish.line);
+    if (line != account.upstreams.end()) {
+        answer.upstream = line->second;
+    }
+    else if (answer.upstream.empty()) {
+        answer.upstream = account.last_upstream;
+    }
     answer.spent = account.spent;
     answer.reserved = reserved_tokens(account);
     if (account.reserved.contains(wish.request)) {
@@ -101,6 +113,10 @@
             account.spent += ended.used_tokens;
         }
         account.reserved.erase(ended.request);
+        if (!ended.upstream.empty() && ended.used_tokens > 0) {
+            account.upstreams[ended.line] = ended.upstream;
+            account.last_upstream = ended.upstream;
+        }
     }
     if (!ended.keep) {
         return;
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -30,6 +30,8 @@
             reserved->set_request(request.value);
             reserved->set_most(most);
         }
+        made->mutable_upstreams()->insert(account.upstreams.begin(), account.upstreams.end());
+        made->set_last_upstream(account.last_upstream);
         for (const request_name& request : account.settled) {
             made->add_settled(request.value);
         }
@@ -55,6 +57,8 @@
             state.programs[{organisation_name{one.organisation()}, program_name{one.program()}}];
         account.spent = one.spent();
         account.used_at = group_time{one.used_at_ms()};
+        account.upstreams.insert(one.upstreams().begin(), one.upstreams().end());
+        account.last_upstream = one.last_upstream();
         for (const wire::reservation_record& reserved : one.reserved()) {
             account.reserved[request_name{reserved.request()}] = reserved.most();
         }
@@ -69,7 +73,8 @@
 {
     return {organisation_name{message.organisation()}, request_name{message.request()},
             program_name{message.program()},           message.budget_tokens(),
-            message.most_tokens(),                     request_name{message.previous()}};
+            message.most_tokens(),                     request_name{message.previous()},
+            message.line()};
 }
 
 close_request from_wire(const wire::close_turn& message)
@@ -83,7 +88,8 @@
             message.input(),
             message.output(),
             message.upstream(),
-            std::chrono::milliseconds{message.retention_ms()}};
+            std::chrono::milliseconds{message.retention_ms()},
+            message.line()};
 }
 
 } // namespace guavawick::turns
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -48,6 +48,8 @@
     std::uint64_t spent = 0;                       ///< tokens of turns that ended
     std::map<request_name, std::uint64_t> reserved; ///< most tokens of turns that may be running
     std::set<request_name> settled;                ///< turns that ended, so that a resend settles nothing
+    std::map<std::string, std::string> upstreams;  ///< where each line of turns last ran
+    std::string last_upstream;                     ///< where any of them last ran
     group_time used_at{};
 };
 
@@ -66,6 +68,7 @@
     std::uint64_t budget_tokens = 0; ///< of the whole program
     std::uint64_t most_tokens = 0;   ///< of this turn
     request_name previous;           ///< empty: starts a chain
+    std::string line;                ///< the line of turns that it belongs to
 };
 
 /// Whether a turn may run.
@@ -75,7 +78,7 @@
 struct open_answer {
     open_outcome outcome = open_outcome::granted;
     std::string history;        ///< everything before the new input, oldest first
-    std::string upstream;       ///< where the previous turn ran
+    std::string upstream;       ///< where the cache of the line, or of its program, is warm; empty if unknown
     std::uint64_t spent = 0;    ///< tokens, for logs
     std::uint64_t reserved = 0; ///< tokens, for logs
 };
@@ -92,10 +95,12 @@
     std::string output;
     std::string upstream;
     std::chrono::milliseconds retention{};
+    std::string line;
 };
 
 constexpr std::chrono::milliseconds account_memory = 300s; ///< a program unused for this long is forgotten
 constexpr std::chrono::milliseconds retention_slack = 5s; ///< kept longer than promised, for clocks that differ
+constexpr std::chrono::milliseconds sweep_interval = 1s;  ///< how often what is old is looked for
 constexpr std::size_t max_chain = 4096;                   ///< turns of one chain
 
 } // namespace guavawick::turns
