Send refused entries once: a leader probes before it sends ahead again; hold calls of a fresh entry until it has its plan

Also: fleets elect after 0.6 s of silence, links give silent connections up after 0.9 s and connection attempts after 0.5 s; an upstream's own failure is passed on when no attempt does better; placing prefers the own data centre more.

--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -156,8 +156,13 @@
     made.log_term = term_at(state, made.index);
     made.commit = state.commit;
     made.sent_at = to_wire(now);
-    fill_batch(state, peer.next, made);
-    peer.next += made.entries.size();
+    if (peer.probing) {
+        peer.probe_index = made.index;
+    }
+    else if (peer.next <= peer.match + state.settings.max_unanswered) {
+        fill_batch(state, peer.next, made);
+        peer.next += made.entries.size();
+    }
     out.early_messages.push_back(std::move(made));
 }
 
@@ -443,8 +448,12 @@
     progress& peer = found->second;
     peer.acked_sent_at = std::max(peer.acked_sent_at, from_wire(reply.sent_at));
     if (reply.reject) {
-        if (reply.index > peer.match) {
+        // Everything that was sent ahead is refused too. One answer decides where to go on; each of the others
+        // would send the same entries once more.
+        const bool news = !peer.probing || reply.index == peer.probe_index;
+        if (reply.index > peer.match && news) {
             peer.next = std::max(peer.match, reply.commit) + 1;
+            peer.probing = true;
             send_append(state, reply.from, peer, now, out);
         }
         return;
@@ -452,6 +461,7 @@
     peer.snapshot_pending = false;
     peer.match = std::max(peer.match, reply.index);
     peer.next = std::max(peer.next, peer.match + 1);
+    peer.probing = false;
     advance_commit(state, out);
     if (state.transfer_to == reply.from && peer.match == last_index(state)) {
         out.early_messages.push_back(make_message(state, message_kind::campaign_now, reply.from));
@@ -655,7 +665,9 @@
         if (inserted) {
             found->second.next = last_index(state);
         }
-        if (found->second.next <= last_index(state)) {
+        const progress& peer = found->second;
+        if (!peer.probing && peer.next <= last_index(state) &&
+            peer.next <= peer.match + state.settings.max_unanswered) {
             send_append(state, other.id, found->second, now, out);
         }
     }
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -95,6 +95,7 @@
     duration heartbeat = 150ms;            ///< interval between a leader's messages
     std::size_t max_batch_entries = 512;   ///< entries in one message
     std::size_t max_batch_bytes = 1 << 20; ///< bytes of payload in one message
+    log_index max_unanswered = 2048; ///< entries sent ahead of a member's answers: four full batches
     log_index kept_entries = 2000;         ///< entries kept behind a snapshot for members that lag
 };
 
@@ -108,6 +109,8 @@
     time_point acked_sent_at{};    ///< when the last answered message was sent
     time_point snapshot_sent_at{}; ///< when a snapshot was last sent
     bool snapshot_pending = false; ///< a snapshot is on its way
+    bool probing = false;          ///< it refused entries: nothing is sent ahead until it accepts a position
+    log_index probe_index = 0;     ///< the position that was last asked about
 };
 
 /// A membership and the entry that brought it.
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -27,6 +27,10 @@
     duration stop_grace = 8s;           ///< from the stop signal until the process is killed
 };
 
+constexpr duration fleet_election_timeout = 600ms; ///< several heartbeats; callers wait this long for a new leader
+constexpr duration fleet_heartbeat = 120ms;        ///< a fifth of it, so that single losses start no election
+constexpr duration fleet_link_silence = 900ms;     ///< three pings; connections may go silent for good
+
 /// @return settings of one consensus replica of this process.
 inline replica_settings to_replica_settings(const fleet_settings& given, std::uint64_t snapshot_entries)
 {
@@ -35,6 +39,16 @@
     made.link = given.link;
     made.data_folder = given.data_folder;
     made.snapshot_entries = snapshot_entries;
+    made.election_timeout = fleet_election_timeout;
+    made.heartbeat = fleet_heartbeat;
+    return made;
+}
+
+/// @return settings of the links of a process of the fleet.
+inline link_settings make_link_settings()
+{
+    link_settings made;
+    made.silence_limit = fleet_link_silence;
     return made;
 }
 
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -24,7 +24,7 @@
     if (disk_.blank) {
         log_event(event::disk_blank, {{"replica", settings_.node}, {"disk", to_hex(disk_.id.value)}});
     }
-    links_ = std::make_unique<wire::link>(pool_.executor(), link_settings{}, incarnation_id{random_id()});
+    links_ = std::make_unique<wire::link>(pool_.executor(), make_link_settings(), incarnation_id{random_id()});
     group_ = std::make_unique<replica::group>(ledger_group, to_replica_settings(given, snapshot_entries),
                                               disk_.id, std::vector<replica_address>{}, *links_);
     group_->manage_members(consensus::make_policy(settings_.losses, settings_.data_centres),
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -24,6 +24,7 @@
 constexpr duration reuse_unrepeatable = 2s;   ///< a call that must not be lost uses connections idle for less
 constexpr std::size_t most_buffered = 8U << 20U; ///< bytes of an answer that is not a stream
 constexpr duration retry_ledger = 300ms;      ///< a new leader of the ledger needs about this long
+constexpr int misdirected_status = 421;
 constexpr duration crash_probe_delay = 30ms;  ///< a crashed process no longer accepts after this
 
 /// The head fields of an upstream's answer that are passed on.
@@ -189,19 +190,6 @@
     co_return co_await connect_upstream(to.id.value, to.address, std::min(connect_limit, left));
 }
 
-/// Sends the caller an answer that was read whole.
-asio::awaitable<void> pass_answer(std::shared_ptr<call_run> run, attempt_state& state)
-{
-    run->context.state->counters.answered.fetch_add(1);
-    log_event(event::call_answered, [&] {
-        std::vector<event_field> fields = call_fields(*run);
-        fields.push_back({"status", std::uint64_t(state.head.status)});
-        return fields;
-    }());
-    header_list headers = pass_on(state.head.headers);
-    co_await run->port.send(state.head.status, state.head.reason, std::move(headers), std::move(state.body));
-}
-
 /// Ends a stream whose last event was passed on.
 asio::awaitable<attempt_end> end_stream(std::shared_ptr<call_run> run, attempt_state& state)
 {
@@ -235,14 +223,9 @@
         co_return attempt_end::answered;
     }
     if (state.has_head && state.head.facts.not_run) {
-        --run->attempts;
         log_attempt(*run, to, "the upstream did not run the call", state.head.status);
-        if (state.head.status == 503 || state.head.status == 429) {
-            ++run->attempts; // it was offered the call
-            co_return attempt_end::not_run;
-        }
-        if (state.head.status != 421) {
-            ++run->attempts;
+        if (state.head.status == misdirected_status) {
+            --run->attempts; // another instance has the address; the one that was meant got nothing
         }
         co_return attempt_end::not_run;
     }
@@ -253,8 +236,13 @@
         const bool success = state.head.status >= 200 && state.head.status < 300;
         const bool genuine = !success || state.head.facts.signed_by_upstream;
         const bool again = run->route->kind == plan::call_kind::idempotent && state.head.status >= 500;
-        if (genuine && !run->head_sent && !again) {
-            co_await pass_answer(run, state);
+        if (genuine && !run->head_sent) {
+            upstream_answer answer{state.head, std::move(state.body)};
+            if (again) {
+                run->spare = std::move(answer);
+                co_return attempt_end::maybe_run;
+            }
+            co_await pass_answer(run, std::move(answer));
             co_return attempt_end::answered;
         }
         log_attempt(*run, to, "the upstream's answer can't be used", state.head.status);
@@ -317,6 +305,16 @@
     co_return co_await judge(run, state, end, target);
 }
 
+asio::awaitable<void> pass_answer(std::shared_ptr<call_run> run, upstream_answer answer)
+{
+    run->context.state->counters.answered.fetch_add(1);
+    std::vector<event_field> fields = call_fields(*run);
+    fields.push_back({"status", std::uint64_t(answer.head.status)});
+    log_event(event::call_answered, fields);
+    header_list headers = pass_on(answer.head.headers);
+    co_await run->port.send(answer.head.status, answer.head.reason, std::move(headers), std::move(answer.body));
+}
+
 asio::awaitable<refusal> open_turn(std::shared_ptr<call_run> run)
 {
     wire::envelope question;
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -25,6 +25,8 @@
 constexpr int most_placements = 6;            ///< tries to find an upstream that takes the call
 constexpr duration soon = 200ms;              ///< when another try is worthwhile after a passing shortage
 constexpr duration no_plan_yet = 500ms;       ///< an entry gets its plan within a subscription
+constexpr duration longest_plan_wait = 1500ms; ///< an entry that has just started soon has its plan
+constexpr duration plan_step = 20ms;          ///< how often a waiting call looks for the plan
 constexpr double least_cold_rate = 0.2;       ///< calls a second of one entry to one cold upstream
 
 std::string to_seconds_text(duration value)
@@ -184,13 +186,14 @@
     return *candidates[static_cast<std::size_t>(chosen)].record;
 }
 
-/// What the caller is told after the last attempt.
-refusal judge_end(const call_run& run, attempt_end last)
+/// What the caller is told after the last attempt. Only what no upstream may have run is said not to have run.
+refusal judge_end(bool maybe_ran, bool late)
 {
-    if (run.attempts == 0 || last == attempt_end::not_run) {
-        return {503, "no upstream took the call", soon};
+    if (maybe_ran) {
+        return late ? refusal{504, "the upstream did not answer in time", {}}
+                    : refusal{502, "the upstream broke off", {}};
     }
-    return {502, "the upstream broke off", {}};
+    return {503, late ? "no upstream took the call in time" : "no upstream took the call", soon};
 }
 
 asio::awaitable<void> run_attempts(std::shared_ptr<call_run> run)
@@ -232,16 +235,11 @@
         run->port.abort();
         co_return;
     }
-    const bool late = runtime_clock::now() >= run->deadline;
-    const bool promise = !maybe_ran || run->route->kind == plan::call_kind::idempotent;
-    refusal why = judge_end(*run, maybe_ran && !promise ? attempt_end::maybe_run : last);
-    if (late) {
-        why = maybe_ran ? refusal{504, "the upstream did not answer in time", {}}
-                        : refusal{503, "no upstream took the call in time", {}};
-    }
-    else if (maybe_ran) {
-        why = {502, "the upstream broke off", {}};
+    if (run->spare) {
+        co_await pass_answer(run, std::move(*run->spare));
+        co_return;
     }
+    const refusal why = judge_end(maybe_ran, runtime_clock::now() >= run->deadline);
     co_await refuse(run, why);
 }
 
@@ -271,6 +269,10 @@
     auto run = std::make_shared<call_run>(std::move(context), received, port);
     run->begun = runtime_clock::now();
     run->facts = run->context.state->speaks.read_call(received);
+    const duration patience = std::min<duration>(longest_plan_wait, run->facts.deadline.value_or(default_deadline) / 3);
+    while (!run->context.state->plan && runtime_clock::now() - run->begun < patience && !port.caller_left()) {
+        co_await runtime::wait_for(plan_step);
+    }
     refusal refused = admit(*run);
     if (refused.status == 0) {
         refused = co_await pass_rate(run);
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -18,6 +18,12 @@
 /// Why a connection to an upstream was closed by this entry.
 enum class stop_reason : std::uint8_t { none, caller_left, deadline };
 
+/// An upstream's answer that was read whole.
+struct upstream_answer {
+    answer_head head;
+    std::string body;
+};
+
 /// State of one call.
 struct call_run {
     call_run(call_context shared, raw_request& from, answer_port& to) : context(std::move(shared)), received(from), port(to) {}
@@ -47,6 +53,7 @@
     std::optional<std::uint64_t> last_event; ///< id of the newest one
     std::string output;               ///< their data, where the turn is kept
     std::string ran_at;               ///< instance that answered
+    std::optional<upstream_answer> spare; ///< a failure of an upstream, passed on if no attempt does better
 };
 
 /// How one attempt ended.
@@ -60,6 +67,8 @@
 /// Runs one attempt. @param to where it goes.
 boost::asio::awaitable<attempt_end> run_attempt(std::shared_ptr<call_run> run,
                                                 const directory::instance_record& to);
+/// Sends the caller an answer that was read whole.
+boost::asio::awaitable<void> pass_answer(std::shared_ptr<call_run> run, upstream_answer answer);
 /// Asks the ledger whether a turn may run. @return a refusal with status 0 if it may.
 boost::asio::awaitable<refusal> open_turn(std::shared_ptr<call_run> run);
 /// Tells the ledger how a turn ended. @return whether it is committed.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -22,7 +22,7 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration confirmation_patience = 4s;  ///< a new leader of control is found within two seconds
+constexpr duration confirmation_patience = 2500ms; ///< a new leader of control is found within two seconds
 constexpr duration subscribe_interval = 500ms;  ///< a quarter of the time in which a plan must be in force
 constexpr duration balancer_notice = 3s;        ///< the balancer asks every second and wants two misses
 constexpr duration stop_margin = 700ms;         ///< before the platform kills the process
@@ -46,7 +46,7 @@
     state_->settings = given;
     state_->speaks = speaks;
     state_->controls = given.seeds;
-    links_ = std::make_unique<wire::link>(pool_.executor(), link_settings{}, self);
+    links_ = std::make_unique<wire::link>(pool_.executor(), core::make_link_settings(), self);
     ledger_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
     rates_ = std::make_unique<entry::rate_gate>(*ledger_, self, 1);
 }
--- a/src/placing/placing_func.cpp
+++ b/src/placing/placing_func.cpp
@@ -65,7 +65,7 @@
         cost += static_cast<double>(wish.prompt_tokens - wish.shared_tokens) / costs.prefill_tokens_per_ms;
     }
     if (one.record->data_centre != wish.own_data_centre) {
-        cost += costs.other_data_centre_ms;
+        cost += wish.model ? costs.model_other_place_ms : costs.service_other_place_ms;
     }
     if (load.suspect_until > now) {
         cost += costs.suspect_ms;
--- a/src/placing/placing_type.hpp
+++ b/src/placing/placing_type.hpp
@@ -52,7 +52,8 @@
     double model_waiting_ms = 60;      ///< delay by one call that waits for a place
     double service_running_ms = 20;    ///< one more call on an instance with free places
     double service_waiting_ms = 100;   ///< one call that waits: the mean work of the deployments' services
-    double other_data_centre_ms = 4;   ///< a round trip between data centres, and its bytes
+    double model_other_place_ms = 25;  ///< a prompt of some KB to another data centre, for each turn of the line
+    double service_other_place_ms = 10; ///< a round trip between data centres, and its bytes
     double suspect_ms = 100'000;       ///< only where nothing else is left
     duration report_age = 1s;          ///< older reports are not believed
 };
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -30,7 +30,11 @@
             reserved->set_request(request.value);
             reserved->set_most(most);
         }
-        made->mutable_upstreams()->insert(account.upstreams.begin(), account.upstreams.end());
+        for (const auto& [line, upstream] : account.upstreams) {
+            wire::line_record* ran = made->add_upstreams();
+            ran->set_line(line);
+            ran->set_upstream(upstream);
+        }
         made->set_last_upstream(account.last_upstream);
         for (const request_name& request : account.settled) {
             made->add_settled(request.value);
@@ -57,7 +61,9 @@
             state.programs[{organisation_name{one.organisation()}, program_name{one.program()}}];
         account.spent = one.spent();
         account.used_at = group_time{one.used_at_ms()};
-        account.upstreams.insert(one.upstreams().begin(), one.upstreams().end());
+        for (const wire::line_record& ran : one.upstreams()) {
+            account.upstreams[ran.line()] = ran.upstream();
+        }
         account.last_upstream = one.last_upstream();
         for (const wire::reservation_record& reserved : one.reserved()) {
             account.reserved[request_name{reserved.request()}] = reserved.most();
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -34,6 +34,7 @@
 constexpr duration most_resend = 16s;
 constexpr duration idle_peer_limit = 120s; ///< an unused connection is closed after this
 constexpr int linger_ms = 300;      ///< a stopping process waits this long for its last messages to leave
+constexpr int connect_timeout_ms = 500; ///< an instance without power does not even refuse; it may be back at once
 constexpr int queue_limit = 200000; ///< messages that wait for one connection
 
 } // namespace
@@ -144,6 +145,7 @@
         made.socket.set(zmq::sockopt::rcvhwm, queue_limit);
         made.socket.set(zmq::sockopt::reconnect_ivl, 50);
         made.socket.set(zmq::sockopt::reconnect_ivl_max, 500);
+        made.socket.set(zmq::sockopt::connect_timeout, connect_timeout_ms);
         apply_keys(made.socket);
         made.socket.connect(endpoint);
         made.heard_at = now;
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -125,6 +125,71 @@
 
 BOOST_AUTO_TEST_SUITE(consensus_test)
 
+// Found on a day with a frozen follower: each refusal sent the whole rest of the log again, until the leader ran out
+// of memory.
+BOOST_AUTO_TEST_CASE(follower_that_refuses_all_that_was_sent_ahead_gets_each_entry_once_more)
+{
+    const time_point now{std::chrono::hours(1)};
+    membership members;
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+        members.members.push_back({member_id{id}, std::to_string(id), "", true, 0});
+    }
+    auto first = std::make_shared<snapshot>();
+    first->index = 1;
+    first->term = 1;
+    first->members = members;
+    persisted_state disk;
+    disk.term = 1;
+    disk.newest_snapshot = first;
+    group_state leader = make_state(member_id{1}, options{}, disk, {}, now, 1);
+    leader.role = role_type::leader;
+    leader.leader = member_id{1};
+    constexpr std::size_t proposals = 100;
+    std::vector<message> lost;
+    for (std::size_t i = 0; i < proposals; ++i) {
+        effects out;
+        propose(leader, entry_kind::command, "payload", out);
+        flush(leader, now, out);
+        for (const message& one : out.early_messages) {
+            if (one.to == member_id{2}) {
+                lost.push_back(one);
+            }
+        }
+    }
+    std::size_t sent_again = 0;
+    std::vector<message> probes;
+    for (const message& one : lost) {
+        message refusal;
+        refusal.kind = message_kind::append_reply;
+        refusal.from = member_id{2};
+        refusal.to = member_id{1};
+        refusal.term = leader.term;
+        refusal.reject = true;
+        refusal.index = one.index;
+        refusal.commit = 1;
+        effects out;
+        step(leader, refusal, now, out);
+        for (const message& answer : out.early_messages) {
+            sent_again += answer.entries.size();
+            probes.push_back(answer);
+        }
+    }
+    BOOST_REQUIRE(!probes.empty());
+    message accepted;
+    accepted.kind = message_kind::append_reply;
+    accepted.from = member_id{2};
+    accepted.to = member_id{1};
+    accepted.term = leader.term;
+    accepted.index = 1;
+    effects out;
+    step(leader, accepted, now, out);
+    for (const message& answer : out.early_messages) {
+        sent_again += answer.entries.size();
+    }
+    BOOST_TEST(sent_again >= proposals);
+    BOOST_TEST(sent_again <= 2 * proposals);
+}
+
 BOOST_AUTO_TEST_CASE(group_under_random_faults_keeps_what_it_acknowledged)
 {
     const auto started = std::chrono::steady_clock::now();
