--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -185,6 +185,7 @@
     if (wanted.lost_leadership) {
         log_event(event::leader_lost, {{"group", std::uint64_t{number_}}, {"term", state_.term}});
         fail_proposals();
+        serving_ = false;
         machine_.leadership_changed(false);
     }
     if (wanted.install) {
@@ -196,7 +197,8 @@
     for (const consensus::log_entry& entry : wanted.committed) {
         apply(entry);
     }
-    if (wanted.became_leader && leads()) {
+    if (wanted.became_leader && state_.role == consensus::role_type::leader) {
+        serving_ = true;
         log_event(event::leader_elected, {{"group", std::uint64_t{number_}}, {"term", state_.term}});
         machine_.leadership_changed(true);
     }
@@ -295,7 +297,7 @@
 
 bool group::leads() const
 {
-    return state_.role == consensus::role_type::leader;
+    return serving_ && state_.role == consensus::role_type::leader;
 }
 
 std::string group::leader_endpoint() const
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -97,7 +97,8 @@
     void propose(std::string command, proposal_done done);
     /// Tells whether the applied state is current. @pre on the group's thread.
     [[nodiscard]] bool may_read() const;
-    /// @return whether this replica leads. @pre on the group's thread.
+    /// @return whether this replica leads and its state machine was told so. Work that arrives in one batch with
+    /// the deciding vote is not served yet. @pre on the group's thread.
     [[nodiscard]] bool leads() const;
     /// @return the link endpoint of the leader, empty if unknown. @pre on the group's thread.
     [[nodiscard]] std::string leader_endpoint() const;
@@ -143,6 +144,7 @@
     std::map<std::string, consensus::member_id>
         blank_peers_; ///< answers of blank replicas while this one is blank
     std::string data_centre_; ///< of this replica; for managed groups
+    bool serving_ = false;              ///< the state machine knows that this replica leads
     bool managed_ = false;              ///< candidates come and go
     bool founds_with_contacts_ = false; ///< first start of the whole system
     consensus::membership_policy policy_;
