--- a/src/base/clock_func.cpp
+++ b/src/base/clock_func.cpp
@@ -12,8 +12,8 @@
 
 std::int64_t steady_now() noexcept
 {
-    // Counts the time that a suspended machine slept through, which the steady clock of the library leaves out:
-    // a lease must not seem to hold after it.
+    // Counts the time that a suspended machine slept through, which the steady clock of the library leaves
+    // out: a lease must not seem to hold after it.
     timespec since_boot{};
     ::clock_gettime(CLOCK_BOOTTIME, &since_boot);
     constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -448,8 +448,8 @@
     progress& peer = found->second;
     peer.acked_sent_at = std::max(peer.acked_sent_at, from_wire(reply.sent_at));
     if (reply.reject) {
-        // Everything that was sent ahead is refused too. One answer decides where to go on; each of the others
-        // would send the same entries once more.
+        // Everything that was sent ahead is refused too. One answer decides where to go on; each of the
+        // others would send the same entries once more.
         const bool news = !peer.probing || reply.index == peer.probe_index;
         if (reply.index > peer.match && news) {
             peer.next = std::max(peer.match, reply.commit) + 1;
--- a/src/consensus/consensus_func.hpp
+++ b/src/consensus/consensus_func.hpp
@@ -68,6 +68,8 @@
 /// over, then promotes the learner.
 /// @return whether something was proposed.
 bool continue_repair(group_state& state, time_point now, effects& out);
+/// @return what a leader knows of the members, for plans.
+std::vector<member_view> view_members(const group_state& state, time_point now);
 /// Proposes the next change of a group whose candidates come and go.
 /// @return what was planned.
 planned_change follow_plan(group_state& state, const membership_policy& policy, time_point now, effects& out);
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -95,7 +95,7 @@
     duration heartbeat = 150ms;            ///< interval between a leader's messages
     std::size_t max_batch_entries = 512;   ///< entries in one message
     std::size_t max_batch_bytes = 1 << 20; ///< bytes of payload in one message
-    log_index max_unanswered = 2048; ///< entries sent ahead of a member's answers: four full batches
+    log_index max_unanswered = 2048;       ///< entries sent ahead of a member's answers: four full batches
     log_index kept_entries = 2000;         ///< entries kept behind a snapshot for members that lag
 };
 
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -122,20 +122,26 @@
     return false;
 }
 
-planned_change follow_plan(group_state& state, const membership_policy& policy, time_point now, effects& out)
+std::vector<member_view> view_members(const group_state& state, time_point now)
 {
-    if (check_change(state) != change_result::proposed) {
-        return {};
-    }
     std::vector<member_view> views;
     for (const member& one : current_members(state).members) {
         const auto peer = state.peers.find(one.id);
-        const time_point heard =
-            peer == state.peers.end() ? state.quorum_checked_at
-                                      : std::max(peer->second.acked_sent_at, state.quorum_checked_at);
+        const time_point heard = peer == state.peers.end()
+                                     ? state.quorum_checked_at
+                                     : std::max(peer->second.acked_sent_at, state.quorum_checked_at);
         const bool own = one.id == state.self;
         views.push_back({one, own, own || has_caught_up(state, one), own ? duration{} : now - heard});
     }
+    return views;
+}
+
+planned_change follow_plan(group_state& state, const membership_policy& policy, time_point now, effects& out)
+{
+    if (check_change(state) != change_result::proposed) {
+        return {};
+    }
+    const std::vector<member_view> views = view_members(state, now);
     const planned_change next = plan_change(views, policy);
     switch (next.kind) {
     case planned_kind::promote:
@@ -193,8 +199,8 @@
     }
     membership members;
     for (const wire::member& one : encoded.members()) {
-        members.members.push_back(
-            {member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target(), one.data_centre()});
+        members.members.push_back({member_id{one.id()}, one.name(), one.endpoint(), one.voter(),
+                                   one.learner_target(), one.data_centre()});
     }
     return members;
 }
--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -89,13 +89,29 @@
     return {};
 }
 
+bool admits_learner(const std::vector<member_view>& members, const member& joining,
+                    const membership_policy& policy)
+{
+    if (policy.retiring.contains(joining.name)) {
+        return false;
+    }
+    const member_view* leaving = find_leaving(members, policy);
+    if (leaving != nullptr) {
+        return true;
+    }
+    const auto alive = std::count_if(members.begin(), members.end(), [&policy](const member_view& one) {
+        return !is_lost(one, policy) && !is_retiring(one, policy);
+    });
+    return static_cast<std::size_t>(alive) < policy.voters + policy.standby;
+}
+
 membership_policy make_policy(std::size_t losses, std::size_t data_centres)
 {
     membership_policy made;
     made.voters = 2 * losses + 1;
     // One data centre may be lost whole, so it holds less than half; few data centres hold more each.
-    const std::size_t least = (made.voters + std::max<std::size_t>(data_centres, 1) - 1) /
-                              std::max<std::size_t>(data_centres, 1);
+    const std::size_t least =
+        (made.voters + std::max<std::size_t>(data_centres, 1) - 1) / std::max<std::size_t>(data_centres, 1);
     made.voters_in_one_place = std::max(least, std::max<std::size_t>(losses, 1));
     return made;
 }
--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -9,10 +9,12 @@
 
 namespace {
 
-constexpr duration batch_interval = 200ms; ///< routine announcements wait this long; a sixth of their interval
-constexpr std::uint64_t peer_interval = 8; ///< every eighth announcement goes to the other replicas: none forgets
-constexpr duration confirm_limit = 300ms;  ///< an instance waits a second for its acknowledgement
-constexpr duration confirm_step = 2ms;     ///< a round trip between data centres
+constexpr duration batch_interval =
+    200ms; ///< routine announcements wait this long; a sixth of their interval
+constexpr std::uint64_t peer_interval =
+    8; ///< every eighth announcement goes to the other replicas: none forgets
+constexpr duration confirm_limit = 300ms; ///< an instance waits a second for its acknowledgement
+constexpr duration confirm_step = 2ms;    ///< a round trip between data centres
 
 const char* to_string(directory::instance_state state)
 {
@@ -132,8 +134,8 @@
         if (merged == directory::merge_result::changed) {
             log_change(held, "itself");
         }
-        leaving = merged == directory::merge_result::changed &&
-                  held.state != directory::instance_state::serving;
+        leaving =
+            merged == directory::merge_result::changed && held.state != directory::instance_state::serving;
         to_wire(held, now, update.mutable_directory()->add_instances());
     }
     flush_batch();
@@ -187,7 +189,8 @@
                 log_event(event::request_quarantined,
                           {{"body_hash", one.request_hash()},
                            {"instance", one.instance()},
-                           {"refused", directory::is_quarantined(crashes_, one.request_hash(), now) ? "yes" : "no"}});
+                           {"refused",
+                            directory::is_quarantined(crashes_, one.request_hash(), now) ? "yes" : "no"}});
             }
         }
     }
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -30,7 +30,8 @@
     if (disk_.blank) {
         log_event(event::disk_blank, {{"replica", settings_.node}, {"disk", to_hex(disk_.id.value)}});
     }
-    links_ = std::make_unique<wire::link>(pool_.executor(), make_link_settings(), incarnation_id{random_id()});
+    links_ =
+        std::make_unique<wire::link>(pool_.executor(), make_link_settings(), incarnation_id{random_id()});
     group_ = std::make_unique<replica::group>(control_group, to_replica_settings(given, snapshot_entries),
                                               disk_.id, std::vector<replica_address>{}, *links_);
     group_->manage_members(consensus::make_policy(settings_.losses, settings_.data_centres),
@@ -66,9 +67,9 @@
         add_group_metrics(metrics_, *group_);
         metrics_.add({"guavawick_control_plan_version", "Version of the plan that was last applied.", false,
                       [this] { return static_cast<double>(view_.load()->version); }, ""});
-        metrics_server_ = std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen,
-                                                         http::server_limits{},
-                                                         http::make_metrics_handler(metrics_));
+        metrics_server_ =
+            std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
+                                           http::make_metrics_handler(metrics_));
     }
     pool_.spawn(batch_loop());
 }
@@ -277,11 +278,16 @@
         const std::lock_guard lock(mutex_);
         if (store) {
             store_view& held = stores_[wish.endpoint()];
-            held = {wish.name(),  wish.endpoint(),
-                    wish.data_centre(), consensus::member_id{wish.store().disk()},
-                    wish.store().blank(), wish.store().in_group(),
-                    wish.store().leads(), {},
-                    {},           now};
+            held = {wish.name(),
+                    wish.endpoint(),
+                    wish.data_centre(),
+                    consensus::member_id{wish.store().disk()},
+                    wish.store().blank(),
+                    wish.store().in_group(),
+                    wish.store().leads(),
+                    {},
+                    {},
+                    now};
             for (const wire::member& one : wish.store().members()) {
                 held.members.push_back({consensus::member_id{one.id()}, one.name(), one.endpoint(),
                                         one.voter(), 0, one.data_centre()});
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -93,9 +93,10 @@
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
     bool leads_ = false;
-    bool push_posted_ = false;     ///< the view will be pushed after this batch
-    std::atomic<bool> confirmed_{false}; ///< this replica leads and a quorum confirmed it, as of the last tick
-    time_point stores_seen_at_{}; ///< when the first store reported; for the founding of the ledger
+    bool push_posted_ = false; ///< the view will be pushed after this batch
+    std::atomic<bool> confirmed_{
+        false};                    ///< this replica leads and a quorum confirmed it, as of the last tick
+    time_point stores_seen_at_{};  ///< when the first store reported; for the founding of the ledger
     std::atomic<fleet_view> view_; ///< what was last applied
     std::atomic<bool> running_{true};
 
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -11,25 +11,26 @@
 
 /// What one process of the fleet is told at its start.
 struct fleet_settings {
-    std::string node;                   ///< name of the instance
-    std::string data_centre;            ///< where the instance is
-    std::string link;                   ///< "tcp://IP:PORT" of this process's link
-    std::vector<std::string> seeds;     ///< links of control replicas to ask first; may be out of date
-    std::string caller_listen;          ///< IP:PORT for callers
-    std::string readiness_listen;       ///< IP:PORT of the balancer's health check
-    std::string operator_listen;        ///< IP:PORT for upstream instances and the operator
-    std::string metrics_listen;         ///< IP:PORT of /metrics; empty for none
-    std::string data_folder;            ///< where the durable state lives
-    bool first_start = false;           ///< the whole system starts for the first time
-    std::size_t data_centres = 1;       ///< number of data centres
-    std::size_t losses = 1;             ///< instances with a disk that may be lost at once
+    std::string node;                        ///< name of the instance
+    std::string data_centre;                 ///< where the instance is
+    std::string link;                        ///< "tcp://IP:PORT" of this process's link
+    std::vector<std::string> seeds;          ///< links of control replicas to ask first; may be out of date
+    std::string caller_listen;               ///< IP:PORT for callers
+    std::string readiness_listen;            ///< IP:PORT of the balancer's health check
+    std::string operator_listen;             ///< IP:PORT for upstream instances and the operator
+    std::string metrics_listen;              ///< IP:PORT of /metrics; empty for none
+    std::string data_folder;                 ///< where the durable state lives
+    bool first_start = false;                ///< the whole system starts for the first time
+    std::size_t data_centres = 1;            ///< number of data centres
+    std::size_t losses = 1;                  ///< instances with a disk that may be lost at once
     duration announcement_interval = 1200ms; ///< between two heartbeats of an upstream instance
-    duration stop_grace = 8s;           ///< from the stop signal until the process is killed
+    duration stop_grace = 8s;                ///< from the stop signal until the process is killed
 };
 
-constexpr duration fleet_election_timeout = 600ms; ///< several heartbeats; callers wait this long for a new leader
-constexpr duration fleet_heartbeat = 120ms;        ///< a fifth of it, so that single losses start no election
-constexpr duration fleet_link_silence = 900ms;     ///< three pings; connections may go silent for good
+constexpr duration fleet_election_timeout =
+    600ms;                                  ///< several heartbeats; callers wait this long for a new leader
+constexpr duration fleet_heartbeat = 120ms; ///< a fifth of it, so that single losses start no election
+constexpr duration fleet_link_silence = 900ms; ///< three pings; connections may go silent for good
 
 /// @return settings of one consensus replica of this process.
 inline replica_settings to_replica_settings(const fleet_settings& given, std::uint64_t snapshot_entries)
--- a/src/core/fleet_state.hpp
+++ b/src/core/fleet_state.hpp
@@ -17,11 +17,11 @@
 
 /// Everything that the control group agrees on.
 struct fleet_state {
-    std::uint64_t revision = 0;            ///< rises with each change
-    std::uint64_t version = 0;             ///< of the document; 0 for none
-    std::string document;                  ///< the operator's plan, byte for byte
-    std::set<std::string> evacuated;       ///< data centres that get no new work
-    std::vector<consensus::member> founders; ///< first members of the ledger group
+    std::uint64_t revision = 0;                  ///< rises with each change
+    std::uint64_t version = 0;                   ///< of the document; 0 for none
+    std::string document;                        ///< the operator's plan, byte for byte
+    std::set<std::string> evacuated;             ///< data centres that get no new work
+    std::vector<consensus::member> founders;     ///< first members of the ledger group
     std::map<std::string, std::string> retiring; ///< stores that are emptied: name to endpoint
 };
 
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -12,9 +12,11 @@
 namespace {
 
 constexpr std::uint32_t ledger_group = 1;
-constexpr std::uint64_t snapshot_entries = 3000; ///< about 10 MB of log at 3 KB an entry, a tenth of the memory
-constexpr duration report_interval = 300ms;      ///< of stores to control; a third of the fastest repair
-constexpr double first_lease_rate = 0.5; ///< of the rate, lent while a former owner's tokens may still be spent
+constexpr std::uint64_t snapshot_entries =
+    3000;                                   ///< about 10 MB of log at 3 KB an entry, a tenth of the memory
+constexpr duration report_interval = 300ms; ///< of stores to control; a third of the fastest repair
+constexpr double first_lease_rate =
+    0.5; ///< of the rate, lent while a former owner's tokens may still be spent
 
 } // namespace
 
@@ -24,7 +26,8 @@
     if (disk_.blank) {
         log_event(event::disk_blank, {{"replica", settings_.node}, {"disk", to_hex(disk_.id.value)}});
     }
-    links_ = std::make_unique<wire::link>(pool_.executor(), make_link_settings(), incarnation_id{random_id()});
+    links_ =
+        std::make_unique<wire::link>(pool_.executor(), make_link_settings(), incarnation_id{random_id()});
     group_ = std::make_unique<replica::group>(ledger_group, to_replica_settings(given, snapshot_entries),
                                               disk_.id, std::vector<replica_address>{}, *links_);
     group_->manage_members(consensus::make_policy(settings_.losses, settings_.data_centres),
@@ -47,9 +50,9 @@
     });
     if (!settings_.metrics_listen.empty()) {
         add_group_metrics(metrics_, *group_);
-        metrics_server_ = std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen,
-                                                         http::server_limits{},
-                                                         http::make_metrics_handler(metrics_));
+        metrics_server_ =
+            std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
+                                           http::make_metrics_handler(metrics_));
     }
     pool_.spawn(report_loop());
 }
@@ -141,14 +144,13 @@
         body->set_spent(answer.spent);
         body->set_reserved(answer.reserved);
         if (group_->leads() && answer.outcome != turns::open_outcome::granted) {
-            log_event(event::turn_opened,
-                      {{"request", command.open().request()},
-                       {"outcome", std::uint64_t{body->outcome()}},
-                       {"budget", command.open().budget_tokens()},
-                       {"spent", answer.spent},
-                       {"reserved", answer.reserved},
-                       {"previous", command.open().previous()},
-                       {"turns_held", std::uint64_t{state_.turns.size()}}});
+            log_event(event::turn_opened, {{"request", command.open().request()},
+                                           {"outcome", std::uint64_t{body->outcome()}},
+                                           {"budget", command.open().budget_tokens()},
+                                           {"spent", answer.spent},
+                                           {"reserved", answer.reserved},
+                                           {"previous", command.open().previous()},
+                                           {"turns_held", std::uint64_t{state_.turns.size()}}});
         }
         return reply;
     }
@@ -163,13 +165,13 @@
     wire::envelope reply;
     wire::borrow_reply* body = reply.mutable_borrowed();
     body->set_sequence(asked.sequence());
-    // Tokens of the former owner may be out until their lease ends. A new owner starts empty, so that level and
-    // loans stay within the burst, and fills more slowly until then.
+    // Tokens of the former owner may be out until their lease ends. A new owner starts empty, so that level
+    // and loans stay within the burst, and fills more slowly until then.
     const bool first_lease = now < clock_.since + giver_lease(limit::token_lease);
     for (const wire::borrow_item& item : asked.items()) {
         limit::limits allowed{item.rate() * (first_lease ? first_lease_rate : 1.0), item.burst()};
-        const auto [found, fresh] =
-            buckets_.try_emplace(item.organisation(), rate_bucket{limit::make_bucket(allowed, clock_.since), 0});
+        const auto [found, fresh] = buckets_.try_emplace(
+            item.organisation(), rate_bucket{limit::make_bucket(allowed, clock_.since), 0});
         rate_bucket& held = found->second;
         if (item.plan_version() >= held.version) {
             held.version = item.plan_version();
@@ -215,8 +217,8 @@
         group_->set_contacts(contacts);
         consensus::membership founders;
         for (const wire::member& one : hello.founders()) {
-            founders.members.push_back({consensus::member_id{one.id()}, one.name(), one.endpoint(), true, 0,
-                                        one.data_centre()});
+            founders.members.push_back(
+                {consensus::member_id{one.id()}, one.name(), one.endpoint(), true, 0, one.data_centre()});
         }
         group_->found_with(std::move(founders));
     }
--- a/src/directory/directory_func.cpp
+++ b/src/directory/directory_func.cpp
@@ -126,8 +126,7 @@
 
 void forget_old(crash_table& table, time_point now)
 {
-    std::erase_if(table.suspects,
-                  [now](const auto& one) { return now - one.second.last > crash_memory; });
+    std::erase_if(table.suspects, [now](const auto& one) { return now - one.second.last > crash_memory; });
 }
 
 } // namespace guavawick::directory
--- a/src/directory/directory_type.hpp
+++ b/src/directory/directory_type.hpp
@@ -23,17 +23,18 @@
 struct instance_record {
     instance_id id;
     std::string service;
-    std::string address;           ///< "IP:PORT"
+    std::string address; ///< "IP:PORT"
     data_centre_name data_centre;
-    std::uint32_t slots = 1;       ///< calls at once
+    std::uint32_t slots = 1; ///< calls at once
     instance_state state = instance_state::serving;
-    std::uint64_t started_ms = 0;  ///< start of its incarnation, its own Unix clock
-    std::uint64_t sequence = 0;    ///< rises with each announcement of an incarnation
-    time_point heard_at{};         ///< when its newest word reached this process
-    time_point cold_until{};       ///< bears little until then
+    std::uint64_t started_ms = 0; ///< start of its incarnation, its own Unix clock
+    std::uint64_t sequence = 0;   ///< rises with each announcement of an incarnation
+    time_point heard_at{};        ///< when its newest word reached this process
+    time_point cold_until{};      ///< bears little until then
 };
 
-/// All instances that this process knows. Left ones are remembered for as long as an old word may arrive late.
+/// All instances that this process knows. Left ones are remembered for as long as an old word may arrive
+/// late.
 struct directory {
     std::map<instance_id, instance_record> instances;
     std::uint64_t version = 0; ///< rises with each change that matters to placing
@@ -41,9 +42,9 @@
 
 /// What a merge did.
 enum class merge_result : std::uint8_t {
-    stale,    ///< an older or equal word; nothing changed
-    renewed,  ///< the same content, newer
-    changed,  ///< state, address, service or warmth changed, or the instance is new
+    stale,   ///< an older or equal word; nothing changed
+    renewed, ///< the same content, newer
+    changed, ///< state, address, service or warmth changed, or the instance is new
 };
 
 /// How long a left instance is remembered: longer than any announcement is late.
@@ -58,7 +59,7 @@
     std::map<std::uint64_t, suspect> suspects; ///< by hash of the request
 };
 
-constexpr std::size_t crash_limit = 3;  ///< deaths after which a request is refused: the third is proof enough
+constexpr std::size_t crash_limit = 3; ///< deaths after which a request is refused: the third is proof enough
 constexpr duration crash_memory = 120s; ///< a suspect is forgotten after this
 
 } // namespace guavawick::directory
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -17,6 +17,8 @@
 
 constexpr duration borrow_interval = 20ms;
 constexpr duration borrow_limit = 1s;
+constexpr std::uint32_t shortest_retry_ms = 100; ///< a few rounds of borrowing
+constexpr std::uint32_t longest_retry_ms = 1000; ///< later the level is anybody's guess
 constexpr duration idle_account = 60s; ///< an organisation that asked nothing for this long is forgotten
 
 } // namespace
@@ -65,7 +67,7 @@
     if (!granted) {
         const auto retry_ms = static_cast<std::uint32_t>(1000.0 / std::max(who.rate, 1e-3));
         throw refusal_error(failure::rate_exceeded, "no token of the organisation's rate came free in time",
-                            std::max<std::uint32_t>(retry_ms, 1000));
+                            std::clamp(retry_ms, shortest_retry_ms, longest_retry_ms));
     }
 }
 
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -23,7 +23,7 @@
     /// Waits for one token of an organisation. @throw refusal_error `rate_exceeded` if none comes within the
     /// limit. @param plan_version orders limits of different ages at their owner.
     boost::asio::awaitable<void> pass(configuration::organisation who, duration limit,
-                                          std::uint64_t plan_version = 0);
+                                      std::uint64_t plan_version = 0);
     /// Keeps borrowing for the organisations of one shard until `running` says no.
     boost::asio::awaitable<void> borrow_loop(std::uint32_t shard, std::function<bool()> running);
     /// @return requests that waited in vain.
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -18,24 +18,23 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration connect_limit = 400ms;     ///< far above a handshake; a silent instance costs this once
-constexpr duration ledger_limit = 2500ms;     ///< a new leader is found within two seconds
-constexpr duration default_idle_limit = 5s;   ///< of connections to upstreams that name no limit
-constexpr duration reuse_unrepeatable = 2s;   ///< a call that must not be lost uses connections idle for less
+constexpr duration connect_limit = 400ms;   ///< far above a handshake; a silent instance costs this once
+constexpr duration ledger_limit = 2500ms;   ///< a new leader is found within two seconds
+constexpr duration default_idle_limit = 5s; ///< of connections to upstreams that name no limit
+constexpr duration reuse_unrepeatable = 2s; ///< a call that must not be lost uses connections idle for less
 constexpr std::size_t most_buffered = 8U << 20U; ///< bytes of an answer that is not a stream
-constexpr duration retry_ledger = 300ms;      ///< a new leader of the ledger needs about this long
+constexpr duration retry_ledger = 300ms;         ///< a new leader of the ledger needs about this long
 constexpr int misdirected_status = 421;
-constexpr duration crash_probe_delay = 30ms;  ///< a crashed process no longer accepts after this
+constexpr duration crash_probe_delay = 30ms; ///< a crashed process no longer accepts after this
 
 /// The head fields of an upstream's answer that are passed on.
 header_list pass_on(const header_list& headers)
 {
     header_list made;
     for (const auto& [name, value] : headers) {
-        const bool own = boost::beast::iequals(name, "connection") ||
-                         boost::beast::iequals(name, "keep-alive") ||
-                         boost::beast::iequals(name, "transfer-encoding") ||
-                         boost::beast::iequals(name, "content-length");
+        const bool own =
+            boost::beast::iequals(name, "connection") || boost::beast::iequals(name, "keep-alive") ||
+            boost::beast::iequals(name, "transfer-encoding") || boost::beast::iequals(name, "content-length");
         if (!own) {
             made.emplace_back(name, value);
         }
@@ -47,7 +46,7 @@
 struct attempt_state {
     answer_head head;
     bool has_head = false;
-    bool streams = false;     ///< events are passed on as they arrive
+    bool streams = false;      ///< events are passed on as they arrive
     bool out_of_order = false; ///< events are missing or doubled
     std::string body;
     event_splitter splitter;
@@ -61,9 +60,11 @@
     told.time_left = run.deadline - runtime_clock::now();
     told.resume_after = run.head_sent ? run.last_event : std::nullopt;
     told.body_bytes = run.history.size() + run.received.body.size();
-    const bool has_body = told.body_bytes > 0 || run.received.method == "POST" || run.received.method == "PUT";
+    const bool has_body =
+        told.body_bytes > 0 || run.received.method == "POST" || run.received.method == "PUT";
     std::string made = run.received.method + " " + run.received.target + " HTTP/1.1\r\n";
-    for (const auto& [name, value] : run.context.state->speaks.make_upstream_headers(run.received.headers, told)) {
+    for (const auto& [name, value] :
+         run.context.state->speaks.make_upstream_headers(run.received.headers, told)) {
         made.append(name).append(": ").append(value).append("\r\n");
     }
     if (has_body) {
@@ -140,10 +141,12 @@
     if (!directory::note_crash(state.crashes, request_hash, instance, runtime_clock::now())) {
         co_return;
     }
-    log_event(event::request_quarantined,
-              {{"body_hash", request_hash},
-               {"instance", instance},
-               {"refused", directory::is_quarantined(state.crashes, request_hash, runtime_clock::now()) ? "yes" : "no"}});
+    log_event(
+        event::request_quarantined,
+        {{"body_hash", request_hash},
+         {"instance", instance},
+         {"refused",
+          directory::is_quarantined(state.crashes, request_hash, runtime_clock::now()) ? "yes" : "no"}});
     wire::envelope report;
     wire::crash_record* made = report.mutable_directory()->add_crashes();
     made->set_request_hash(request_hash);
@@ -175,7 +178,8 @@
     log_event(event::attempt_failed, fields);
 }
 
-asio::awaitable<connection_ptr> get_connection(std::shared_ptr<call_run> run, const directory::instance_record& to)
+asio::awaitable<connection_ptr> get_connection(std::shared_ptr<call_run> run,
+                                               const directory::instance_record& to)
 {
     gateway_state& state = *run->context.state;
     const time_point now = runtime_clock::now();
@@ -249,7 +253,10 @@
         co_return run->head_sent ? attempt_end::stream_broken : attempt_end::maybe_run;
     }
     const bool stopped = run->stopped != stop_reason::none;
-    log_attempt(*run, to, stopped ? "stopped" : state.has_head ? "the answer broke off" : "no answer",
+    log_attempt(*run, to,
+                stopped          ? "stopped"
+                : state.has_head ? "the answer broke off"
+                                 : "no answer",
                 state.has_head ? state.head.status : 0);
     if (!stopped && end == exchange_end::broken_head) {
         const auto executor = co_await asio::this_coro::executor;
@@ -312,7 +319,8 @@
     fields.push_back({"status", std::uint64_t(answer.head.status)});
     log_event(event::call_answered, fields);
     header_list headers = pass_on(answer.head.headers);
-    co_await run->port.send(answer.head.status, answer.head.reason, std::move(headers), std::move(answer.body));
+    co_await run->port.send(answer.head.status, answer.head.reason, std::move(headers),
+                            std::move(answer.body));
 }
 
 asio::awaitable<refusal> open_turn(std::shared_ptr<call_run> run)
@@ -332,7 +340,8 @@
     std::string fault;
     wire::envelope_ptr reply;
     try {
-        reply = co_await run->context.ledger->call(1, std::move(question), std::min<duration>(left / 2, ledger_limit));
+        reply = co_await run->context.ledger->call(1, std::move(question),
+                                                   std::min<duration>(left / 2, ledger_limit));
     }
     catch (const link_error& error) {
         fault = error.what();
@@ -378,7 +387,8 @@
     }
     std::string fault;
     try {
-        const wire::envelope_ptr reply = co_await run->context.ledger->call(1, std::move(report), ledger_limit);
+        const wire::envelope_ptr reply =
+            co_await run->context.ledger->call(1, std::move(report), ledger_limit);
         co_return reply->has_done();
     }
     catch (const link_error& error) {
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -19,15 +19,15 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration longest_rate_wait = 250ms; ///< a token that comes later is better asked for again
-constexpr duration default_deadline = 30s;    ///< of callers that name none
-constexpr duration deadline_slack = 60ms;     ///< for the upstream's own answer at the deadline to arrive
-constexpr int most_placements = 6;            ///< tries to find an upstream that takes the call
-constexpr duration soon = 200ms;              ///< when another try is worthwhile after a passing shortage
-constexpr duration no_plan_yet = 500ms;       ///< an entry gets its plan within a subscription
+constexpr duration longest_rate_wait = 1s; ///< longer waits are refused at once, with the time to come back
+constexpr duration default_deadline = 30s; ///< of callers that name none
+constexpr duration deadline_slack = 60ms;  ///< for the upstream's own answer at the deadline to arrive
+constexpr int most_placements = 6;         ///< tries to find an upstream that takes the call
+constexpr duration soon = 200ms;           ///< when another try is worthwhile after a passing shortage
+constexpr duration no_plan_yet = 500ms;    ///< an entry gets its plan within a subscription
 constexpr duration longest_plan_wait = 1500ms; ///< an entry that has just started soon has its plan
-constexpr duration plan_step = 20ms;          ///< how often a waiting call looks for the plan
-constexpr double least_cold_rate = 0.2;       ///< calls a second of one entry to one cold upstream
+constexpr duration plan_step = 20ms;           ///< how often a waiting call looks for the plan
+constexpr double least_cold_rate = 0.2;        ///< calls a second of one entry to one cold upstream
 
 std::string to_seconds_text(duration value)
 {
@@ -39,13 +39,20 @@
 const char* reason_phrase(int status)
 {
     switch (status) {
-    case 401: return "Unauthorized";
-    case 402: return "Payment Required";
-    case 404: return "Not Found";
-    case 429: return "Too Many Requests";
-    case 502: return "Bad Gateway";
-    case 504: return "Gateway Timeout";
-    default: return "Service Unavailable";
+    case 401:
+        return "Unauthorized";
+    case 402:
+        return "Payment Required";
+    case 404:
+        return "Not Found";
+    case 429:
+        return "Too Many Requests";
+    case 502:
+        return "Bad Gateway";
+    case 504:
+        return "Gateway Timeout";
+    default:
+        return "Service Unavailable";
     }
 }
 
@@ -107,7 +114,7 @@
     limits.rate = who->rate;
     limits.burst = std::max(who->burst, 1.0);
     const std::uint64_t version = run->plan->plan.version.value;
-    const duration left = (run->deadline - run->begun) / 4;
+    const duration left = (run->deadline - run->begun) / 3;
     std::uint32_t retry_ms = 0;
     try {
         co_await run->context.rates->pass(limits, std::min<duration>(left, longest_rate_wait), version);
@@ -186,7 +193,8 @@
     return *candidates[static_cast<std::size_t>(chosen)].record;
 }
 
-/// What the caller is told after the last attempt. Only what no upstream may have run is said not to have run.
+/// What the caller is told after the last attempt. Only what no upstream may have run is said not to have
+/// run.
 refusal judge_end(bool maybe_ran, bool late)
 {
     if (maybe_ran) {
@@ -269,7 +277,8 @@
     auto run = std::make_shared<call_run>(std::move(context), received, port);
     run->begun = runtime_clock::now();
     run->facts = run->context.state->speaks.read_call(received);
-    const duration patience = std::min<duration>(longest_plan_wait, run->facts.deadline.value_or(default_deadline) / 3);
+    const duration patience =
+        std::min<duration>(longest_plan_wait, run->facts.deadline.value_or(default_deadline) / 3);
     while (!run->context.state->plan && runtime_clock::now() - run->begun < patience && !port.caller_left()) {
         co_await runtime::wait_for(plan_step);
     }
@@ -330,7 +339,8 @@
 
 call_handler make_call_handler(call_context context)
 {
-    return [context](raw_request& received, answer_port& port) { return handle_call(context, received, port); };
+    return
+        [context](raw_request& received, answer_port& port) { return handle_call(context, received, port); };
 }
 
 } // namespace guavawick::gateway
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -11,8 +11,8 @@
 /// Why a call is refused without having run.
 struct refusal {
     int status = 503;
-    const char* reason = "";       ///< for logs and the body
-    duration retry_after{};        ///< 0: nothing is promised
+    const char* reason = ""; ///< for logs and the body
+    duration retry_after{};  ///< 0: nothing is promised
 };
 
 /// Why a connection to an upstream was closed by this entry.
@@ -26,7 +26,10 @@
 
 /// State of one call.
 struct call_run {
-    call_run(call_context shared, raw_request& from, answer_port& to) : context(std::move(shared)), received(from), port(to) {}
+    call_run(call_context shared, raw_request& from, answer_port& to)
+        : context(std::move(shared)), received(from), port(to)
+    {
+    }
 
     call_context context;
     raw_request& received;
@@ -38,21 +41,21 @@
     plan::service_name service;
     time_point begun{};
     time_point deadline{};
-    std::uint64_t request_hash = 0;   ///< of organisation, path and body
-    bool is_turn = false;             ///< the ledger was asked
-    std::string history;              ///< goes before the body
-    std::string warm_instance;        ///< where the previous turn ran
+    std::uint64_t request_hash = 0; ///< of organisation, path and body
+    bool is_turn = false;           ///< the ledger was asked
+    std::string history;            ///< goes before the body
+    std::string warm_instance;      ///< where the previous turn ran
 
-    std::uint32_t attempts = 0;       ///< upstreams that may have run it
+    std::uint32_t attempts = 0; ///< upstreams that may have run it
     std::set<std::string> tried;
-    connection_ptr current;           ///< the attempt in hand
+    connection_ptr current; ///< the attempt in hand
     stop_reason stopped = stop_reason::none;
 
-    bool head_sent = false;           ///< the answer of the first upstream was begun
-    std::uint64_t events = 0;         ///< events passed on
+    bool head_sent = false;                  ///< the answer of the first upstream was begun
+    std::uint64_t events = 0;                ///< events passed on
     std::optional<std::uint64_t> last_event; ///< id of the newest one
-    std::string output;               ///< their data, where the turn is kept
-    std::string ran_at;               ///< instance that answered
+    std::string output;                      ///< their data, where the turn is kept
+    std::string ran_at;                      ///< instance that answered
     std::optional<upstream_answer> spare; ///< a failure of an upstream, passed on if no attempt does better
 };
 
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -25,10 +25,10 @@
 
 namespace {
 
-constexpr std::chrono::seconds write_limit{10};  ///< for one write to a slow caller
-constexpr std::chrono::seconds body_limit{30};   ///< for a body to arrive
+constexpr std::chrono::seconds write_limit{10};        ///< for one write to a slow caller
+constexpr std::chrono::seconds body_limit{30};         ///< for a body to arrive
 constexpr std::chrono::milliseconds drain_limit{1000}; ///< for a caller to read an answer and close
-constexpr unsigned silent_caller_ms = 5000;      ///< a caller that acknowledges nothing for this long is gone
+constexpr unsigned silent_caller_ms = 5000; ///< a caller that acknowledges nothing for this long is gone
 
 using request_parser = beast::http::request_parser<beast::http::string_body>;
 
@@ -171,7 +171,8 @@
     const bool modern = parser.get().version() >= 11;
     answer_port port(stream, refused == 0 && parser.get().keep_alive() && !server.leaving, modern);
     if (refused > 0) {
-        log_event(event::call_refused, {{"reason", "the request can't be read"}, {"status", std::uint64_t(refused)}});
+        log_event(event::call_refused,
+                  {{"reason", "the request can't be read"}, {"status", std::uint64_t(refused)}});
         co_await port.send(refused, "Refused", plain_text(), "");
         co_return false;
     }
@@ -220,7 +221,8 @@
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     const unsigned silent_ms = silent_caller_ms;
-    ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
+    ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms,
+                 sizeof silent_ms);
     const auto place = open->insert({&stream, &idle}).first;
     ++server->connections;
     while (co_await serve_one(*server, stream, buffer, idle)) {
@@ -269,7 +271,8 @@
     }
     stream_.expires_after(write_limit);
     boost::system::error_code failed;
-    co_await asio::async_write(stream_, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failed));
+    co_await asio::async_write(stream_, asio::buffer(bytes),
+                               asio::redirect_error(asio::use_awaitable, failed));
     stream_.expires_never();
     if (failed) {
         left_ = true;
@@ -295,7 +298,8 @@
     if (!chunks_allowed_) {
         keep_alive_ = false;
     }
-    std::string head = make_head(status, reason, headers, chunks_allowed_ ? "Transfer-Encoding: chunked\r\n" : "");
+    std::string head =
+        make_head(status, reason, headers, chunks_allowed_ ? "Transfer-Encoding: chunked\r\n" : "");
     co_await put(std::move(head));
 }
 
@@ -340,7 +344,8 @@
     };
     while (acceptor->is_open()) {
         boost::system::error_code failed;
-        tcp::socket socket = co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, failed));
+        tcp::socket socket =
+            co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, failed));
         if (failed == asio::error::operation_aborted || failed == asio::error::bad_descriptor) {
             co_return;
         }
--- a/src/gateway/caller_connection.hpp
+++ b/src/gateway/caller_connection.hpp
@@ -1,4 +1,5 @@
-// Callers' connections of an entry: reads requests, writes answers part by part, and notices when a caller leaves.
+// Callers' connections of an entry: reads requests, writes answers part by part, and notices when a caller
+// leaves.
 #pragma once
 
 #include "gateway/dialect_type.hpp"
@@ -36,8 +37,8 @@
     [[nodiscard]] bool reusable() const { return keep_alive_ && whole_ && !left_; }
     [[nodiscard]] bool aborted() const { return aborted_ || (started_ && !whole_); }
 
-    bool head_only = false; ///< the request was HEAD
-    bool left_ = false;     ///< the caller closed its connection
+    bool head_only = false;        ///< the request was HEAD
+    bool left_ = false;            ///< the caller closed its connection
     std::function<void()> on_left; ///< called once when the caller leaves
 
 private:
@@ -60,9 +61,9 @@
 struct caller_server {
     plan::caller_limits limits;
     call_handler handle;
-    bool leaving = false;       ///< answers end with `Connection: close`
+    bool leaving = false; ///< answers end with `Connection: close`
     std::size_t connections = 0;
-    std::size_t running = 0;    ///< requests that are being answered
+    std::size_t running = 0;          ///< requests that are being answered
     std::function<void()> close_idle; ///< closes connections that carry no request
 };
 
--- a/src/gateway/dialect_type.hpp
+++ b/src/gateway/dialect_type.hpp
@@ -1,5 +1,5 @@
-// What a platform's adapter tells the gateway: how callers' requests are read and how upstreams are addressed.
-// Everything behind it is free of a platform's names.
+// What a platform's adapter tells the gateway: how callers' requests are read and how upstreams are
+// addressed. Everything behind it is free of a platform's names.
 #pragma once
 
 #include "base/id_type.hpp"
@@ -35,26 +35,26 @@
 
 /// What a caller's headers say.
 struct call_facts {
-    request_name request;               ///< unique for each try of a caller
+    request_name request; ///< unique for each try of a caller
     std::string host;
-    std::string path;                   ///< without the query
-    std::string key;                    ///< empty if none was sent
-    std::optional<duration> deadline;   ///< how long the caller waits
+    std::string path;                 ///< without the query
+    std::string key;                  ///< empty if none was sent
+    std::optional<duration> deadline; ///< how long the caller waits
     program_name program;
-    std::string line;                   ///< one line of turns of a program
-    std::uint64_t budget_tokens = 0;    ///< of the whole program; 0 if none was sent
+    std::string line;                ///< one line of turns of a program
+    std::uint64_t budget_tokens = 0; ///< of the whole program; 0 if none was sent
     std::uint64_t prompt_tokens = 0;
-    std::uint64_t most_tokens = 0;      ///< that this turn may generate
-    std::vector<prompt_part> prompt;    ///< in order
+    std::uint64_t most_tokens = 0;   ///< that this turn may generate
+    std::vector<prompt_part> prompt; ///< in order
     request_name previous_turn;
     std::optional<std::uint64_t> resume_after; ///< id of the last event that the caller has
 };
 
 /// What is told to an upstream beside the caller's own headers.
 struct upstream_facts {
-    std::string instance;     ///< only this instance may run the call
-    std::string organisation; ///< whose key it was; empty on open routes
-    duration time_left{};     ///< until the caller gives up
+    std::string instance;                      ///< only this instance may run the call
+    std::string organisation;                  ///< whose key it was; empty on open routes
+    duration time_left{};                      ///< until the caller gives up
     std::optional<std::uint64_t> resume_after; ///< events up to this one have been passed on
     std::uint32_t priority = 5;
     std::size_t body_bytes = 0;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -23,11 +23,12 @@
 using namespace std::chrono_literals;
 
 constexpr duration confirmation_patience = 2500ms; ///< a new leader of control is found within two seconds
-constexpr duration subscribe_interval = 500ms;  ///< a quarter of the time in which a plan must be in force
-constexpr duration balancer_notice = 3s;        ///< the balancer asks every second and wants two misses
-constexpr duration stop_margin = 700ms;         ///< before the platform kills the process
-constexpr std::uint32_t directory_rounds = 10;  ///< the whole directory is asked for at the start and every 5 s
-constexpr std::size_t most_controls = 16;       ///< addresses of control replicas that are remembered
+constexpr duration subscribe_interval = 500ms;     ///< a quarter of the time in which a plan must be in force
+constexpr duration balancer_notice = 3s;           ///< the balancer asks every second and wants two misses
+constexpr duration stop_margin = 700ms;            ///< before the platform kills the process
+constexpr std::uint32_t directory_rounds =
+    10;                                   ///< the whole directory is asked for at the start and every 5 s
+constexpr std::size_t most_controls = 16; ///< addresses of control replicas that are remembered
 
 tcp::endpoint parse_endpoint(const std::string& address)
 {
@@ -55,8 +56,8 @@
 
 void gateway_process::start()
 {
-    links_->listen(state_->settings.link,
-                   [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(message); });
+    links_->listen(state_->settings.link, [this](const wire::peer_route& from,
+                                                 const wire::envelope_ptr& message) { receive(message); });
     callers_->handle = make_call_handler({state_, ledger_.get(), rates_.get(), links_.get()});
     const tcp::endpoint at = parse_endpoint(state_->settings.caller_listen);
     acceptor_ = std::make_shared<tcp::acceptor>(pool_.executor());
@@ -77,9 +78,9 @@
         [this](http::request& received, http::responder& out) { return answer_readiness(received, out); });
     add_metrics();
     if (!state_->settings.metrics_listen.empty()) {
-        metrics_server_ = std::make_unique<http::server>(pool_.executor(), state_->settings.metrics_listen,
-                                                         http::server_limits{},
-                                                         http::make_metrics_handler(metrics_));
+        metrics_server_ =
+            std::make_unique<http::server>(pool_.executor(), state_->settings.metrics_listen,
+                                           http::server_limits{}, http::make_metrics_handler(metrics_));
     }
 }
 
@@ -103,10 +104,7 @@
 asio::awaitable<void> gateway_process::answer_readiness(http::request& received, http::responder& out)
 {
     const bool asked = received.target == state_->speaks.readiness_path;
-    http::response answer = http::make_response(!asked        ? 404
-                                                : is_ready() ? 200
-                                                             : 503,
-                                                "text/plain", "");
+    http::response answer = http::make_response(!asked ? 404 : is_ready() ? 200 : 503, "text/plain", "");
     co_await out.send(std::move(answer));
 }
 
@@ -170,8 +168,8 @@
     if (view.revision() <= state_->revision) {
         return;
     }
-    // A replica that has just started or is cut off may hold an old view. An entry without any waits a while for
-    // one that a quorum confirmed; later the revision decides.
+    // A replica that has just started or is cut off may hold an old view. An entry without any waits a while
+    // for one that a quorum confirmed; later the revision decides.
     const bool patient = runtime_clock::now() - started_at_ < confirmation_patience;
     if (!state_->plan && !view.confirmed() && patient) {
         return;
@@ -182,12 +180,11 @@
     }
     if (view.has_document() && view.version() > held) {
         try {
-            state_->plan =
-                std::make_shared<const plan::indexed_plan>(plan::index_plan(state_->speaks.decode_plan(view.document())));
+            state_->plan = std::make_shared<const plan::indexed_plan>(
+                plan::index_plan(state_->speaks.decode_plan(view.document())));
         }
         catch (const decode_error& fault) {
-            log_event(event::configuration_refused,
-                      {{"version", view.version()}, {"reason", fault.what()}});
+            log_event(event::configuration_refused, {{"version", view.version()}, {"reason", fault.what()}});
             return;
         }
         callers_->limits = state_->plan->plan.limits;
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -39,24 +39,24 @@
     std::atomic<std::uint64_t> instances{0};
 };
 
-/// Everything that an entry knows. Used on the entry's thread only: an entry has a fraction of a core, and its
-/// pool has one thread.
+/// Everything that an entry knows. Used on the entry's thread only: an entry has a fraction of a core, and
+/// its pool has one thread.
 struct gateway_state {
     core::fleet_settings settings;
     dialect speaks;
     std::shared_ptr<const plan::indexed_plan> plan;
-    std::uint64_t revision = 0;         ///< of the control group's state
-    time_point plan_confirmed_at{};     ///< when a control replica last spoke
+    std::uint64_t revision = 0;     ///< of the control group's state
+    time_point plan_confirmed_at{}; ///< when a control replica last spoke
     std::set<std::string> evacuated;
     directory::directory instances;
     directory::crash_table crashes;
     std::map<directory::instance_id, placing::instance_load> loads;
     std::map<std::string, time_point> returned_at; ///< when a data centre was brought back
     connection_pool connections;
-    std::vector<std::string> controls;  ///< links of control replicas
-    std::size_t entries = 1;            ///< entries of the fleet, as control last counted them
-    std::size_t stores = 0;             ///< stores that control told of
-    bool leaving = false;               ///< a planned stop began
+    std::vector<std::string> controls; ///< links of control replicas
+    std::size_t entries = 1;           ///< entries of the fleet, as control last counted them
+    std::size_t stores = 0;            ///< stores that control told of
+    bool leaving = false;              ///< a planned stop began
     gateway_counters counters;
 };
 
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -24,12 +24,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t max_idle = 16;          ///< idle connections to one instance
-constexpr duration idle_margin = 500ms;       ///< a connection is not used shortly before the other side closes it
-constexpr unsigned unacknowledged_ms = 1500;  ///< half of the shortest deadline; silent peers are found by then
+constexpr std::size_t max_idle = 16;    ///< idle connections to one instance
+constexpr duration idle_margin = 500ms; ///< a connection is not used shortly before the other side closes it
+constexpr unsigned unacknowledged_ms =
+    1500; ///< half of the shortest deadline; silent peers are found by then
 constexpr std::size_t read_size = 16U << 10U;
 constexpr std::uint32_t max_head_bytes = 64U << 10U; ///< of an answer
-constexpr int max_foreign_answers = 3;        ///< late answers to other requests that are read over
+constexpr int max_foreign_answers = 3;               ///< late answers to other requests that are read over
 
 using answer_parser = beast::http::response_parser<beast::http::buffer_body>;
 
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -23,9 +23,9 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer;
     std::string instance;
-    bool fresh = true;           ///< carried no call yet
+    bool fresh = true; ///< carried no call yet
     time_point idle_since{};
-    duration idle_limit{};       ///< how long it may be idle and still be used
+    duration idle_limit{}; ///< how long it may be idle and still be used
 };
 
 using connection_ptr = std::shared_ptr<upstream_connection>;
@@ -61,10 +61,10 @@
 
 /// How an exchange ended.
 enum class exchange_end : std::uint8_t {
-    whole,            ///< the answer was read to its end
-    broken_head,      ///< no answer, or bytes that are none
-    broken_body,      ///< the answer ended early
-    stopped,          ///< cancelled by the caller's leaving or a deadline
+    whole,       ///< the answer was read to its end
+    broken_head, ///< no answer, or bytes that are none
+    broken_body, ///< the answer ended early
+    stopped,     ///< cancelled by the caller's leaving or a deadline
 };
 
 /// Takes the parts of an answer in. @return false to stop.
--- a/src/plan/plan_func.cpp
+++ b/src/plan/plan_func.cpp
@@ -33,7 +33,8 @@
             faults.push_back({object, "a weight is negative"});
         }
     }
-    const bool framed = !one.path_prefix.empty() && one.path_prefix.front() == '/' && one.path_prefix.back() == '/';
+    const bool framed =
+        !one.path_prefix.empty() && one.path_prefix.front() == '/' && one.path_prefix.back() == '/';
     if (!framed) {
         faults.push_back({object, "the path prefix must begin and end with a slash"});
     }
--- a/src/plan/plan_type.hpp
+++ b/src/plan/plan_type.hpp
@@ -35,17 +35,17 @@
     std::string host;
     std::string path_prefix; ///< begins and ends with a slash
     call_kind kind = call_kind::non_idempotent;
-    duration timeout = 30s;        ///< the longest time that a caller is kept waiting
-    duration latency_objective{};  ///< first event or whole answer within this
-    duration gap_objective{};      ///< longest pause between events
-    std::uint32_t priority = 0;    ///< 0 is the most urgent
+    duration timeout = 30s;         ///< the longest time that a caller is kept waiting
+    duration latency_objective{};   ///< first event or whole answer within this
+    duration gap_objective{};       ///< longest pause between events
+    std::uint32_t priority = 0;     ///< 0 is the most urgent
     std::uint32_t max_attempts = 1; ///< upstreams that one call may be sent to
     std::vector<weighted_service> services;
-    bool keeps_turns = false;      ///< the ledger keeps what was said
-    duration retention{};          ///< how long a kept turn can be continued
-    bool open = false;             ///< no key needed
-    bool affinity = false;         ///< upstreams remember what they handled
-    bool resumable = false;        ///< a broken stream may go on elsewhere
+    bool keeps_turns = false; ///< the ledger keeps what was said
+    duration retention{};     ///< how long a kept turn can be continued
+    bool open = false;        ///< no key needed
+    bool affinity = false;    ///< upstreams remember what they handled
+    bool resumable = false;   ///< a broken stream may go on elsewhere
 
     /// @return whether a call may run more than once.
     [[nodiscard]] bool repeatable() const
@@ -74,10 +74,10 @@
 /// An organisation, its keys and its limits.
 struct organisation {
     organisation_name name;
-    std::vector<std::string> key_hashes; ///< SHA-256 of each key, hexadecimal
+    std::vector<std::string> key_hashes;   ///< SHA-256 of each key, hexadecimal
     std::optional<std::uint32_t> priority; ///< goes before the route's
-    double rate = 0;                     ///< calls a second over all entries; 0 for no limit
-    double burst = 0;                    ///< calls at once beside the rate
+    double rate = 0;                       ///< calls a second over all entries; 0 for no limit
+    double burst = 0;                      ///< calls at once beside the rate
 };
 
 /// What a caller may send.
--- a/src/replica/consensus_codec.cpp
+++ b/src/replica/consensus_codec.cpp
@@ -51,8 +51,8 @@
     made->index = from.index();
     made->term = from.term();
     for (const wire::member& one : from.members().members()) {
-        made->members.members.push_back(
-            {consensus::member_id{one.id()}, one.name(), one.endpoint(), one.voter(), one.learner_target(), one.data_centre()});
+        made->members.members.push_back({consensus::member_id{one.id()}, one.name(), one.endpoint(),
+                                         one.voter(), one.learner_target(), one.data_centre()});
     }
     made->state = from.state();
     return made;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -111,6 +111,10 @@
             blank_peers_[joining.name] = joining.id;
             return;
         }
+        if (managed_ && !consensus::admits_learner(consensus::view_members(state_, runtime_clock::now()),
+                                                   joining, policy_)) {
+            return;
+        }
         if (consensus::add_learner(state_, joining, runtime_clock::now(), pending_) ==
             consensus::change_result::proposed) {
             log_event(event::member_joining, {{"group", std::uint64_t{number_}}, {"name", joining.name}});
@@ -436,7 +440,8 @@
         for (const std::string& endpoint : contacts_) {
             const auto blank = blank_candidates_.find(endpoint);
             if (endpoint == settings_.link) {
-                members.members.push_back({state_.self, settings_.name, settings_.link, true, 0, data_centre_});
+                members.members.push_back(
+                    {state_.self, settings_.name, settings_.link, true, 0, data_centre_});
             }
             else if (blank != blank_candidates_.end()) {
                 members.members.push_back(blank->second);
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -97,8 +97,8 @@
     void propose(std::string command, proposal_done done);
     /// Tells whether the applied state is current. @pre on the group's thread.
     [[nodiscard]] bool may_read() const;
-    /// @return whether this replica leads and its state machine was told so. Work that arrives in one batch with
-    /// the deciding vote is not served yet. @pre on the group's thread.
+    /// @return whether this replica leads and its state machine was told so. Work that arrives in one batch
+    /// with the deciding vote is not served yet. @pre on the group's thread.
     [[nodiscard]] bool leads() const;
     /// @return the link endpoint of the leader, empty if unknown. @pre on the group's thread.
     [[nodiscard]] std::string leader_endpoint() const;
@@ -142,13 +142,13 @@
     std::map<consensus::log_index, waiting_proposal> proposals_;
     std::map<consensus::member_id, std::string> learned_endpoints_;
     std::map<std::string, consensus::member_id>
-        blank_peers_; ///< answers of blank replicas while this one is blank
-    std::string data_centre_; ///< of this replica; for managed groups
+        blank_peers_;                   ///< answers of blank replicas while this one is blank
+    std::string data_centre_;           ///< of this replica; for managed groups
     bool serving_ = false;              ///< the state machine knows that this replica leads
     bool managed_ = false;              ///< candidates come and go
     bool founds_with_contacts_ = false; ///< first start of the whole system
     consensus::membership_policy policy_;
-    std::vector<std::string> contacts_; ///< endpoints that may know the group
+    std::vector<std::string> contacts_;                         ///< endpoints that may know the group
     std::map<std::string, consensus::member> blank_candidates_; ///< by endpoint, while this one is blank
     time_point next_probe_{};
     time_point next_machine_tick_{};
--- a/src/replica/replica_process.hpp
+++ b/src/replica/replica_process.hpp
@@ -4,9 +4,9 @@
 #include "base/settings_type.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
-#include "runtime/worker_pool.hpp"
 #include "replica/control_service.hpp"
 #include "replica/ledger_service.hpp"
+#include "runtime/worker_pool.hpp"
 #include "wire/group_client.hpp"
 
 namespace guavawick::replica {
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -77,9 +77,12 @@
 
 open_request from_wire(const wire::open_turn& message)
 {
-    return {organisation_name{message.organisation()}, request_name{message.request()},
-            program_name{message.program()},           message.budget_tokens(),
-            message.most_tokens(),                     request_name{message.previous()},
+    return {organisation_name{message.organisation()},
+            request_name{message.request()},
+            program_name{message.program()},
+            message.budget_tokens(),
+            message.most_tokens(),
+            request_name{message.previous()},
             message.line()};
 }
 
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -1,4 +1,5 @@
-// Turns of programs: what was said, and how many tokens a program may still generate. State of a ledger group.
+// Turns of programs: what was said, and how many tokens a program may still generate. State of a ledger
+// group.
 #pragma once
 
 #include "base/id_type.hpp"
@@ -45,11 +46,11 @@
 
 /// What a program has generated and may be generating.
 struct program_account {
-    std::uint64_t spent = 0;                       ///< tokens of turns that ended
+    std::uint64_t spent = 0;                        ///< tokens of turns that ended
     std::map<request_name, std::uint64_t> reserved; ///< most tokens of turns that may be running
-    std::set<request_name> settled;                ///< turns that ended, so that a resend settles nothing
-    std::map<std::string, std::string> upstreams;  ///< where each line of turns last ran
-    std::string last_upstream;                     ///< where any of them last ran
+    std::set<request_name> settled;                 ///< turns that ended, so that a resend settles nothing
+    std::map<std::string, std::string> upstreams;   ///< where each line of turns last ran
+    std::string last_upstream;                      ///< where any of them last ran
     group_time used_at{};
 };
 
@@ -99,8 +100,9 @@
 };
 
 constexpr std::chrono::milliseconds account_memory = 300s; ///< a program unused for this long is forgotten
-constexpr std::chrono::milliseconds retention_slack = 5s; ///< kept longer than promised, for clocks that differ
-constexpr std::chrono::milliseconds sweep_interval = 1s;  ///< how often what is old is looked for
-constexpr std::size_t max_chain = 4096;                   ///< turns of one chain
+constexpr std::chrono::milliseconds retention_slack =
+    5s; ///< kept longer than promised, for clocks that differ
+constexpr std::chrono::milliseconds sweep_interval = 1s; ///< how often what is old is looked for
+constexpr std::size_t max_chain = 4096;                  ///< turns of one chain
 
 } // namespace guavawick::turns
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -33,8 +33,9 @@
 constexpr duration first_resend = 2s;
 constexpr duration most_resend = 16s;
 constexpr duration idle_peer_limit = 120s; ///< an unused connection is closed after this
-constexpr int linger_ms = 300;      ///< a stopping process waits this long for its last messages to leave
-constexpr int connect_timeout_ms = 500; ///< an instance without power does not even refuse; it may be back at once
+constexpr int linger_ms = 300; ///< a stopping process waits this long for its last messages to leave
+constexpr int connect_timeout_ms =
+    500; ///< an instance without power does not even refuse; it may be back at once
 constexpr int queue_limit = 200000; ///< messages that wait for one connection
 
 } // namespace
--- a/tests/scenarios/runner.hpp
+++ b/tests/scenarios/runner.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "http/http_type.hpp"
-#include "runtime/worker_pool.hpp"
 #include "processes.hpp"
+#include "runtime/worker_pool.hpp"
 #include "script.hpp"
 
 #include <boost/json/object.hpp>
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -125,8 +125,8 @@
 
 BOOST_AUTO_TEST_SUITE(consensus_test)
 
-// Found on a day with a frozen follower: each refusal sent the whole rest of the log again, until the leader ran out
-// of memory.
+// Found on a day with a frozen follower: each refusal sent the whole rest of the log again, until the leader
+// ran out of memory.
 BOOST_AUTO_TEST_CASE(follower_that_refuses_all_that_was_sent_ahead_gets_each_entry_once_more)
 {
     const time_point now{std::chrono::hours(1)};
--- a/tests/unit/fleet_state_test.cpp
+++ b/tests/unit/fleet_state_test.cpp
@@ -114,7 +114,8 @@
     order_retirement("store-1");
     for (const int number : {1, 2, 3}) {
         const std::string text = std::to_string(number);
-        leader.members.push_back({consensus::member_id{std::uint64_t(number)}, "store-" + text, "e" + text, true, 0, ""});
+        leader.members.push_back(
+            {consensus::member_id{std::uint64_t(number)}, "store-" + text, "e" + text, true, 0, ""});
     }
     BOOST_TEST((phase("store-1") == retire_phase::running));
     leader.members.front().name = "store-4";
--- a/tests/unit/group_test.cpp
+++ b/tests/unit/group_test.cpp
@@ -81,8 +81,8 @@
 
 BOOST_AUTO_TEST_SUITE(group_test)
 
-// Found on a day when a new leader dropped all turns: a request in the batch of the deciding vote was stamped with a
-// clock that had not been set.
+// Found on a day when a new leader dropped all turns: a request in the batch of the deciding vote was stamped
+// with a clock that had not been set.
 BOOST_FIXTURE_TEST_CASE(work_in_the_batch_of_the_deciding_vote_is_not_served_before_the_state_machine_is_told,
                         one_of_three_members)
 {
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -25,7 +25,8 @@
 
     member_view& add(std::uint64_t id, const std::string& place, bool voter)
     {
-        members.push_back({{member_id{id}, "node-" + std::to_string(id), "", voter, 0, place}, false, true, 0ms});
+        members.push_back(
+            {{member_id{id}, "node-" + std::to_string(id), "", voter, 0, place}, false, true, 0ms});
         return members.back();
     }
 
@@ -97,6 +98,18 @@
     BOOST_TEST((plan().kind == planned_kind::remove));
 }
 
+BOOST_FIXTURE_TEST_CASE(candidate_beyond_the_standby_is_admitted_only_while_a_voter_is_lost, three_voters)
+{
+    const member joining{member_id{9}, "node-9", "", false, 0, "place-2"};
+    BOOST_TEST(admits_learner(members, joining, policy));
+    add(4, "place-1", false);
+    BOOST_TEST(!admits_learner(members, joining, policy));
+    members[1].silent = 10s;
+    BOOST_TEST(admits_learner(members, joining, policy));
+    policy.retiring.insert("node-9");
+    BOOST_TEST(!admits_learner(members, joining, policy));
+}
+
 BOOST_AUTO_TEST_CASE(policy_for_two_losses_in_three_data_centres_has_five_voters_two_in_one_place)
 {
     const membership_policy policy = make_policy(2, 3);
--- a/tests/unit/platform_test.cpp
+++ b/tests/unit/platform_test.cpp
@@ -35,7 +35,8 @@
     }
 };
 
-constexpr const char* small_document = R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/",
+constexpr const char* small_document =
+    R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/a/",
 "type":"streaming","timeout_ms":6000,"target_latency_ms":200,"priority":0,"service":"s","max_attempts":2,
 "retain_context":true,"retention_s":60.0,"resumable":false,"gap_target_ms":500}],"services":[{"name":"s",
 "health_path":"/health","max_connections":380,"cold_start_s":3.0,"cold_per_s":18.0,"engine":{"slots":64,
@@ -79,14 +80,16 @@
     BOOST_TEST(facts.prompt[1].tokens == 410U);
 }
 
-BOOST_FIXTURE_TEST_CASE(headers_for_an_upstream_hold_neither_key_nor_what_only_the_system_sets, platform_dialect)
+BOOST_FIXTURE_TEST_CASE(headers_for_an_upstream_hold_neither_key_nor_what_only_the_system_sets,
+                        platform_dialect)
 {
     gateway::upstream_facts told;
     told.instance = "i1";
     told.organisation = "o";
     told.time_left = 900ms;
     const gateway::header_list made = speaks.make_upstream_headers(received.headers, told);
-    for (const char* gone : {"Api-Key", "X-Guavawick-Hold", "Kv-From", "Connection", "X-Hop", "Transfer-Encoding"}) {
+    for (const char* gone :
+         {"Api-Key", "X-Guavawick-Hold", "Kv-From", "Connection", "X-Hop", "Transfer-Encoding"}) {
         BOOST_TEST(gateway::find_header(made, gone).empty(), gone);
     }
     BOOST_TEST(gateway::find_header(made, "X-Guavawick-Tenant-Id") == "o");
@@ -98,8 +101,9 @@
 
 BOOST_FIXTURE_TEST_CASE(answer_of_an_upstream_gives_load_signature_and_whether_it_ran, platform_dialect)
 {
-    const gateway::answer_facts facts = speaks.read_answer(
-        503, {{"X-Guavawick-Not-Executed", "1"}, {"X-Guavawick-Server-Load", "3,2,8"}, {"Keep-Alive", "timeout=5, max=100"}});
+    const gateway::answer_facts facts = speaks.read_answer(503, {{"X-Guavawick-Not-Executed", "1"},
+                                                                 {"X-Guavawick-Server-Load", "3,2,8"},
+                                                                 {"Keep-Alive", "timeout=5, max=100"}});
     BOOST_TEST(facts.not_run);
     BOOST_TEST(!facts.signed_by_upstream);
     BOOST_TEST(facts.running == 3U);
@@ -132,7 +136,8 @@
 BOOST_AUTO_TEST_CASE(document_with_a_field_of_another_type_is_refused)
 {
     const std::string whole = small_document;
-    for (const char* field : {"\"version\":7", "\"timeout_ms\":6000", "\"type\":\"streaming\"", "\"api_keys\":[\"k1\",\"k2\"]"}) {
+    for (const char* field :
+         {"\"version\":7", "\"timeout_ms\":6000", "\"type\":\"streaming\"", "\"api_keys\":[\"k1\",\"k2\"]"}) {
         std::string wrong = whole;
         const std::string text = field;
         const std::string name = text.substr(0, text.find(':'));
