--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -50,7 +50,11 @@
         state_ = decode_fleet_state(bytes);
         publish_view();
     };
-    machine.leadership_changed = [this](bool leads) { leads_ = leads; };
+    machine.leadership_changed = [this](bool leads) {
+        if (leads) {
+            rates_.begin(runtime_clock::now());
+        }
+    };
     machine.tick = [this](time_point now) { tick(now); };
     set_seeds(settings_.seeds);
     if (settings_.first_start) {
@@ -77,6 +81,7 @@
 void control_process::set_seeds(const std::vector<std::string>& seeds)
 {
     std::vector<replica_address> replicas;
+    replicas.reserve(seeds.size());
     for (const std::string& one : seeds) {
         replicas.push_back({one, one});
     }
@@ -163,6 +168,11 @@
         answer(make_redirect(*group_));
         return;
     }
+    if (request->has_borrow()) {
+        // A former leader that was cut off must not lend beside its successor: may_read() holds for one at a time.
+        answer(rates_.borrow(request->borrow(), now));
+        return;
+    }
     if (request->has_read()) {
         wire::envelope reply;
         reply.mutable_document()->set_version(state_.version);
@@ -376,6 +386,7 @@
         directory::forget_old(instances_, now);
         directory::forget_old(crashes_, now);
     }
+    replicas.reserve(contacts.size());
     for (const std::string& one : contacts) {
         replicas.push_back({one, one});
     }
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -12,11 +12,9 @@
 namespace {
 
 constexpr std::uint32_t ledger_group = 1;
-constexpr std::uint64_t snapshot_entries =
-    3000;                                   ///< about 10 MB of log at 3 KB an entry, a tenth of the memory
+constexpr std::uint64_t snapshot_entries = 6000; ///< about 12 MB of log at 2 KB an entry
+constexpr std::size_t most_waiting = 200; ///< proposals; a store commits some hundreds a second
 constexpr duration report_interval = 300ms; ///< of stores to control; a third of the fastest repair
-constexpr double first_lease_rate =
-    0.5; ///< of the rate, lent while a former owner's tokens may still be spent
 
 } // namespace
 
@@ -99,9 +97,14 @@
         answer(make_redirect(*group_));
         return;
     }
-    if (request->has_borrow()) {
-        // A former leader that was cut off must not lend beside its successor.
-        answer(group_->may_read() ? borrow(request->borrow(), runtime_clock::now()) : make_redirect(*group_));
+    if (request->has_open_turn() && group_->waiting_proposals() > most_waiting) {
+        // More would only wait until their callers have gone; the ends of turns still get through.
+        wire::envelope refused;
+        refused.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::overloaded));
+        log_event(event::turn_opened, {{"request", request->open_turn().request()},
+                                       {"outcome", "overloaded"},
+                                       {"waiting", std::uint64_t{group_->waiting_proposals()}}});
+        answer(std::move(refused));
         return;
     }
     if (request->has_open_turn() || request->has_close_turn()) {
@@ -160,39 +163,8 @@
     return reply;
 }
 
-wire::envelope store_process::borrow(const wire::borrow_request& asked, time_point now)
-{
-    wire::envelope reply;
-    wire::borrow_reply* body = reply.mutable_borrowed();
-    body->set_sequence(asked.sequence());
-    // Tokens of the former owner may be out until their lease ends. A new owner starts empty, so that level
-    // and loans stay within the burst, and fills more slowly until then.
-    const bool first_lease = now < clock_.since + giver_lease(limit::token_lease);
-    for (const wire::borrow_item& item : asked.items()) {
-        limit::limits allowed{item.rate() * (first_lease ? first_lease_rate : 1.0), item.burst()};
-        const auto [found, fresh] = buckets_.try_emplace(
-            item.organisation(), rate_bucket{limit::make_bucket(allowed, clock_.since), 0});
-        rate_bucket& held = found->second;
-        if (item.plan_version() >= held.version) {
-            held.version = item.plan_version();
-            limit::set_limits(held.bucket, allowed, now);
-        }
-        const limit::borrow_request wish{incarnation_id{asked.entry_incarnation()},
-                                         asked.sequence(),
-                                         item.acked(),
-                                         item.held(),
-                                         item.returned(),
-                                         item.wanted()};
-        wire::grant_item* granted = body->add_items();
-        granted->set_organisation(item.organisation());
-        granted->set_tokens(limit::borrow(held.bucket, wish, now));
-    }
-    return reply;
-}
-
 void store_process::lead(bool leads)
 {
-    buckets_.clear();
     if (leads) {
         clock_ = {state_.now, runtime_clock::now()};
     }
--- a/src/core/store_process.hpp
+++ b/src/core/store_process.hpp
@@ -1,11 +1,10 @@
-// The store role of a fleet: a replica of the ledger group, which holds turns, budgets and rate buckets.
+// The store role of a fleet: a replica of the ledger group, which holds turns and budgets.
 #pragma once
 
 #include "core/fleet_settings.hpp"
 #include "core/group_serving.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
-#include "limit/bucket_func.hpp"
 #include "replica/log_store.hpp"
 #include "runtime/worker_pool.hpp"
 #include "turns/turn_func.hpp"
@@ -33,16 +32,10 @@
     void close();
 
 private:
-    struct rate_bucket {
-        limit::bucket bucket;
-        std::uint64_t version = 0; ///< of the plan that the limits come from
-    };
-
     void receive(const wire::peer_route& from, const wire::envelope_ptr& message);
     void serve(const wire::envelope_ptr& request, const answer_function& answer);
     void propose(const wire::envelope& request, const answer_function& answer);
     wire::envelope apply(const std::string& command);
-    wire::envelope borrow(const wire::borrow_request& asked, time_point now);
     void lead(bool leads);
     void take_hello(const wire::control_hello& hello);
     void report(time_point now);
@@ -55,7 +48,6 @@
     std::unique_ptr<replica::group> group_;
     turns::turn_state state_;
     group_clock clock_;
-    std::map<std::string, rate_bucket> buckets_; ///< leader only, by organisation
     std::vector<std::string> controls_;          ///< links of the control replicas
     std::string known_hello_;                    ///< the last hello, to act on changes only
     std::atomic<bool> running_{true};
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -31,8 +31,9 @@
     time_point deadline{};
 };
 
-rate_gate::rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards)
-    : client_(client), entry_(entry), shards_(shards)
+rate_gate::rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards,
+                     std::uint32_t first_group)
+    : client_(client), entry_(entry), shards_(shards), first_group_(first_group)
 {
 }
 
@@ -149,7 +150,7 @@
         if (!asked.empty()) {
             try {
                 const wire::envelope_ptr reply =
-                    co_await client_.call(shard + 1, std::move(question), borrow_limit);
+                    co_await client_.call(first_group_ + shard, std::move(question), borrow_limit);
                 take_reply(*reply, asked, asked_at);
             }
             catch (const link_error&) {
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -18,7 +18,9 @@
 /// Lock order: its mutex is a leaf.
 class rate_gate {
 public:
-    rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards);
+    /// @param first_group number of the first group that owns buckets; the others follow.
+    rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards,
+              std::uint32_t first_group = 1);
     ~rate_gate();
     /// Waits for one token of an organisation. @throw refusal_error `rate_exceeded` if none comes within the
     /// limit. @param plan_version orders limits of different ages at their owner.
@@ -47,6 +49,7 @@
     wire::group_client& client_;
     incarnation_id entry_;
     std::uint32_t shards_;
+    std::uint32_t first_group_;
     mutable std::mutex mutex_; ///< guards everything below
     std::unordered_map<std::string, account> accounts_;
     std::uint64_t refused_ = 0;
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -20,6 +20,7 @@
 
 constexpr duration connect_limit = 400ms;   ///< far above a handshake; a silent instance costs this once
 constexpr duration ledger_limit = 2500ms;   ///< a new leader is found within two seconds
+constexpr duration least_close_limit = 500ms; ///< for the end of a stream that ends just before its deadline
 constexpr duration default_idle_limit = 5s; ///< of connections to upstreams that name no limit
 constexpr duration reuse_unrepeatable = 2s; ///< a call that must not be lost uses connections idle for less
 constexpr std::size_t most_buffered = 8U << 20U; ///< bytes of an answer that is not a stream
@@ -348,7 +349,8 @@
     }
     if (!reply || !reply->has_turn_opened()) {
         std::vector<event_field> fields = call_fields(*run);
-        fields.push_back({"reason", fault.empty() ? "an answer of another kind" : fault});
+        const bool overloaded = reply && reply->has_refused();
+        fields.push_back({"reason", overloaded ? "the ledger is overloaded" : fault});
         log_event(event::attempt_failed, fields);
         co_return refusal{503, "the ledger does not answer", retry_ledger};
     }
@@ -386,9 +388,11 @@
         body->set_retention_ms(static_cast<std::uint64_t>(to_ms(run->route->retention)));
     }
     std::string fault;
+    // The caller waits for the end of its answer; once it has gone nobody needs the turn any more.
+    const duration left = run->deadline - runtime_clock::now();
+    const duration limit = whole ? std::max<duration>(left, least_close_limit) : ledger_limit;
     try {
-        const wire::envelope_ptr reply =
-            co_await run->context.ledger->call(1, std::move(report), ledger_limit);
+        const wire::envelope_ptr reply = co_await run->context.ledger->call(1, std::move(report), limit);
         co_return reply->has_done();
     }
     catch (const link_error& error) {
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -340,7 +340,7 @@
 call_handler make_call_handler(call_context context)
 {
     return
-        [context](raw_request& received, answer_port& port) { return handle_call(context, received, port); };
+        [context = std::move(context)](raw_request& received, answer_port& port) { return handle_call(context, received, port); };
 }
 
 } // namespace guavawick::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -23,6 +23,7 @@
 using namespace std::chrono_literals;
 
 constexpr duration confirmation_patience = 2500ms; ///< a new leader of control is found within two seconds
+constexpr std::uint32_t control_group = 0;
 constexpr duration subscribe_interval = 500ms;     ///< a quarter of the time in which a plan must be in force
 constexpr duration balancer_notice = 3s;           ///< the balancer asks every second and wants two misses
 constexpr duration stop_margin = 700ms;            ///< before the platform kills the process
@@ -49,7 +50,9 @@
     state_->controls = given.seeds;
     links_ = std::make_unique<wire::link>(pool_.executor(), core::make_link_settings(), self);
     ledger_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
-    rates_ = std::make_unique<entry::rate_gate>(*ledger_, self, 1);
+    control_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
+    rates_ = std::make_unique<entry::rate_gate>(*control_, self, 1, control_group);
+    know_controls();
 }
 
 gateway_process::~gateway_process() = default;
@@ -95,6 +98,16 @@
     });
 }
 
+void gateway_process::know_controls()
+{
+    std::vector<replica_address> replicas;
+    replicas.reserve(state_->controls.size());
+    for (const std::string& one : state_->controls) {
+        replicas.push_back({one, one});
+    }
+    control_->set_replicas(std::move(replicas));
+}
+
 bool gateway_process::is_ready() const
 {
     return state_->plan != nullptr && state_->stores > 0 && !state_->instances.instances.empty() &&
@@ -250,6 +263,7 @@
             }
         }
     }
+    know_controls();
     if (hello.stores_size() > 0 && hello.founders_size() > 0) {
         std::vector<replica_address> stores;
         for (const wire::peer_address& one : hello.stores()) {
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -84,11 +84,13 @@
     boost::asio::awaitable<void> subscribe_loop();
     boost::asio::awaitable<void> answer_readiness(http::request& received, http::responder& out);
     [[nodiscard]] bool is_ready() const;
+    void know_controls();
     void add_metrics();
 
     runtime::worker_pool& pool_;
     std::unique_ptr<wire::link> links_;
     std::unique_ptr<wire::group_client> ledger_;
+    std::unique_ptr<wire::group_client> control_;
     std::unique_ptr<entry::rate_gate> rates_;
     std::shared_ptr<gateway_state> state_;
     std::shared_ptr<caller_server> callers_;
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -102,6 +102,8 @@
     [[nodiscard]] bool leads() const;
     /// @return the link endpoint of the leader, empty if unknown. @pre on the group's thread.
     [[nodiscard]] std::string leader_endpoint() const;
+    /// @return how many proposals wait for their commit. @pre on the group's thread.
+    [[nodiscard]] std::size_t waiting_proposals() const { return proposals_.size(); }
     /// @return what people are told. @pre on the group's thread.
     [[nodiscard]] group_report report() const;
     /// @return figures for metrics. Thread safe.
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -99,7 +99,7 @@
     std::string line;
 };
 
-constexpr std::chrono::milliseconds account_memory = 300s; ///< a program unused for this long is forgotten
+constexpr std::chrono::milliseconds account_memory = 120s; ///< a program unused for this long is forgotten
 constexpr std::chrono::milliseconds retention_slack =
     5s; ///< kept longer than promised, for clocks that differ
 constexpr std::chrono::milliseconds sweep_interval = 1s; ///< how often what is old is looked for
