--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -169,7 +169,8 @@
         return;
     }
     if (request->has_borrow()) {
-        // A former leader that was cut off must not lend beside its successor: may_read() holds for one at a time.
+        // A former leader that was cut off must not lend beside its successor: may_read() holds for one at a
+        // time.
         answer(rates_.borrow(request->borrow(), now));
         return;
     }
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -93,7 +93,7 @@
     std::unique_ptr<replica::group> group_;
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
-    rate_owner rates_; ///< leader only
+    rate_owner rates_;         ///< leader only
     bool push_posted_ = false; ///< the view will be pushed after this batch
     std::atomic<bool> confirmed_{
         false};                    ///< this replica leads and a quorum confirmed it, as of the last tick
--- a/src/core/rate_owner.cpp
+++ b/src/core/rate_owner.cpp
@@ -25,8 +25,8 @@
     const bool first_lease = now < since_ + giver_lease(limit::token_lease);
     for (const wire::borrow_item& item : asked.items()) {
         limit::limits allowed{item.rate() * (first_lease ? first_lease_rate : 1.0), item.burst()};
-        const auto [found, fresh] = buckets_.try_emplace(
-            item.organisation(), rate_bucket{limit::make_bucket(allowed, since_), 0});
+        const auto [found, fresh] =
+            buckets_.try_emplace(item.organisation(), rate_bucket{limit::make_bucket(allowed, since_), 0});
         rate_bucket& held = found->second;
         if (item.plan_version() >= held.version) {
             held.version = item.plan_version();
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -13,8 +13,8 @@
 
 constexpr std::uint32_t ledger_group = 1;
 constexpr std::uint64_t snapshot_entries = 6000; ///< about 12 MB of log at 2 KB an entry
-constexpr std::size_t most_waiting = 200; ///< proposals; a store commits some hundreds a second
-constexpr duration report_interval = 300ms; ///< of stores to control; a third of the fastest repair
+constexpr std::size_t most_waiting = 200;        ///< proposals; a store commits some hundreds a second
+constexpr duration report_interval = 300ms;      ///< of stores to control; a third of the fastest repair
 
 } // namespace
 
--- a/src/core/store_process.hpp
+++ b/src/core/store_process.hpp
@@ -48,8 +48,8 @@
     std::unique_ptr<replica::group> group_;
     turns::turn_state state_;
     group_clock clock_;
-    std::vector<std::string> controls_;          ///< links of the control replicas
-    std::string known_hello_;                    ///< the last hello, to act on changes only
+    std::vector<std::string> controls_; ///< links of the control replicas
+    std::string known_hello_;           ///< the last hello, to act on changes only
     std::atomic<bool> running_{true};
     std::unique_ptr<http::server> metrics_server_;
     http::metric_set metrics_;
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -18,11 +18,11 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration connect_limit = 400ms;   ///< far above a handshake; a silent instance costs this once
-constexpr duration ledger_limit = 2500ms;   ///< a new leader is found within two seconds
+constexpr duration connect_limit = 400ms;     ///< far above a handshake; a silent instance costs this once
+constexpr duration ledger_limit = 2500ms;     ///< a new leader is found within two seconds
 constexpr duration least_close_limit = 500ms; ///< for the end of a stream that ends just before its deadline
-constexpr duration default_idle_limit = 5s; ///< of connections to upstreams that name no limit
-constexpr duration reuse_unrepeatable = 2s; ///< a call that must not be lost uses connections idle for less
+constexpr duration default_idle_limit = 5s;   ///< of connections to upstreams that name no limit
+constexpr duration reuse_unrepeatable = 2s;   ///< a call that must not be lost uses connections idle for less
 constexpr std::size_t most_buffered = 8U << 20U; ///< bytes of an answer that is not a stream
 constexpr duration retry_ledger = 300ms;         ///< a new leader of the ledger needs about this long
 constexpr int misdirected_status = 421;
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -339,8 +339,9 @@
 
 call_handler make_call_handler(call_context context)
 {
-    return
-        [context = std::move(context)](raw_request& received, answer_port& port) { return handle_call(context, received, port); };
+    return [context = std::move(context)](raw_request& received, answer_port& port) {
+        return handle_call(context, received, port);
+    };
 }
 
 } // namespace guavawick::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -24,9 +24,9 @@
 
 constexpr duration confirmation_patience = 2500ms; ///< a new leader of control is found within two seconds
 constexpr std::uint32_t control_group = 0;
-constexpr duration subscribe_interval = 500ms;     ///< a quarter of the time in which a plan must be in force
-constexpr duration balancer_notice = 3s;           ///< the balancer asks every second and wants two misses
-constexpr duration stop_margin = 700ms;            ///< before the platform kills the process
+constexpr duration subscribe_interval = 500ms; ///< a quarter of the time in which a plan must be in force
+constexpr duration balancer_notice = 3s;       ///< the balancer asks every second and wants two misses
+constexpr duration stop_margin = 700ms;        ///< before the platform kills the process
 constexpr std::uint32_t directory_rounds =
     10;                                   ///< the whole directory is asked for at the start and every 5 s
 constexpr std::size_t most_controls = 16; ///< addresses of control replicas that are remembered
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -1,5 +1,5 @@
-// Calls through a real gateway, control replica and store, over loopback, with a scripted upstream. The dialect is a
-// small one of the test's own.
+// Calls through a real gateway, control replica and store, over loopback, with a scripted upstream. The
+// dialect is a small one of the test's own.
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "core/control_process.hpp"
@@ -339,7 +339,8 @@
     BOOST_TEST(call("GET", "/safe/x").status == 200);
 }
 
-BOOST_FIXTURE_TEST_CASE(unrepeatable_call_whose_answer_breaks_off_runs_once_and_is_not_called_unrun, small_fleet)
+BOOST_FIXTURE_TEST_CASE(unrepeatable_call_whose_answer_breaks_off_runs_once_and_is_not_called_unrun,
+                        small_fleet)
 {
     announce(second, "u2", 1);
     upstream.answer = answer_half;
