--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -7,6 +7,8 @@
 #include "gateway/gateway_process.hpp"
 #include "runtime/worker_pool.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -130,9 +132,23 @@
     out.abort();
 }
 
+/// @return an address that nobody listens at, outside the range that outgoing connections take their ports
+/// from.
 std::string free_address()
 {
-    return "127.0.0.1:" + std::to_string(20000 + random_id() % 40000);
+    constexpr std::uint64_t first_port = 10000;
+    constexpr std::uint64_t ports = 22000;
+    asio::io_context context;
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(first_port + random_id() % ports);
+        const asio::ip::tcp::endpoint wanted(asio::ip::make_address("127.0.0.1"), port);
+        asio::ip::tcp::acceptor probe(context, wanted.protocol());
+        boost::system::error_code taken;
+        probe.bind(wanted, taken);
+        if (!taken) {
+            return "127.0.0.1:" + std::to_string(port);
+        }
+    }
 }
 
 /// A fleet of one control replica, one store and one entry.
@@ -182,30 +198,13 @@
         fs::remove_all(folder);
     }
 
-    /// Ports may be taken by others; another is tried then.
-    template <typename Start>
-    static void with_free_port(Start start)
-    {
-        for (int tries = 0;; ++tries) {
-            try {
-                start();
-                return;
-            }
-            catch (const link_error&) {
-                BOOST_REQUIRE(tries < 50);
-            }
-        }
-    }
-
     void start_upstream(scripted_upstream& one)
     {
         one.answer = answer_whole;
-        with_free_port([&] {
-            one.address = free_address();
-            one.server = std::make_unique<http::server>(
-                pool.executor(), one.address, http::server_limits{},
-                [&one](http::request& received, http::responder& out) { return one.handle(received, out); });
-        });
+        one.address = free_address();
+        one.server = std::make_unique<http::server>(
+            pool.executor(), one.address, http::server_limits{},
+            [&one](http::request& received, http::responder& out) { return one.handle(received, out); });
     }
 
     void start_control(const std::string& link)
