--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -76,16 +76,13 @@
     return made;
 }
 
-/// A planned stop whose acknowledgement waits for another replica.
-struct control_process::pending_confirm {};
-
 asio::awaitable<void> control_process::spread(wire::envelope update, bool wait_for_peer)
 {
     std::uint64_t number = 0;
     if (wait_for_peer) {
         const std::lock_guard lock(mutex_);
         number = next_confirm_++;
-        confirms_[number] = std::make_shared<pending_confirm>();
+        confirms_.insert(number);
         update.mutable_directory()->set_confirm(number);
     }
     update.mutable_directory()->set_endpoint(settings_.link);
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 
 namespace guavawick::core {
 
@@ -60,11 +61,6 @@
     boost::asio::awaitable<retire_phase> ask_retirement(std::string store);
 
 private:
-    struct subscriber {
-        std::string endpoint;
-        time_point heard_at{};
-    };
-    struct pending_confirm;
     using fleet_view = std::shared_ptr<const fleet_state>;
 
     void receive(const wire::peer_route& from, const wire::envelope_ptr& message);
@@ -109,7 +105,7 @@
     std::vector<std::string> seeds_;
     std::vector<std::string> members_; ///< links of the group's members
     wire::directory_update batch_;     ///< announcements for the entries
-    std::map<std::uint64_t, std::shared_ptr<pending_confirm>> confirms_;
+    std::set<std::uint64_t> confirms_; ///< planned stops that wait until another replica has them
     std::uint64_t next_confirm_ = 1;
 
     http::metric_set metrics_;
