Ask for a place in a group by one function, whether members are listed or managed

No change of behaviour: an unmanaged replica has no data centre set, so its message is byte for byte the same.

--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -352,6 +352,18 @@
     });
 }
 
+void group::ask_to_join(const std::string& endpoint)
+{
+    wire::envelope probe;
+    probe.set_group(number_);
+    probe.mutable_join()->set_group(number_);
+    probe.mutable_join()->set_id(state_.self.value);
+    probe.mutable_join()->set_name(settings_.name);
+    probe.mutable_join()->set_endpoint(settings_.link);
+    probe.mutable_join()->set_data_centre(data_centre_);
+    links_.send(endpoint, std::move(probe));
+}
+
 void group::found_or_join(time_point now)
 {
     if (now < next_probe_ || !consensus::needs_join(state_, now)) {
@@ -367,13 +379,7 @@
         if (address.name == settings_.name) {
             continue;
         }
-        wire::envelope probe;
-        probe.set_group(number_);
-        probe.mutable_join()->set_group(number_);
-        probe.mutable_join()->set_id(state_.self.value);
-        probe.mutable_join()->set_name(settings_.name);
-        probe.mutable_join()->set_endpoint(settings_.link);
-        links_.send(address.endpoint, std::move(probe));
+        ask_to_join(address.endpoint);
     }
 }
 
@@ -457,14 +463,7 @@
         if (endpoint == settings_.link) {
             continue;
         }
-        wire::envelope probe;
-        probe.set_group(number_);
-        probe.mutable_join()->set_group(number_);
-        probe.mutable_join()->set_id(state_.self.value);
-        probe.mutable_join()->set_name(settings_.name);
-        probe.mutable_join()->set_endpoint(settings_.link);
-        probe.mutable_join()->set_data_centre(data_centre_);
-        links_.send(endpoint, std::move(probe));
+        ask_to_join(endpoint);
     }
 }
 
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -126,6 +126,7 @@
     void apply(const consensus::log_entry& entry);
     void fail_proposals();
     void snapshot_if_due();
+    void ask_to_join(const std::string& endpoint);
     void found_or_join(time_point now);
     void found(const std::map<std::string, consensus::member_id>& ids);
     void found_members(const consensus::membership& members);
