Let running programs take rate tokens before those that would begin

Tokens lay idle at one of 23 entries while another waited, and a program's late call lost its token to a first turn, which wasted every call before it. Change: the owner keeps 0.3 of the burst for programs that are under way; entries ask at once instead of every 20 ms; half of the tolerance that the users state (overage, slack) is lent; running programs wait up to 1.5 s, others 0.5 s. Ruled out: too few tokens in all, since the load lies under the limits.

--- a/src/core/rate_owner.cpp
+++ b/src/core/rate_owner.cpp
@@ -37,10 +37,12 @@
                                          item.acked(),
                                          item.held(),
                                          item.returned(),
-                                         item.wanted()};
+                                         item.wanted(),
+                                         item.wanted_starts()};
         wire::grant_item* granted = body->add_items();
         granted->set_organisation(item.organisation());
         granted->set_tokens(limit::borrow(held.bucket, wish, now));
+        granted->set_scarce(limit::is_scarce(held.bucket));
     }
     return reply;
 }
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -5,6 +5,8 @@
 #include "ledger/ledger_func.hpp"
 #include "wire.pb.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/experimental/concurrent_channel.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -15,7 +17,7 @@
 
 namespace {
 
-constexpr duration borrow_interval = 20ms;
+constexpr duration borrow_interval = 20ms; ///< how often leases are renewed and waiting requests looked at
 constexpr duration borrow_limit = 1s;
 constexpr std::uint32_t shortest_retry_ms = 100; ///< a few rounds of borrowing
 constexpr std::uint32_t longest_retry_ms = 1000; ///< later the level is anybody's guess
@@ -31,19 +33,32 @@
     time_point deadline{};
 };
 
+/// Wakes a borrowing loop: at once for a request that waits, else at intervals.
+struct borrow_alarm {
+    explicit borrow_alarm(const asio::any_io_executor& pool) : rings(pool, 1) {}
+
+    asio::experimental::concurrent_channel<void(boost::system::error_code)> rings;
+};
+
 rate_gate::rate_gate(wire::group_client& client, incarnation_id entry, std::uint32_t shards,
                      std::uint32_t first_group)
-    : client_(client), entry_(entry), shards_(shards), first_group_(first_group)
+    : client_(client), entry_(entry), shards_(shards), first_group_(first_group), alarms_(shards)
 {
 }
 
 rate_gate::~rate_gate() = default;
 
+bool rate_gate::spend_for_start(account& one, time_point now)
+{
+    return !one.scarce && limit::spend(one.purse, now);
+}
+
 asio::awaitable<void> rate_gate::pass(configuration::organisation who, duration limit,
-                                      std::uint64_t plan_version)
+                                      std::uint64_t plan_version, limit::demand_kind kind)
 {
     const auto pool = co_await asio::this_coro::executor;
     auto waiter = std::make_shared<token_waiter>(pool);
+    const bool starts = kind == limit::demand_kind::starts;
     {
         const std::lock_guard lock(mutex_);
         const time_point now = runtime_clock::now();
@@ -51,18 +66,25 @@
         one.allowed = {who.rate, who.burst};
         one.plan_version = plan_version;
         limit::note_demand(one.purse, now);
-        if (one.waiting.empty() && limit::spend(one.purse, now)) {
+        std::deque<std::shared_ptr<token_waiter>>& queue = starts ? one.starts : one.waiting;
+        if (queue.empty() && (starts ? spend_for_start(one, now) : limit::spend(one.purse, now))) {
             co_return;
         }
         // Whoever comes after more waiting requests than the rate serves in time is told at once.
-        const double expected = static_cast<double>(one.waiting.size()) / std::max(who.rate, 1e-9);
+        const std::size_t before = one.waiting.size() + (starts ? one.starts.size() : 0);
+        const double expected = static_cast<double>(before) / std::max(who.rate, 1e-9);
         if (expected > to_seconds(limit)) {
             ++refused_;
             throw refusal_error(failure::rate_exceeded, "the organisation's rate is used up",
                                 static_cast<std::uint32_t>(expected * 1000));
         }
         waiter->deadline = now + limit;
-        one.waiting.push_back(waiter);
+        queue.push_back(waiter);
+        const auto& alarm =
+            alarms_[ledger::shard_of(organisation_name{who.name.value}, program_name{}, shards_)];
+        if (alarm) {
+            alarm->rings.try_send(boost::system::error_code{});
+        }
     }
     const bool granted = co_await waiter->answer.async_receive(asio::use_awaitable);
     if (!granted) {
@@ -72,20 +94,29 @@
     }
 }
 
-void rate_gate::serve_waiters(account& one, time_point now)
+void rate_gate::serve_queue(std::deque<std::shared_ptr<token_waiter>>& queue, account& one, double kept,
+                            time_point now)
 {
-    while (!one.waiting.empty()) {
-        const auto& first = one.waiting.front();
-        const bool granted = limit::spend(one.purse, now);
+    while (!queue.empty()) {
+        const auto& first = queue.front();
+        const bool granted = one.purse.tokens >= kept + 1.0 && limit::spend(one.purse, now);
         if (!granted && now < first->deadline) {
             return;
         }
         refused_ += granted ? 0 : 1;
         first->answer.try_send(boost::system::error_code{}, granted);
-        one.waiting.pop_front();
+        queue.pop_front();
     }
 }
 
+void rate_gate::serve_waiters(account& one, time_point now)
+{
+    serve_queue(one.waiting, one, 0, now);
+    // While tokens are scarce, those that are kept for running programs are not for others.
+    const double kept = one.scarce ? limit::kept_tokens(one.purse, now) : 0;
+    serve_queue(one.starts, one, one.waiting.empty() ? kept : one.purse.tokens, now);
+}
+
 wire::envelope rate_gate::make_request(std::uint32_t shard, std::uint64_t sequence, time_point now,
                                        borrow_map& asked)
 {
@@ -100,18 +131,19 @@
             ++entry;
             continue;
         }
-        if (one.waiting.empty() && now - one.purse.used_at > idle_account) {
+        if (one.waiting.empty() && one.starts.empty() && now - one.purse.used_at > idle_account) {
             entry = accounts_.erase(entry);
             continue;
         }
         const limit::borrow_request wish =
-            limit::prepare_request(one.purse, entry_, sequence, one.waiting.size(), now);
+            limit::prepare_request(one.purse, entry_, sequence, one.waiting.size(), now, one.starts.size());
         if (limit::is_due(one.purse, wish, now)) {
             limit::note_sent(one.purse, wish, now);
             wire::borrow_item* item = body->add_items();
             item->set_organisation(name);
             item->set_wanted(wish.wanted);
             item->set_held(wish.held);
+            item->set_wanted_starts(wish.wanted_starts);
             item->set_returned(wish.returned);
             item->set_acked(wish.acked);
             item->set_rate(one.allowed.rate);
@@ -135,15 +167,31 @@
             continue;
         }
         limit::receive_tokens(found->second.purse, wish->second, item.tokens(), asked_at, now);
+        found->second.scarce = item.scarce();
         serve_waiters(found->second, now);
     }
 }
 
+asio::awaitable<void> rate_gate::tick_loop(std::shared_ptr<borrow_alarm> alarm, std::function<bool()> running)
+{
+    while (running()) {
+        co_await runtime::wait_for(borrow_interval);
+        alarm->rings.try_send(boost::system::error_code{});
+    }
+}
+
 asio::awaitable<void> rate_gate::borrow_loop(std::uint32_t shard, std::function<bool()> running)
 {
+    const auto pool = co_await asio::this_coro::executor;
+    const auto alarm = std::make_shared<borrow_alarm>(pool);
+    {
+        const std::lock_guard lock(mutex_);
+        alarms_[shard] = alarm;
+    }
+    asio::co_spawn(pool, tick_loop(alarm, running), asio::detached);
     std::uint64_t sequence = 0;
     while (running()) {
-        co_await runtime::wait_for(borrow_interval);
+        co_await alarm->rings.async_receive(asio::use_awaitable);
         borrow_map asked;
         const time_point asked_at = runtime_clock::now();
         wire::envelope question = make_request(shard, ++sequence, asked_at, asked);
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -19,7 +19,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration longest_rate_wait = 1s; ///< longer waits are refused at once, with the time to come back
+constexpr duration longest_rate_wait = 1500ms; ///< of running programs; longer waits are refused at once
+constexpr duration longest_start_wait =
+    500ms;                                 ///< of programs that would begin: little is lost by coming back
 constexpr duration default_deadline = 30s; ///< of callers that name none
 constexpr duration deadline_slack = 60ms;  ///< for the upstream's own answer at the deadline to arrive
 constexpr int most_placements = 6;         ///< tries to find an upstream that takes the call
@@ -103,21 +105,36 @@
     return {0, "", {}};
 }
 
+/// A program begins with a turn that continues from nothing; this entry has not heard of it before.
+limit::demand_kind classify_demand(const call_run& run)
+{
+    const bool first = !run.facts.program.empty() && run.facts.previous_turn.empty() &&
+                       run.facts.budget_tokens > 0 && run.route->kind == plan::call_kind::streaming;
+    return first && !knows(run.context.state->programs, hash_bytes(run.facts.program.value))
+               ? limit::demand_kind::starts
+               : limit::demand_kind::continues;
+}
+
 asio::awaitable<refusal> pass_rate(std::shared_ptr<call_run> run)
 {
     const plan::organisation* who = run->organisation;
     if (who == nullptr || who->rate <= 0) {
         co_return refusal{0, "", {}};
     }
+    const core::fleet_settings& settings = run->context.state->settings;
+    const limit::limits allowed =
+        limit::tolerate({who->rate, std::max(who->burst, 1.0)}, settings.rate_overage, settings.rate_slack);
     configuration::organisation limits;
     limits.name = who->name;
-    limits.rate = who->rate;
-    limits.burst = std::max(who->burst, 1.0);
+    limits.rate = allowed.rate;
+    limits.burst = allowed.burst;
     const std::uint64_t version = run->plan->plan.version.value;
+    const limit::demand_kind kind = classify_demand(*run);
+    const duration longest = kind == limit::demand_kind::starts ? longest_start_wait : longest_rate_wait;
     const duration left = (run->deadline - run->begun) / 3;
     std::uint32_t retry_ms = 0;
     try {
-        co_await run->context.rates->pass(limits, std::min<duration>(left, longest_rate_wait), version);
+        co_await run->context.rates->pass(limits, std::min(left, longest), version, kind);
         co_return refusal{0, "", {}};
     }
     catch (const refusal_error& refused) {
@@ -290,6 +307,9 @@
         co_await refuse(run, refused);
         co_return;
     }
+    if (!run->facts.program.empty()) {
+        note(run->context.state->programs, hash_bytes(run->facts.program.value), run->begun);
+    }
     const auto executor = co_await asio::this_coro::executor;
     asio::basic_waitable_timer<runtime_clock> timer(executor);
     arm_deadline(run, timer);
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -7,6 +7,7 @@
 #include "entry/rate_gate.hpp"
 #include "gateway/caller_connection.hpp"
 #include "gateway/dialect_type.hpp"
+#include "gateway/program_memory.hpp"
 #include "gateway/upstream_connection.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
@@ -58,6 +59,7 @@
     std::size_t stores = 0;            ///< stores that control told of
     bool leaving = false;              ///< a planned stop began
     gateway_counters counters;
+    program_memory programs; ///< programs that this entry has admitted calls of
 };
 
 /// One entry. Thread safety: start(), stop() and set_seeds() by one thread, the rest is internal.
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -11,7 +11,9 @@
 constexpr double held_seconds = 0.25;         ///< an entry holds tokens for this much of its demand
 constexpr double largest_share = 0.5;         ///< of the burst, what one request may take
 constexpr double rounding = 1e-9;
-constexpr duration renew_margin = 400ms;    ///< a lease is renewed this long before it lapses
+constexpr double start_reserve = 0.3;    ///< of the burst, left for programs that are under way
+constexpr double tolerated_share = 0.5;  ///< of the tolerance; the rest covers requests that travel together
+constexpr duration renew_margin = 400ms; ///< a lease is renewed this long before it lapses
 constexpr duration report_interval = 100ms; ///< spent tokens are told at most this often
 
 double decay(const purse& held, time_point now)
@@ -84,13 +86,26 @@
     one.lapses_at = now + giver_lease(token_lease);
     give_back(owned, lost + returned);
     const double most = std::max(1.0, std::floor(owned.allowed.burst * largest_share));
-    const double granted = std::floor(std::min({std::max(0.0, wish.wanted), owned.level + rounding, most}));
+    double granted = std::floor(std::min({std::max(0.0, wish.wanted), owned.level + rounding, most}));
+    const double free = owned.level - granted - owned.allowed.burst * start_reserve;
+    granted += std::floor(std::clamp(wish.wanted_starts, 0.0, std::max(0.0, std::min(free, most - granted))));
     owned.level = std::max(0.0, owned.level - granted);
     one.tokens += granted;
     one.last_grant = granted;
     return granted;
 }
 
+bool is_scarce(const bucket& owned)
+{
+    return owned.level < owned.allowed.burst * start_reserve;
+}
+
+limits tolerate(const limits& published, double overage, double slack)
+{
+    const double factor = 1.0 + overage * tolerated_share;
+    return {published.rate * factor, published.burst * factor + slack * tolerated_share};
+}
+
 duration wait_for_token(const bucket& owned)
 {
     if (owned.level >= 1.0 || owned.allowed.rate <= 0) {
@@ -116,20 +131,25 @@
     held.used_at = now;
 }
 
-borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting,
-                               time_point now)
+double kept_tokens(const purse& held, time_point now)
 {
-    drop_lapsed(held, now);
-    const double recent = held.demand * decay(held, now);
     // Tokens kept for later are whole: an organisation with little demand keeps none, since what lies idle
     // here may be what a request at another entry waits for.
-    const double kept = std::floor(recent * held_seconds);
+    return std::floor(held.demand * decay(held, now) * held_seconds);
+}
+
+borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting,
+                               time_point now, std::size_t starts)
+{
+    drop_lapsed(held, now);
+    const double kept = kept_tokens(held, now);
     const double target = static_cast<double>(waiting) + kept;
     borrow_request request;
     request.entry = entry;
     request.sequence = sequence;
     request.acked = held.acked;
     request.wanted = std::max(0.0, std::trunc(target - held.tokens));
+    request.wanted_starts = static_cast<double>(starts);
     request.returned = std::max(0.0, std::trunc(held.tokens - target - kept));
     held.tokens -= request.returned; // what is given back must not be spent meanwhile
     request.held = held.tokens;
@@ -138,7 +158,7 @@
 
 bool is_due(const purse& held, const borrow_request& request, time_point now)
 {
-    const bool asks = request.wanted != 0 || request.returned != 0;
+    const bool asks = request.wanted != 0 || request.wanted_starts != 0 || request.returned != 0;
     const bool renews = request.held != 0 && held.lapses_at - now < renew_margin;
     // Until the owner hears of spent tokens it counts them as lent and does not refill them.
     const bool reports = request.held < held.reported && now - held.reported_at >= report_interval;
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -11,11 +11,16 @@
     std::uint64_t sequence = 0; ///< rises with each new request; equal for a resend
     std::uint64_t acked =
         0; ///< newest earlier request whose answer the entry took in; later answers to older ones are dropped
-    double held = 0;     ///< tokens that the entry keeps
-    double returned = 0; ///< tokens that it gives back
-    double wanted = 0;   ///< whole tokens that it would like beside
+    double held = 0;          ///< tokens that the entry keeps
+    double returned = 0;      ///< tokens that it gives back
+    double wanted = 0;        ///< whole tokens that it would like beside
+    double wanted_starts = 0; ///< further tokens, for programs that have not begun; see start_reserve
 };
 
+/// Whether a request belongs to a program that is under way. Losing one late wastes all calls before it, so
+/// that programs that have not begun are the first to wait when an organisation's rate runs short.
+enum class demand_kind : std::uint8_t { continues, starts };
+
 /// Makes an empty bucket. @pre all leases of an earlier owner have lapsed.
 bucket make_bucket(const limits& allowed, time_point now);
 /// Brings the level up to date and writes off lapsed loans as spent.
@@ -29,15 +34,25 @@
 /// @return time until the bucket has a token for someone new.
 duration wait_for_token(const bucket& owned);
 
+/// @return whether the level is too low to begin further programs.
+bool is_scarce(const bucket& owned);
+/// @return limits with a part of the tolerance that operators grant on top. Tokens that lie idle at one
+/// entry are missing at another; without it an organisation would get less than its rate.
+/// @param overage fraction of the limits that they may be exceeded by. @param slack requests beside it.
+limits tolerate(const limits& published, double overage, double slack);
+
 /// Spends one token. @return false if there is none or the lease has ended.
 bool spend(purse& held, time_point now);
 /// Notes one request of the organisation, whether it got a token or not.
 void note_demand(purse& held, time_point now);
-/// Fills an entry's next request, with `waiting` requests in its queue. Tokens given back leave the purse at
-/// once.
+/// Fills an entry's next request. Tokens given back leave the purse at once.
+/// @param waiting requests of running programs in its queue. @param starts those of programs that would
+/// begin.
 /// @pre from here on the entry drops answers to earlier requests.
 borrow_request prepare_request(purse& held, incarnation_id entry, std::uint64_t sequence, std::size_t waiting,
-                               time_point now);
+                               time_point now, std::size_t starts = 0);
+/// @return tokens that the entry keeps for requests of running programs to come.
+double kept_tokens(const purse& held, time_point now);
 /// Tells whether a request is worth sending: it asks, gives back, renews a lease, or tells of tokens that
 /// were spent.
 bool is_due(const purse& held, const borrow_request& request, time_point now);
--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -320,11 +320,13 @@
                                          item.acked(),
                                          item.held(),
                                          item.returned(),
-                                         item.wanted()};
+                                         item.wanted(),
+                                         item.wanted_starts()};
         const double granted = limit::borrow(found->second, wish, now);
         wire::grant_item* made = body->add_items();
         made->set_organisation(item.organisation());
         made->set_tokens(granted);
+        made->set_scarce(limit::is_scarce(found->second));
         made->set_retry_ms(static_cast<std::uint32_t>(to_ms(limit::wait_for_token(found->second))));
     }
     if (!group_.may_read()) {
