Hold turns in several ledger groups; compress the plan's document

Change: a third as many groups as stores, founded with different first members; an organisation's turns, chains and budgets are in the group that its name's hash gives. A store that retires is empty once it left every group. Change: documents are deflated from the order to the entry; only the leader sends at once, others after 600 ms.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 6
 PACKAGES = g++ cmake make ninja-build ccache libboost1.81-dev libboost-test1.81-dev libboost-json1.81-dev libzmq3-dev \
 	cppzmq-dev libprotobuf-dev prometheus-cpp-dev libtomlplusplus-dev libabsl-dev libeasyloggingpp-dev libssl-dev \
-	libxxhash-dev librapidcheck-dev libbenchmark-dev
+	libxxhash-dev librapidcheck-dev libbenchmark-dev zlib1g-dev
 LINT_PACKAGES = clang-format-16 clang-tidy-16
 
 .PHONY: all install build test scenarios unit demo up lint bench clean
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -1,6 +1,7 @@
 // The control role of a fleet: orders, the published view and the group.
 #include "core/control_process.hpp"
 
+#include "base/compress_func.hpp"
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
@@ -19,8 +20,29 @@
 constexpr duration order_limit = 900ms; ///< callers of orders wait a second for an answer before they move on
 constexpr duration read_limit = 800ms;  ///< as order_limit, for reads
 constexpr duration subscriber_silence = 3s; ///< six subscriptions of an entry
-constexpr duration store_memory = 10s;      ///< a store that is silent for longer is no contact any more
+constexpr duration push_patience = 600ms; ///< with a subscription's interval half of the time to be in force
+constexpr duration store_memory = 10s;    ///< a store that is silent for longer is no contact any more
 constexpr duration founding_delay = 1500ms; ///< all instances start within a fraction of a second
+
+/// What a store reports of each ledger group.
+std::map<std::uint32_t, ledger_view> read_groups(const wire::store_report& report)
+{
+    std::map<std::uint32_t, ledger_view> made;
+    for (const wire::ledger_report& group : report.groups()) {
+        ledger_view& view = made[group.group()];
+        view.blank = group.blank();
+        view.leads = group.leads();
+        for (const wire::member& one : group.members()) {
+            view.members.push_back({consensus::member_id{one.id()}, one.name(), one.endpoint(), one.voter(),
+                                    0, one.data_centre()});
+            if (!one.in_touch()) {
+                view.silent_members.push_back(one.name());
+            }
+        }
+    }
+    return made;
+}
+
 } // namespace
 
 control_process::control_process(const fleet_settings& given, runtime::worker_pool& pool)
@@ -224,7 +246,7 @@
                                                {"revision", state_.revision}});
     }
     if (command.has_found()) {
-        log_event(event::ledger_founded, {{"members", std::uint64_t{state_.founders.size()}}});
+        log_event(event::ledger_founded, {{"groups", std::uint64_t{state_.founders.size()}}});
     }
     if (command.has_retire()) {
         log_event(event::store_retiring, {{"store", command.retire().name()}});
@@ -260,6 +282,7 @@
 void control_process::publish_view()
 {
     view_.store(std::make_shared<const fleet_state>(state_));
+    view_at_.store(runtime_clock::now());
 }
 
 void control_process::push_view(const std::string& endpoint, const fleet_state& view,
@@ -293,19 +316,8 @@
                     wish.endpoint(),
                     wish.data_centre(),
                     consensus::member_id{wish.store().disk()},
-                    wish.store().blank(),
-                    wish.store().in_group(),
-                    wish.store().leads(),
-                    {},
-                    {},
+                    read_groups(wish.store()),
                     now};
-            for (const wire::member& one : wish.store().members()) {
-                held.members.push_back({consensus::member_id{one.id()}, one.name(), one.endpoint(),
-                                        one.voter(), 0, one.data_centre()});
-                if (!one.in_touch()) {
-                    held.silent_members.push_back(one.name());
-                }
-            }
         }
         else {
             subscribers_[wish.endpoint()] = now;
@@ -328,7 +340,9 @@
     }
     links_->send(wish.endpoint(), make_hello(now));
     const fleet_view view = view_.load();
-    if (!store && wish.revision() < view->revision) {
+    // What is new is on its way from the leader; a whole document from every replica would fill their links.
+    const bool missed = wish.version() == 0 || now - view_at_.load() > push_patience;
+    if (!store && wish.revision() < view->revision && missed) {
         push_view(wish.endpoint(), *view, wish.version(), confirmed_.load());
     }
 }
@@ -352,13 +366,7 @@
             made->set_data_centre(one.data_centre);
         }
     }
-    for (const consensus::member& one : view->founders) {
-        wire::member* made = hello->add_founders();
-        made->set_id(one.id.value);
-        made->set_name(one.name);
-        made->set_endpoint(one.endpoint);
-        made->set_data_centre(one.data_centre);
-    }
+    to_wire(view->founders, hello->mutable_ledgers());
     for (const auto& [name, endpoint] : view->retiring) {
         hello->add_retiring(name);
     }
@@ -404,7 +412,7 @@
     if (!group_->leads() || !state_.founders.empty()) {
         return;
     }
-    std::vector<consensus::member> chosen;
+    founder_lists chosen;
     {
         const std::lock_guard lock(mutex_);
         if (stores_.empty()) {
@@ -416,19 +424,13 @@
         if (now - stores_seen_at_ < founding_delay) {
             return;
         }
-        chosen = choose_founders(stores_, 2 * settings_.losses + 1);
+        chosen = choose_founders(stores_, count_ledgers(stores_.size()), 2 * settings_.losses + 1);
     }
     if (chosen.empty()) {
         return;
     }
     wire::fleet_command command;
-    for (const consensus::member& one : chosen) {
-        wire::member* made = command.mutable_found()->add_founders();
-        made->set_id(one.id.value);
-        made->set_name(one.name);
-        made->set_endpoint(one.endpoint);
-        made->set_data_centre(one.data_centre);
-    }
+    to_wire(chosen, command.mutable_found()->mutable_ledgers());
     stores_seen_at_ = now;
     group_->propose(command.SerializeAsString(), [](const wire::envelope*) {});
 }
@@ -443,7 +445,7 @@
 {
     wire::envelope command;
     command.mutable_fleet()->mutable_publish()->set_version(document.version);
-    command.mutable_fleet()->mutable_publish()->set_document(std::move(document.bytes));
+    command.mutable_fleet()->mutable_publish()->set_document(compress(document.bytes));
     co_await order(std::move(command));
 }
 
@@ -462,7 +464,7 @@
     const wire::envelope_ptr reply = co_await client_->call(control_group, std::move(question), read_limit);
     published_document made;
     made.version = reply->document().version();
-    made.bytes = reply->document().document();
+    made.bytes = made.version == 0 ? std::string() : decompress(reply->document().document());
     co_return made;
 }
 
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -95,6 +95,7 @@
         false};                    ///< this replica leads and a quorum confirmed it, as of the last tick
     time_point stores_seen_at_{};  ///< when the first store reported; for the founding of the ledger
     std::atomic<fleet_view> view_; ///< what was last applied
+    std::atomic<time_point> view_at_{time_point{}}; ///< when that was
     std::atomic<bool> running_{true};
 
     mutable std::mutex mutex_; ///< guards everything below
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -2,6 +2,7 @@
 #include "core/fleet_state.hpp"
 
 #include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
 #include "wire.pb.h"
 
 #include <algorithm>
@@ -12,6 +13,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration store_silence = 2s; ///< several reports of a store; a silent one can't take anything over
+constexpr std::size_t stores_a_ledger = 3; ///< see count_ledgers
+constexpr std::size_t most_ledgers = 8;    ///< each costs every store a thread and its heartbeats
 
 consensus::member decode_member(const wire::member& one)
 {
@@ -44,9 +47,7 @@
         if (!state.founders.empty()) {
             return false;
         }
-        for (const wire::member& one : command.found().founders()) {
-            state.founders.push_back(decode_member(one));
-        }
+        state.founders = from_wire(command.found().ledgers());
         return true;
     case wire::fleet_command::kRetire:
         return state.retiring.emplace(command.retire().name(), command.retire().endpoint()).second;
@@ -76,9 +77,7 @@
     for (const std::string& one : state.evacuated) {
         encoded.add_evacuated(one);
     }
-    for (const consensus::member& one : state.founders) {
-        encode_member(one, encoded.add_founders());
-    }
+    to_wire(state.founders, encoded.mutable_ledgers());
     for (const auto& [name, endpoint] : state.retiring) {
         wire::retire_store* made = encoded.add_retiring();
         made->set_name(name);
@@ -98,45 +97,128 @@
     state.version = encoded.version();
     state.document = encoded.document();
     state.evacuated.insert(encoded.evacuated().begin(), encoded.evacuated().end());
-    for (const wire::member& one : encoded.founders()) {
-        state.founders.push_back(decode_member(one));
-    }
+    state.founders = from_wire(encoded.ledgers());
     for (const wire::retire_store& one : encoded.retiring()) {
         state.retiring[one.name()] = one.endpoint();
     }
     return state;
 }
 
-std::vector<consensus::member> choose_founders(const std::map<std::string, store_view>& stores,
-                                               std::size_t wanted)
+bool is_blank(const store_view& store)
+{
+    return std::all_of(store.groups.begin(), store.groups.end(),
+                       [](const auto& one) { return one.second.blank; });
+}
+
+std::size_t count_ledgers(std::size_t stores)
+{
+    return std::clamp<std::size_t>(stores / stores_a_ledger, 1, most_ledgers);
+}
+
+std::optional<std::uint32_t> ledger_of(const organisation_name& organisation, std::size_t ledgers)
+{
+    if (ledgers == 0) {
+        return std::nullopt;
+    }
+    return static_cast<std::uint32_t>(1 + hash_bytes(organisation.value) % ledgers);
+}
+
+void to_wire(const founder_lists& lists, google::protobuf::RepeatedPtrField<wire::founding>* into)
 {
-    std::vector<consensus::member> chosen;
-    std::map<std::string, std::size_t> places;
-    // In rounds: at most one more member a data centre in each.
-    for (std::size_t most = 1; most <= wanted && chosen.size() < wanted; ++most) {
-        for (const auto& [endpoint, one] : stores) {
-            const bool taken = std::any_of(chosen.begin(), chosen.end(),
-                                           [&one](const auto& held) { return held.id == one.disk; });
-            if (one.blank && !taken && places[one.data_centre] < most && chosen.size() < wanted) {
-                ++places[one.data_centre];
-                chosen.push_back({one.disk, one.name, one.endpoint, true, 0, one.data_centre});
+    for (const auto& members : lists) {
+        wire::founding* made = into->Add();
+        for (const consensus::member& one : members) {
+            encode_member(one, made->add_members());
+        }
+    }
+}
+
+founder_lists from_wire(const google::protobuf::RepeatedPtrField<wire::founding>& lists)
+{
+    founder_lists made;
+    for (const wire::founding& list : lists) {
+        made.emplace_back();
+        for (const wire::member& one : list.members()) {
+            made.back().push_back(decode_member(one));
+        }
+    }
+    return made;
+}
+
+founder_lists choose_founders(const std::map<std::string, store_view>& stores, std::size_t ledgers,
+                              std::size_t wanted)
+{
+    std::vector<const store_view*> able;
+    for (const auto& [endpoint, one] : stores) {
+        if (is_blank(one)) {
+            able.push_back(&one);
+        }
+    }
+    if (able.size() < wanted) {
+        return {};
+    }
+    std::map<consensus::member_id, std::size_t> seats;
+    founder_lists made;
+    while (made.size() < ledgers) {
+        // Stores with little work first: the first member of a group begins as its leader.
+        std::stable_sort(able.begin(), able.end(), [&seats](const store_view* left, const store_view* right) {
+            return seats[left->disk] < seats[right->disk];
+        });
+        std::vector<consensus::member> chosen;
+        std::map<std::string, std::size_t> places;
+        // In rounds: at most one more member a data centre in each.
+        for (std::size_t most = 1; chosen.size() < wanted; ++most) {
+            for (const store_view* one : able) {
+                const bool taken = std::any_of(chosen.begin(), chosen.end(),
+                                               [one](const auto& held) { return held.id == one->disk; });
+                if (!taken && places[one->data_centre] < most && chosen.size() < wanted) {
+                    ++places[one->data_centre];
+                    ++seats[one->disk];
+                    chosen.push_back({one->disk, one->name, one->endpoint, true, 0, one->data_centre});
+                }
             }
         }
+        ++seats[chosen.front().id]; // it leads, which is more work than to follow
+        made.push_back(std::move(chosen));
     }
-    return chosen.size() < wanted ? std::vector<consensus::member>{} : chosen;
+    return made;
 }
 
+namespace {
+
+/// @return whether a group has its full number of voters, all heard of, and the store is none of its members.
+bool has_left(const std::map<std::string, store_view>& stores, std::uint32_t group, const std::string& name,
+              std::size_t voters, time_point now)
+{
+    const ledger_view* leader = nullptr;
+    time_point heard_at{};
+    for (const auto& [endpoint, one] : stores) {
+        const auto held = one.groups.find(group);
+        const bool leads = held != one.groups.end() && held->second.leads;
+        if (leads && now - one.heard_at < store_silence && (leader == nullptr || one.heard_at > heard_at)) {
+            leader = &held->second;
+            heard_at = one.heard_at;
+        }
+    }
+    if (leader == nullptr || !leader->silent_members.empty()) {
+        return false;
+    }
+    const auto counted = std::count_if(leader->members.begin(), leader->members.end(),
+                                       [](const consensus::member& one) { return one.voter; });
+    const bool still_there = std::any_of(leader->members.begin(), leader->members.end(),
+                                         [&name](const consensus::member& one) { return one.name == name; });
+    return !still_there && static_cast<std::size_t>(counted) >= voters;
+}
+
+} // namespace
+
 retire_phase judge_retirement(const fleet_state& state, const std::map<std::string, store_view>& stores,
                               const std::string& name, std::size_t voters, time_point now)
 {
-    const store_view* leader = nullptr;
     std::size_t able = 0;
     bool known = state.retiring.contains(name);
     for (const auto& [endpoint, one] : stores) {
         const bool alive = now - one.heard_at < store_silence;
-        if (one.leads && alive && (leader == nullptr || one.heard_at > leader->heard_at)) {
-            leader = &one;
-        }
         known = known || one.name == name;
         able += alive && one.name != name && !state.retiring.contains(one.name) ? 1 : 0;
     }
@@ -146,15 +228,12 @@
     if (!state.retiring.contains(name)) {
         return able >= voters ? retire_phase::possible : retire_phase::impossible;
     }
-    if (leader == nullptr || !leader->silent_members.empty()) {
-        return retire_phase::running;
+    for (std::uint32_t group = 1; group <= state.founders.size(); ++group) {
+        if (!has_left(stores, group, name, voters, now)) {
+            return retire_phase::running;
+        }
     }
-    const auto counted = std::count_if(leader->members.begin(), leader->members.end(),
-                                       [](const consensus::member& one) { return one.voter; });
-    const bool still_there = std::any_of(leader->members.begin(), leader->members.end(),
-                                         [&name](const consensus::member& one) { return one.name == name; });
-    const bool done = !still_there && static_cast<std::size_t>(counted) >= voters;
-    return done ? retire_phase::completed : retire_phase::running;
+    return retire_phase::completed;
 }
 
 } // namespace guavawick::core
--- a/src/core/fleet_state.hpp
+++ b/src/core/fleet_state.hpp
@@ -2,26 +2,37 @@
 // first members and stores that are emptied. Pure.
 #pragma once
 
+#include "base/id_type.hpp"
 #include "consensus/consensus_type.hpp"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
+namespace google::protobuf {
+template <typename Element>
+class RepeatedPtrField;
+}
 namespace guavawick::wire {
 class fleet_command;
-}
+class founding;
+} // namespace guavawick::wire
 
 namespace guavawick::core {
 
+/// First members of the ledger groups. The number of groups never changes: it decides where each
+/// organisation's turns are.
+using founder_lists = std::vector<std::vector<consensus::member>>;
+
 /// Everything that the control group agrees on.
 struct fleet_state {
     std::uint64_t revision = 0;                  ///< rises with each change
     std::uint64_t version = 0;                   ///< of the document; 0 for none
-    std::string document;                        ///< the operator's plan, byte for byte
+    std::string document;                        ///< the operator's plan, compressed
     std::set<std::string> evacuated;             ///< data centres that get no new work
-    std::vector<consensus::member> founders;     ///< first members of the ledger group
+    founder_lists founders;                      ///< first members of the ledger groups; the first is group 1
     std::map<std::string, std::string> retiring; ///< stores that are emptied: name to endpoint
 };
 
@@ -33,24 +44,40 @@
 /// @throw decode_error if the bytes are no state.
 fleet_state decode_fleet_state(const std::string& bytes);
 
+/// A store's place in one ledger group, as it reports itself.
+struct ledger_view {
+    bool blank = true;  ///< its disk holds nothing of the group
+    bool leads = false; ///< it leads the group, so that `members` are current
+    std::vector<consensus::member> members;
+    std::vector<std::string> silent_members; ///< members that the leader does not hear of
+};
+
 /// A store as it reports itself to the control replicas.
 struct store_view {
     std::string name;
     std::string endpoint;
     std::string data_centre;
     consensus::member_id disk;
-    bool blank = false;    ///< its disk holds no group
-    bool in_group = false; ///< it is a member of the ledger group
-    bool leads = false;    ///< it leads the ledger group, so that `members` are current
-    std::vector<consensus::member> members;
-    std::vector<std::string> silent_members; ///< members that the leader does not hear of
+    std::map<std::uint32_t, ledger_view> groups; ///< by number; a store with an empty disk has none
     time_point heard_at{};
 };
 
-/// Chooses the ledger's first members: as many as wanted, spread over data centres.
-/// @return empty while too few stores are known.
-std::vector<consensus::member> choose_founders(const std::map<std::string, store_view>& stores,
-                                               std::size_t wanted);
+/// @return whether a store holds nothing of any ledger group.
+bool is_blank(const store_view& store);
+/// @return how many ledger groups a number of stores shall carry. One leader carries some hundred turns a
+/// second, and three stores give each group a leader with a processor to itself.
+std::size_t count_ledgers(std::size_t stores);
+/// Chooses the first members of each ledger group, spread over data centres and stores.
+/// @param wanted members of each. @return empty while too few stores are known.
+founder_lists choose_founders(const std::map<std::string, store_view>& stores, std::size_t ledgers,
+                              std::size_t wanted);
+/// @return number of the ledger group that holds an organisation's turns; none while it is not known how many
+/// groups there are. Another group would say that a kept turn does not exist.
+std::optional<std::uint32_t> ledger_of(const organisation_name& organisation, std::size_t ledgers);
+/// Writes members into a message.
+void to_wire(const founder_lists& lists, google::protobuf::RepeatedPtrField<wire::founding>* into);
+/// @return the members in a message.
+founder_lists from_wire(const google::protobuf::RepeatedPtrField<wire::founding>& lists);
 /// Where a store stands that shall be emptied.
 enum class retire_phase : std::uint8_t { unknown, impossible, possible, running, completed };
 /// @return the phase of a store. @param voters the ledger's full number of voters.
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -6,15 +6,26 @@
 #include "base/hash_func.hpp"
 #include "core/group_metrics.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <algorithm>
+#include <filesystem>
 
 namespace guavawick::core {
 namespace {
 
-constexpr std::uint32_t ledger_group = 1;
-constexpr std::uint64_t snapshot_entries = 6000; ///< about 12 MB of log at 2 KB an entry
-constexpr std::size_t most_waiting = 200;        ///< proposals; a store commits some hundreds a second
-constexpr duration report_interval = 300ms;      ///< of stores to control; a third of the fastest repair
+constexpr duration report_interval = 300ms; ///< of stores to control; a third of the fastest repair
+
+/// @return numbers of the ledger groups that a data folder holds, so that they serve before control is heard.
+std::vector<std::uint32_t> find_groups(const std::string& folder)
+{
+    std::vector<std::uint32_t> made;
+    for (std::uint32_t group = 1; std::filesystem::exists(folder + "/group-" + std::to_string(group));
+         ++group) {
+        made.push_back(group);
+    }
+    return made;
+}
 
 } // namespace
 
@@ -26,28 +37,19 @@
     }
     links_ =
         std::make_unique<wire::link>(pool_.executor(), make_link_settings(), incarnation_id{random_id()});
-    group_ = std::make_unique<replica::group>(ledger_group, to_replica_settings(given, snapshot_entries),
-                                              disk_.id, std::vector<replica_address>{}, *links_);
-    group_->manage_members(consensus::make_policy(settings_.losses, settings_.data_centres),
-                           settings_.data_centre);
 }
 
 store_process::~store_process() = default;
 
 void store_process::start()
 {
-    replica::state_machine machine;
-    machine.apply = [this](const std::string& command) { return apply(command); };
-    machine.save = [this] { return turns::encode_state(state_); };
-    machine.restore = [this](const std::string& bytes) { state_ = turns::decode_state(bytes); };
-    machine.leadership_changed = [this](bool leads) { lead(leads); };
-    machine.tick = [](time_point) {};
-    group_->start(std::move(machine));
+    for (const std::uint32_t group : find_groups(settings_.data_folder)) {
+        open_replica(group);
+    }
     links_->listen(settings_.link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
         receive(from, message);
     });
     if (!settings_.metrics_listen.empty()) {
-        add_group_metrics(metrics_, *group_);
         metrics_server_ =
             std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
                                            http::make_metrics_handler(metrics_));
@@ -55,21 +57,45 @@
     pool_.spawn(report_loop());
 }
 
+ledger_replica* store_process::find_replica(std::uint32_t group)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = ledgers_.find(group);
+    return found == ledgers_.end() ? nullptr : found->second.get();
+}
+
+ledger_replica& store_process::open_replica(std::uint32_t group)
+{
+    auto made = std::make_unique<ledger_replica>(group, settings_, disk_.id, *links_);
+    made->start();
+    add_group_metrics(metrics_, made->driver());
+    const std::lock_guard lock(mutex_);
+    return *ledgers_.emplace(group, std::move(made)).first->second;
+}
+
 void store_process::set_seeds(const std::vector<std::string>& seeds)
 {
-    group_->post([this, seeds] {
-        for (const std::string& one : seeds) {
-            if (std::find(controls_.begin(), controls_.end(), one) == controls_.end()) {
-                controls_.push_back(one);
-            }
+    const std::lock_guard lock(mutex_);
+    for (const std::string& one : seeds) {
+        if (std::find(controls_.begin(), controls_.end(), one) == controls_.end()) {
+            controls_.push_back(one);
         }
-    });
+    }
 }
 
 void store_process::stop()
 {
     running_.store(false);
-    group_->stop();
+    std::vector<ledger_replica*> all;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [group, one] : ledgers_) {
+            all.push_back(one.get());
+        }
+    }
+    for (ledger_replica* one : all) {
+        one->stop();
+    }
 }
 
 void store_process::close()
@@ -79,127 +105,57 @@
 
 void store_process::receive(const wire::peer_route& from, const wire::envelope_ptr& message)
 {
-    if (receive_for_group(*group_, *message)) {
-        return;
-    }
     if (message->has_hello()) {
-        group_->post([this, message] { take_hello(message->hello()); });
+        boost::asio::post(pool_.executor(), [this, message] { take_hello(message->hello()); });
         return;
     }
-    group_->post([this, from, message] {
-        serve(message, [this, from](wire::envelope reply) { links_->reply(from, std::move(reply)); });
-    });
-}
-
-void store_process::serve(const wire::envelope_ptr& request, const answer_function& answer)
-{
-    if (!group_->leads()) {
-        answer(make_redirect(*group_));
+    const std::uint32_t group = message->has_join() ? message->join().group() : message->group();
+    ledger_replica* replica = find_replica(group);
+    if (replica != nullptr && replica->receive(*message)) {
         return;
     }
-    if (request->has_open_turn() && group_->waiting_proposals() > most_waiting) {
-        // More would only wait until their callers have gone; the ends of turns still get through.
-        wire::envelope refused;
-        refused.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::overloaded));
-        log_event(event::turn_opened, {{"request", request->open_turn().request()},
-                                       {"outcome", "overloaded"},
-                                       {"waiting", std::uint64_t{group_->waiting_proposals()}}});
-        answer(std::move(refused));
-        return;
-    }
-    if (request->has_open_turn() || request->has_close_turn()) {
-        propose(*request, answer);
-    }
-}
-
-void store_process::propose(const wire::envelope& request, const answer_function& answer)
-{
-    const std::int64_t now_ms = clock_.at(runtime_clock::now()).count();
-    wire::turn_command command;
-    if (request.has_open_turn()) {
-        *command.mutable_open() = request.open_turn();
-        command.mutable_open()->set_now_ms(now_ms);
-    }
-    else {
-        *command.mutable_close() = request.close_turn();
-        command.mutable_close()->set_now_ms(now_ms);
-    }
-    group_->propose(command.SerializeAsString(), [this, answer](const wire::envelope* done) {
-        answer(done == nullptr ? make_redirect(*group_) : *done);
-    });
-}
-
-wire::envelope store_process::apply(const std::string& bytes)
-{
-    wire::turn_command command;
-    wire::envelope reply;
-    if (!command.ParseFromString(bytes)) {
-        log_event(event::link_refused_peer, {{"reason", "a committed command does not decode"}});
-        return reply;
-    }
-    if (command.has_open()) {
-        turns::advance(state_, turns::group_time{command.open().now_ms()});
-        const turns::open_answer answer = turns::open(state_, turns::from_wire(command.open()));
-        wire::open_turn_reply* body = reply.mutable_turn_opened();
-        body->set_outcome(static_cast<std::uint32_t>(answer.outcome));
-        body->set_history(answer.history);
-        body->set_upstream(answer.upstream);
-        body->set_spent(answer.spent);
-        body->set_reserved(answer.reserved);
-        if (group_->leads() && answer.outcome != turns::open_outcome::granted) {
-            log_event(event::turn_opened, {{"request", command.open().request()},
-                                           {"outcome", std::uint64_t{body->outcome()}},
-                                           {"budget", command.open().budget_tokens()},
-                                           {"spent", answer.spent},
-                                           {"reserved", answer.reserved},
-                                           {"previous", command.open().previous()},
-                                           {"turns_held", std::uint64_t{state_.turns.size()}}});
-        }
-        return reply;
+    const bool asked = message->has_open_turn() || message->has_close_turn();
+    if (!asked) {
+        return; // consensus of a group that control has not told of yet; its sender repeats it
     }
-    turns::advance(state_, turns::group_time{command.close().now_ms()});
-    turns::close(state_, turns::from_wire(command.close()));
-    reply.mutable_done();
-    return reply;
-}
-
-void store_process::lead(bool leads)
-{
-    if (leads) {
-        clock_ = {state_.now, runtime_clock::now()};
+    if (replica == nullptr) {
+        wire::envelope unknown;
+        unknown.mutable_redirect();
+        links_->reply(from, std::move(unknown));
+        return;
     }
+    replica->serve(message, [this, from](wire::envelope reply) { links_->reply(from, std::move(reply)); });
 }
 
 void store_process::take_hello(const wire::control_hello& hello)
 {
     const std::string bytes = hello.SerializeAsString();
-    if (bytes == known_hello_) {
-        return;
-    }
-    known_hello_ = bytes;
-    if (hello.control_size() > 0) {
-        controls_.assign(hello.control().begin(), hello.control().end());
+    {
+        const std::lock_guard lock(mutex_);
+        if (bytes == known_hello_ || !running_.load()) {
+            return;
+        }
+        known_hello_ = bytes;
+        if (hello.control_size() > 0) {
+            controls_.assign(hello.control().begin(), hello.control().end());
+        }
     }
     std::vector<std::string> contacts;
     for (const wire::peer_address& one : hello.stores()) {
         contacts.push_back(one.endpoint());
     }
     // Before the first members are chosen there is nobody to join.
-    if (hello.founders_size() > 0) {
-        group_->set_contacts(contacts);
-        consensus::membership founders;
-        for (const wire::member& one : hello.founders()) {
-            founders.members.push_back(
-                {consensus::member_id{one.id()}, one.name(), one.endpoint(), true, 0, one.data_centre()});
-        }
-        group_->found_with(std::move(founders));
+    const founder_lists founders = from_wire(hello.ledgers());
+    for (std::size_t i = 0; i < founders.size(); ++i) {
+        const auto group = static_cast<std::uint32_t>(i + 1);
+        ledger_replica* held = find_replica(group);
+        ledger_replica& replica = held != nullptr ? *held : open_replica(group);
+        replica.set_contacts(contacts, founders[i]);
+        replica.set_retiring({hello.retiring().begin(), hello.retiring().end()});
     }
-    consensus::membership_policy policy = consensus::make_policy(settings_.losses, settings_.data_centres);
-    policy.retiring.insert(hello.retiring().begin(), hello.retiring().end());
-    group_->set_policy(policy);
 }
 
-void store_process::report(time_point now)
+void store_process::report()
 {
     wire::envelope message;
     wire::subscribe_request* body = message.mutable_subscribe();
@@ -208,26 +164,29 @@
     body->set_role("store");
     body->set_data_centre(settings_.data_centre);
     wire::store_report* store = body->mutable_store();
-    const replica::group_report known = group_->report();
     store->set_disk(disk_.id.value);
-    store->set_blank(group_->is_blank());
-    store->set_leads(group_->leads() && group_->may_read());
-    for (const replica::member_report& one : known.members) {
-        if (one.who.id == disk_.id) {
-            store->set_in_group(true);
-        }
-        if (!store->leads()) {
-            continue;
+    std::vector<std::string> controls;
+    {
+        const std::lock_guard lock(mutex_);
+        controls = controls_;
+        for (const auto& [group, one] : ledgers_) {
+            const std::shared_ptr<const ledger_status> status = one->status();
+            wire::ledger_report* told = store->add_groups();
+            told->set_group(group);
+            told->set_blank(status->blank);
+            told->set_leads(status->leads);
+            for (const replica::member_report& member : status->members) {
+                wire::member* made = told->add_members();
+                made->set_id(member.who.id.value);
+                made->set_name(member.who.name);
+                made->set_endpoint(member.who.endpoint);
+                made->set_voter(member.who.voter);
+                made->set_in_touch(member.in_touch);
+                made->set_data_centre(member.who.data_centre);
+            }
         }
-        wire::member* made = store->add_members();
-        made->set_id(one.who.id.value);
-        made->set_name(one.who.name);
-        made->set_endpoint(one.who.endpoint);
-        made->set_voter(one.who.voter);
-        made->set_in_touch(one.in_touch);
-        made->set_data_centre(one.who.data_centre);
-    }
-    for (const std::string& endpoint : controls_) {
+    }
+    for (const std::string& endpoint : controls) {
         links_->send(endpoint, message);
     }
 }
@@ -235,7 +194,7 @@
 boost::asio::awaitable<void> store_process::report_loop()
 {
     while (running_.load()) {
-        group_->post([this] { report(runtime_clock::now()); });
+        report();
         co_await runtime::wait_for(report_interval);
     }
 }
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -1,6 +1,7 @@
 // One attempt of a call at one upstream instance, and what the ledger is told of turns.
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
+#include "core/fleet_state.hpp"
 #include "gateway/call_run.hpp"
 #include "turns/turn_type.hpp"
 #include "wire.pb.h"
@@ -24,6 +25,7 @@
 constexpr duration default_idle_limit = 5s;   ///< of connections to upstreams that name no limit
 constexpr duration reuse_unrepeatable = 2s;   ///< a call that must not be lost uses connections idle for less
 constexpr std::size_t most_buffered = 8U << 20U; ///< bytes of an answer that is not a stream
+constexpr duration ledger_step = 20ms;           ///< how often a waiting call looks for the ledger groups
 constexpr duration retry_ledger = 300ms;         ///< a new leader of the ledger needs about this long
 constexpr int misdirected_status = 421;
 constexpr duration crash_probe_delay = 30ms; ///< a crashed process no longer accepts after this
@@ -267,6 +269,27 @@
     co_return run->head_sent ? attempt_end::stream_broken : attempt_end::maybe_run;
 }
 
+/// Asks the ledger group of the call's organisation. An entry that has just started first waits until control
+/// told it of the groups. @throw link_error if no leader answered within the limit.
+asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<call_run> run, wire::envelope question,
+                                                duration limit)
+{
+    const gateway_state& state = *run->context.state;
+    const organisation_name who =
+        run->organisation != nullptr ? run->organisation->name : organisation_name{};
+    const time_point deadline = runtime_clock::now() + limit;
+    std::optional<std::uint32_t> group = core::ledger_of(who, state.ledgers);
+    while (!group) {
+        if (runtime_clock::now() >= deadline) {
+            throw link_error("control has not told of the ledger groups yet");
+        }
+        co_await runtime::wait_for(ledger_step);
+        group = core::ledger_of(who, state.ledgers);
+    }
+    co_return co_await run->context.ledger->call(*group, std::move(question),
+                                                 deadline - runtime_clock::now());
+}
+
 } // namespace
 
 asio::awaitable<attempt_end> run_attempt(std::shared_ptr<call_run> run, const directory::instance_record& to)
@@ -341,8 +364,7 @@
     std::string fault;
     wire::envelope_ptr reply;
     try {
-        reply = co_await run->context.ledger->call(1, std::move(question),
-                                                   std::min<duration>(left / 2, ledger_limit));
+        reply = co_await call_ledger(run, std::move(question), std::min<duration>(left / 2, ledger_limit));
     }
     catch (const link_error& error) {
         fault = error.what();
@@ -392,7 +414,7 @@
     const duration left = run->deadline - runtime_clock::now();
     const duration limit = whole ? std::max<duration>(left, least_close_limit) : ledger_limit;
     try {
-        const wire::envelope_ptr reply = co_await run->context.ledger->call(1, std::move(report), limit);
+        const wire::envelope_ptr reply = co_await call_ledger(run, std::move(report), limit);
         co_return reply->has_done();
     }
     catch (const link_error& error) {
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -1,6 +1,7 @@
 // The entry role of a fleet: what it hears from control, its readiness and its planned stop.
 #include "gateway/gateway_process.hpp"
 
+#include "base/compress_func.hpp"
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
@@ -110,7 +111,7 @@
 
 bool gateway_process::is_ready() const
 {
-    return state_->plan != nullptr && state_->stores > 0 && !state_->instances.instances.empty() &&
+    return state_->plan != nullptr && state_->ledgers > 0 && !state_->instances.instances.empty() &&
            !state_->leaving;
 }
 
@@ -194,7 +195,7 @@
     if (view.has_document() && view.version() > held) {
         try {
             state_->plan = std::make_shared<const plan::indexed_plan>(
-                plan::index_plan(state_->speaks.decode_plan(view.document())));
+                plan::index_plan(state_->speaks.decode_plan(decompress(view.document()))));
         }
         catch (const decode_error& fault) {
             log_event(event::configuration_refused, {{"version", view.version()}, {"reason", fault.what()}});
@@ -264,12 +265,12 @@
         }
     }
     know_controls();
-    if (hello.stores_size() > 0 && hello.founders_size() > 0) {
+    if (hello.stores_size() > 0 && hello.ledgers_size() > 0) {
         std::vector<replica_address> stores;
         for (const wire::peer_address& one : hello.stores()) {
             stores.push_back({one.name(), one.endpoint()});
         }
-        state_->stores = stores.size();
+        state_->ledgers = static_cast<std::size_t>(hello.ledgers_size());
         ledger_->set_replicas(std::move(stores));
     }
     state_->entries = std::max<std::size_t>(hello.entries(), 1);
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -56,7 +56,7 @@
     connection_pool connections;
     std::vector<std::string> controls; ///< links of control replicas
     std::size_t entries = 1;           ///< entries of the fleet, as control last counted them
-    std::size_t stores = 0;            ///< stores that control told of
+    std::size_t ledgers = 0;           ///< ledger groups; 0 until control told of them
     bool leaving = false;              ///< a planned stop began
     gateway_counters counters;
     program_memory programs; ///< programs that this entry has admitted calls of
--- a/src/http/metrics.cpp
+++ b/src/http/metrics.cpp
@@ -27,6 +27,7 @@
     const std::map<std::string, std::string> labels =
         row.label.empty() ? std::map<std::string, std::string>{}
                           : std::map<std::string, std::string>{{"name", row.label}};
+    const std::lock_guard lock(registry_->mutex);
     if (row.counter) {
         prometheus::Counter& held = prometheus::BuildCounter()
                                         .Name(row.name)
--- a/src/http/metrics_type.hpp
+++ b/src/http/metrics_type.hpp
@@ -21,14 +21,14 @@
 
 struct metric_registry;
 
-/// The figures of a process. Thread safety: text() from any thread once the rows are added.
+/// The figures of a process. Thread safety: every function from any thread.
 class metric_set {
 public:
     metric_set();
     ~metric_set();
     metric_set(const metric_set&) = delete;
     metric_set& operator=(const metric_set&) = delete;
-    /// Adds a figure. @pre before text() is first called.
+    /// Adds a figure.
     void add(metric_row row);
     /// @return all figures as Prometheus text.
     std::string text();
--- a/tests/unit/fleet_state_test.cpp
+++ b/tests/unit/fleet_state_test.cpp
@@ -40,7 +40,6 @@
         made.endpoint = "e" + text;
         made.data_centre = "place-" + std::to_string((number - 1) % 3);
         made.disk = consensus::member_id{static_cast<std::uint64_t>(number)};
-        made.blank = true;
         made.heard_at = now;
         return made;
     }
@@ -90,13 +89,59 @@
 BOOST_FIXTURE_TEST_CASE(founders_are_spread_over_data_centres_and_none_while_too_few_are_known, three_stores)
 {
     add(4);
-    const auto chosen = choose_founders(stores, 3);
+    const founder_lists lists = choose_founders(stores, 1, 3);
+    BOOST_REQUIRE(lists.size() == 1U);
     std::set<std::string> places;
-    for (const consensus::member& one : chosen) {
+    for (const consensus::member& one : lists.front()) {
         places.insert(one.data_centre);
     }
     BOOST_TEST(places.size() == 3U);
-    BOOST_TEST(choose_founders(stores, 5).empty());
+    BOOST_TEST(choose_founders(stores, 1, 5).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(founders_of_several_groups_share_the_stores_and_begin_with_different_ones,
+                        three_stores)
+{
+    for (int i = 4; i <= 9; ++i) {
+        add(i);
+    }
+    const founder_lists lists = choose_founders(stores, count_ledgers(stores.size()), 5);
+    BOOST_REQUIRE(lists.size() == 3U);
+    std::map<std::string, std::size_t> seats;
+    std::set<std::string> first;
+    for (const auto& members : lists) {
+        BOOST_TEST(members.size() == 5U);
+        first.insert(members.front().name);
+        std::map<std::string, std::size_t> places;
+        for (const consensus::member& one : members) {
+            ++seats[one.name];
+            BOOST_TEST(++places[one.data_centre] <= 2U);
+        }
+    }
+    BOOST_TEST(first.size() == 3U);
+    for (const auto& [name, count] : seats) {
+        BOOST_TEST(count <= 2U);
+    }
+    BOOST_TEST(seats.size() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(organisation_while_the_ledgers_are_unknown_has_no_group_and_later_always_the_same)
+{
+    const organisation_name who{"hule930"};
+    BOOST_TEST(!ledger_of(who, 0).has_value());
+    BOOST_TEST(ledger_of(who, 1).value() == 1U);
+    BOOST_TEST(ledger_of(who, 3).value() == ledger_of(who, 3).value());
+    std::set<std::uint32_t> groups;
+    for (int i = 0; i < 100; ++i) {
+        groups.insert(ledger_of(organisation_name{"o" + std::to_string(i)}, 3).value());
+    }
+    BOOST_TEST((groups == std::set<std::uint32_t>{1, 2, 3}));
+}
+
+BOOST_FIXTURE_TEST_CASE(store_that_holds_a_group_already_founds_none, three_stores)
+{
+    stores["e1"].groups[1].blank = false;
+    BOOST_TEST(choose_founders(stores, 1, 3).empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(store_that_leaves_too_few_behind_can_not_retire, three_stores)
@@ -109,19 +154,28 @@
 
 BOOST_FIXTURE_TEST_CASE(retirement_is_complete_only_with_all_voters_elsewhere_and_alive, three_stores)
 {
-    store_view& leader = add(4);
-    leader.leads = true;
+    wire::fleet_command founding;
+    to_wire(choose_founders(stores, 2, 3), founding.mutable_found()->mutable_ledgers());
+    execute(state, founding);
     order_retirement("store-1");
-    for (const int number : {1, 2, 3}) {
-        const std::string text = std::to_string(number);
-        leader.members.push_back(
-            {consensus::member_id{std::uint64_t(number)}, "store-" + text, "e" + text, true, 0, ""});
+    store_view& store = add(4);
+    for (const std::uint32_t group : {1U, 2U}) {
+        ledger_view& leader = store.groups[group];
+        leader.blank = false;
+        leader.leads = true;
+        for (const int number : {1, 2, 3}) {
+            const std::string text = std::to_string(number);
+            leader.members.push_back(
+                {consensus::member_id{std::uint64_t(number)}, "store-" + text, "e" + text, true, 0, ""});
+        }
     }
     BOOST_TEST((phase("store-1") == retire_phase::running));
-    leader.members.front().name = "store-4";
-    leader.silent_members = {"store-3"};
+    store.groups[1].members.front().name = "store-4";
+    BOOST_TEST((phase("store-1") == retire_phase::running));
+    store.groups[2].members.front().name = "store-4";
+    store.groups[2].silent_members = {"store-3"};
     BOOST_TEST((phase("store-1") == retire_phase::running));
-    leader.silent_members.clear();
+    store.groups[2].silent_members.clear();
     BOOST_TEST((phase("store-1") == retire_phase::completed));
 }
 
