--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -14,6 +14,7 @@
     std::string node;                        ///< name of the instance
     std::string data_centre;                 ///< where the instance is
     std::string link;                        ///< "tcp://IP:PORT" of this process's link
+    std::string link_listen;                 ///< where the link listens, if other than at its address
     std::vector<std::string> seeds;          ///< links of control replicas to ask first; may be out of date
     std::string caller_listen;               ///< IP:PORT for callers
     std::string readiness_listen;            ///< IP:PORT of the balancer's health check
@@ -47,6 +48,12 @@
     return made;
 }
 
+/// @return where a process's link listens.
+inline const std::string& link_listen_of(const fleet_settings& given)
+{
+    return given.link_listen.empty() ? given.link : given.link_listen;
+}
+
 /// @return settings of the links of a process of the fleet.
 inline link_settings make_link_settings()
 {
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -46,7 +46,7 @@
     for (const std::uint32_t group : find_groups(settings_.data_folder)) {
         open_replica(group);
     }
-    links_->listen(settings_.link, [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
+    links_->listen(link_listen_of(settings_), [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
         receive(from, message);
     });
     if (!settings_.metrics_listen.empty()) {
--- a/tests/scenarios/processes.cpp
+++ b/tests/scenarios/processes.cpp
@@ -109,8 +109,11 @@
         return "tcp://" + at(listens_at);
     }
     const unsigned short shown = next_port();
+    const auto local = [](unsigned short port) {
+        return tcp::endpoint(boost::asio::ip::address_v4::loopback(), port);
+    };
     relays_[owner] = std::make_unique<relay>(
-        pool_, owner, shown, listens_at,
+        pool_, owner, local(shown), local(listens_at),
         [this](unsigned short local, unsigned short remote) { return owner_of(local, remote); });
     return "tcp://" + at(shown);
 }
--- a/tests/scenarios/relay.cpp
+++ b/tests/scenarios/relay.cpp
@@ -36,19 +36,22 @@
 
 /// Shared by the acceptor and its connections. `mutex` guards the cuts and the list.
 struct relay_core {
-    relay_core(asio::any_io_executor executor, std::string name, unsigned short to, owner_finder find)
-        : pool(std::move(executor)), owner(std::move(name)), target(to), find_owner(std::move(find)),
-          acceptor(asio::make_strand(pool))
+    relay_core(asio::any_io_executor executor, std::string name, tcp::endpoint to, owner_finder find)
+        : pool(std::move(executor)), owner(std::move(name)), target(std::move(to)),
+          find_owner(std::move(find)), acceptor(asio::make_strand(pool))
     {
     }
 
     asio::any_io_executor pool;
     std::string owner;
-    unsigned short target;
+    tcp::endpoint target;
     owner_finder find_owner;
     tcp::acceptor acceptor;
     std::mutex mutex;
     std::set<std::string> cuts;
+    bool cut_towards = false; ///< bytes towards the owner are held back
+    bool cut_back = false;    ///< bytes from the owner are held back
+    std::chrono::milliseconds delay{};
     std::vector<std::weak_ptr<connection>> connections;
 
     bool is_cut(const connection& one)
@@ -56,6 +59,19 @@
         const std::lock_guard lock(mutex);
         return one.muted.load() || cuts.count("*") != 0 || cuts.count(one.source) != 0;
     }
+
+    bool is_held(const connection& one, bool towards_owner)
+    {
+        const bool cut = is_cut(one);
+        const std::lock_guard lock(mutex);
+        return cut || (towards_owner ? cut_towards : cut_back);
+    }
+
+    std::chrono::milliseconds present_delay()
+    {
+        const std::lock_guard lock(mutex);
+        return delay;
+    }
 };
 
 namespace {
@@ -63,12 +79,16 @@
 asio::awaitable<void> pump(std::shared_ptr<relay_core> core, std::shared_ptr<connection> one,
                            tcp::socket& from, tcp::socket& to)
 {
+    const bool towards_owner = &to == &one->far_side;
     std::vector<char> buffer(buffer_size);
     boost::system::error_code failed;
     while (!failed) {
         const std::size_t got = co_await from.async_read_some(
             asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, failed));
-        while (core->is_cut(*one)) {
+        if (core->present_delay().count() > 0) {
+            co_await runtime::wait_for(core->present_delay());
+        }
+        while (core->is_held(*one, towards_owner)) {
             co_await runtime::wait_for(cut_poll); // held back; a muted connection stays here
         }
         if (got != 0) {
@@ -83,15 +103,18 @@
 
 asio::awaitable<void> serve(std::shared_ptr<relay_core> core, std::shared_ptr<connection> one)
 {
-    const tcp::endpoint peer = one->near_side.remote_endpoint();
-    one->source = core->find_owner(peer.port(), one->near_side.local_endpoint().port());
+    if (core->find_owner) {
+        const tcp::endpoint peer = one->near_side.remote_endpoint();
+        one->source = core->find_owner(peer.port(), one->near_side.local_endpoint().port());
+    }
     while (core->is_cut(*one)) {
         co_await runtime::wait_for(cut_poll);
     }
     boost::system::error_code failed;
-    const tcp::endpoint there(asio::ip::address_v4::loopback(), core->target);
-    co_await one->far_side.async_connect(there, asio::redirect_error(asio::use_awaitable, failed));
+    co_await one->far_side.async_connect(core->target, asio::redirect_error(asio::use_awaitable, failed));
     if (failed) {
+        boost::system::error_code ignored;
+        one->near_side.close(ignored);
         co_return;
     }
     one->near_side.set_option(tcp::no_delay(true), failed);
@@ -121,14 +144,14 @@
 
 } // namespace
 
-relay::relay(asio::any_io_executor pool, std::string owner, unsigned short from, unsigned short to,
+relay::relay(asio::any_io_executor pool, std::string owner, tcp::endpoint from, tcp::endpoint to,
              owner_finder find_owner)
-    : core_(std::make_shared<relay_core>(std::move(pool), std::move(owner), to, std::move(find_owner)))
+    : core_(std::make_shared<relay_core>(std::move(pool), std::move(owner), std::move(to),
+                                         std::move(find_owner)))
 {
-    const tcp::endpoint here(asio::ip::address_v4::loopback(), from);
-    core_->acceptor.open(here.protocol());
+    core_->acceptor.open(from.protocol());
     core_->acceptor.set_option(asio::socket_base::reuse_address(true));
-    core_->acceptor.bind(here);
+    core_->acceptor.bind(from);
     core_->acceptor.listen();
     asio::co_spawn(core_->acceptor.get_executor(), accept_all(core_), [](const std::exception_ptr&) {});
 }
@@ -152,6 +175,8 @@
     const std::lock_guard lock(core_->mutex);
     if (source == "*") {
         core_->cuts.clear();
+        core_->cut_towards = false;
+        core_->cut_back = false;
     }
     core_->cuts.erase(source);
 }
@@ -167,4 +192,35 @@
     }
 }
 
+void relay::reset()
+{
+    const std::lock_guard lock(core_->mutex);
+    for (const auto& weak : core_->connections) {
+        const auto one = weak.lock();
+        if (!one) {
+            continue;
+        }
+        asio::post(one->near_side.get_executor(), [one] {
+            boost::system::error_code ignored;
+            for (tcp::socket* side : {&one->near_side, &one->far_side}) {
+                side->set_option(asio::socket_base::linger(true, 0), ignored);
+                side->close(ignored);
+            }
+        });
+    }
+    core_->connections.clear();
+}
+
+void relay::delay(std::chrono::milliseconds time)
+{
+    const std::lock_guard lock(core_->mutex);
+    core_->delay = time;
+}
+
+void relay::cut_way(bool towards_owner)
+{
+    const std::lock_guard lock(core_->mutex);
+    (towards_owner ? core_->cut_towards : core_->cut_back) = true;
+}
+
 } // namespace guavawick::scenarios
--- a/tests/scenarios/relay.hpp
+++ b/tests/scenarios/relay.hpp
@@ -1,8 +1,10 @@
-// A TCP relay before a process's link, which can silence connections between two processes.
+// A TCP relay before a process's port, which can silence, delay and reset connections.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <set>
@@ -18,8 +20,10 @@
 /// Relays connections to one process. Thread safety: every function from any thread.
 class relay {
 public:
-    relay(boost::asio::any_io_executor pool, std::string owner, unsigned short from, unsigned short to,
-          owner_finder find_owner);
+    /// @param from where it listens. @param to where the owner listens. @param find_owner may be empty: then
+    /// only "*" names connections.
+    relay(boost::asio::any_io_executor pool, std::string owner, boost::asio::ip::tcp::endpoint from,
+          boost::asio::ip::tcp::endpoint to, owner_finder find_owner);
     ~relay();
     relay(const relay&) = delete;
     relay& operator=(const relay&) = delete;
@@ -30,6 +34,12 @@
     void heal(const std::string& source);
     /// Silences the present connections of a process for good; new ones work.
     void mute(const std::string& source);
+    /// Resets all present connections.
+    void reset();
+    /// Holds every byte back for a time from now on; zero ends it.
+    void delay(std::chrono::milliseconds time);
+    /// Silences one way only of all connections, until heal("*"): towards the owner, or back from it.
+    void cut_way(bool towards_owner);
 
 private:
     std::shared_ptr<relay_core> core_;
