One line for each decision that touches a request; bounded log volume that never waits for a reader

A call now has lines at its admission (plan, its age, wait), at the ledger (group, outcome, history, warm instance), at placing (candidates, loads and their age), and at its end; upstream suspicions and lost or regained dependencies of an entry are told once each way.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -83,11 +83,16 @@
     event_field(std::string_view field, std::uint64_t number) : name(field), value(std::to_string(number)) {}
 };
 
-/// Writes one line with the event's number, name, and fields. Thread safety: any thread.
+/// Writes one line with the event's number, name, and fields. Never waits for a reader: a line that can't be
+/// written at once, or comes after too many of its event in a second, is left out and counted.
+/// Thread safety: any thread.
 void log_event(event what, const std::vector<event_field>& fields = {});
 
+/// @return lines that were left out since the start. Thread safety: any thread.
+std::uint64_t count_lost_lines();
+
 /// Sets where log lines go and the least severity that is written.
-/// @param file path of the log file; empty for standard error.
+/// @param file path of the log file; empty for standard output.
 void start_logging(const std::string& file, severity least);
 
 } // namespace guavawick
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -84,9 +84,9 @@
         group_->found_with_contacts();
     }
     group_->start(std::move(machine));
-    links_->listen(link_listen_of(settings_), [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
-        receive(from, message);
-    });
+    links_->listen(
+        link_listen_of(settings_),
+        [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
     operators_ = std::make_unique<http::server>(pool_.executor(), settings_.operator_listen,
                                                 http::server_limits{}, std::move(operators));
     if (!settings_.metrics_listen.empty()) {
--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -10,6 +10,19 @@
 constexpr std::uint64_t snapshot_entries = 6000; ///< about 12 MB of log at 2 KB an entry
 constexpr std::size_t most_waiting = 200;        ///< proposals; a store commits some hundreds a second
 
+const char* to_text(turns::open_outcome outcome)
+{
+    switch (outcome) {
+    case turns::open_outcome::granted:
+        return "granted";
+    case turns::open_outcome::budget_spent:
+        return "budget_spent";
+    case turns::open_outcome::unknown_turn:
+        return "unknown_turn";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 ledger_replica::ledger_replica(std::uint32_t number, const fleet_settings& given, consensus::member_id disk,
@@ -129,14 +142,16 @@
     body->set_upstream(answer.upstream);
     body->set_spent(answer.spent);
     body->set_reserved(answer.reserved);
-    if (group_.leads() && answer.outcome != turns::open_outcome::granted) {
+    if (group_.leads()) {
         log_event(event::turn_opened, {{"request", wish.request()},
                                        {"group", std::uint64_t{group_.number()}},
-                                       {"outcome", std::uint64_t{body->outcome()}},
+                                       {"outcome", to_text(answer.outcome)},
                                        {"budget", wish.budget_tokens()},
                                        {"spent", answer.spent},
                                        {"reserved", answer.reserved},
                                        {"previous", wish.previous()},
+                                       {"history_bytes", std::uint64_t{answer.history.size()}},
+                                       {"warm", answer.upstream},
                                        {"turns_held", std::uint64_t{state_.turns.size()}}});
     }
     return reply;
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -46,9 +46,9 @@
     for (const std::uint32_t group : find_groups(settings_.data_folder)) {
         open_replica(group);
     }
-    links_->listen(link_listen_of(settings_), [this](const wire::peer_route& from, const wire::envelope_ptr& message) {
-        receive(from, message);
-    });
+    links_->listen(
+        link_listen_of(settings_),
+        [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(from, message); });
     if (!settings_.metrics_listen.empty()) {
         metrics_server_ =
             std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -170,6 +170,17 @@
     }
 }
 
+/// Avoids an instance for a while.
+void suspect(const directory::instance_record& one, placing::instance_load& load, time_point now)
+{
+    placing::note_failure(load, now);
+    log_event(event::instance_suspected, {{"instance", one.id.value},
+                                          {"address", one.address},
+                                          {"failures", std::uint64_t{load.failures}},
+                                          {"for_ms", std::uint64_t(to_ms(load.suspect_until - now))},
+                                          {"heard_ms_ago", std::uint64_t(to_ms(now - one.heard_at))}});
+}
+
 void log_attempt(const call_run& run, const directory::instance_record& to, const char* reason, int status)
 {
     std::vector<event_field> fields = call_fields(run);
@@ -286,8 +297,19 @@
         co_await runtime::wait_for(ledger_step);
         group = core::ledger_of(who, state.ledgers);
     }
-    co_return co_await run->context.ledger->call(*group, std::move(question),
-                                                 deadline - runtime_clock::now());
+    dependency& asked =
+        run->context.state->ledger.try_emplace(*group, dependency{"ledger group " + std::to_string(*group)})
+            .first->second;
+    try {
+        wire::envelope_ptr reply =
+            co_await run->context.ledger->call(*group, std::move(question), deadline - runtime_clock::now());
+        note_answer(asked, runtime_clock::now());
+        co_return reply;
+    }
+    catch (const link_error& fault) {
+        note_silence(asked, fault.what(), runtime_clock::now());
+        throw;
+    }
 }
 
 } // namespace
@@ -299,7 +321,7 @@
     placing::instance_load& load = shared.loads[target.id];
     const connection_ptr with = co_await get_connection(run, target);
     if (!with) {
-        placing::note_failure(load, runtime_clock::now());
+        suspect(target, load, runtime_clock::now());
         log_attempt(*run, target, "no connection", 0);
         co_return attempt_end::not_run;
     }
@@ -325,7 +347,7 @@
         note_load(load, state.head.facts, now);
     }
     else if (run->stopped == stop_reason::none) {
-        placing::note_failure(load, now);
+        suspect(target, load, now);
     }
     if (reusable) {
         shared.connections.give_back(with, state.head.facts.idle_limit.value_or(default_idle_limit), now);
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -24,9 +24,10 @@
     500ms;                                 ///< of programs that would begin: little is lost by coming back
 constexpr duration default_deadline = 30s; ///< of callers that name none
 constexpr duration deadline_slack = 60ms;  ///< for the upstream's own answer at the deadline to arrive
-constexpr int most_placements = 6;         ///< tries to find an upstream that takes the call
-constexpr duration soon = 200ms;           ///< when another try is worthwhile after a passing shortage
-constexpr duration no_plan_yet = 500ms;    ///< an entry gets its plan within a subscription
+constexpr int too_many_requests = 429;
+constexpr int most_placements = 6;             ///< tries to find an upstream that takes the call
+constexpr duration soon = 200ms;               ///< when another try is worthwhile after a passing shortage
+constexpr duration no_plan_yet = 500ms;        ///< an entry gets its plan within a subscription
 constexpr duration longest_plan_wait = 1500ms; ///< an entry that has just started soon has its plan
 constexpr duration plan_step = 20ms;           ///< how often a waiting call looks for the plan
 constexpr double least_cold_rate = 0.2;        ///< calls a second of one entry to one cold upstream
@@ -47,7 +48,7 @@
         return "Payment Required";
     case 404:
         return "Not Found";
-    case 429:
+    case too_many_requests:
         return "Too Many Requests";
     case 502:
         return "Bad Gateway";
@@ -67,6 +68,10 @@
     fields.push_back({"status", std::uint64_t(why.status)});
     fields.push_back({"reason", why.reason});
     fields.push_back({"retry_after_ms", std::uint64_t(to_ms(why.retry_after))});
+    if (why.status == too_many_requests && run->organisation != nullptr) {
+        fields.push_back({"rate", std::uint64_t(run->organisation->rate)});
+        fields.push_back({"burst", std::uint64_t(run->organisation->burst)});
+    }
     log_event(promised ? event::call_refused : event::call_failed, fields);
     header_list headers{{"Content-Type", "text/plain"}};
     if (why.retry_after > duration{}) {
@@ -140,7 +145,8 @@
     catch (const refusal_error& refused) {
         retry_ms = refused.retry_after_ms;
     }
-    co_return refusal{429, "the organisation's rate is used up", std::chrono::milliseconds(retry_ms)};
+    co_return refusal{too_many_requests, "the organisation's rate is used up",
+                      std::chrono::milliseconds(retry_ms)};
 }
 
 /// @return calls a second that one entry may send to one cold upstream of a service.
@@ -187,6 +193,11 @@
     return wish;
 }
 
+std::string describe_age(time_point at, time_point now)
+{
+    return at == time_point{} ? "never" : std::to_string(to_ms(now - at));
+}
+
 /// @return a copy of the chosen instance's record, without an id if there is none.
 directory::instance_record place(call_run& run)
 {
@@ -207,7 +218,21 @@
         log_event(event::attempt_failed, fields);
         return {};
     }
-    return *candidates[static_cast<std::size_t>(chosen)].record;
+    const placing::candidate& best = candidates[static_cast<std::size_t>(chosen)];
+    log_event(event::attempt_sent, {{"request", run.facts.request.value},
+                                    {"to", best.record->id.value},
+                                    {"address", best.record->address},
+                                    {"data_centre", best.record->data_centre.value},
+                                    {"warm", run.warm_instance},
+                                    {"candidates", std::uint64_t{candidates.size()}},
+                                    {"own_running", std::uint64_t{best.load->own_running}},
+                                    {"reported_running", std::uint64_t{best.load->reported_running}},
+                                    {"reported_waiting", std::uint64_t{best.load->reported_waiting}},
+                                    {"reported_ms_ago", describe_age(best.load->reported_at, now)},
+                                    {"heard_ms_ago", std::uint64_t(to_ms(now - best.record->heard_at))},
+                                    {"suspect", best.load->suspect_until > now ? "yes" : "no"},
+                                    {"attempt", std::uint64_t{run.attempts + 1}}});
+    return *best.record;
 }
 
 /// What the caller is told after the last attempt. Only what no upstream may have run is said not to have
@@ -284,6 +309,24 @@
     });
 }
 
+/// What was read, and by which plan and how long after its arrival it was admitted.
+void log_admission(const call_run& run)
+{
+    const time_point now = runtime_clock::now();
+    const gateway_state& state = *run.context.state;
+    log_event(event::call_opened,
+              {{"request", run.facts.request.value},
+               {"route", run.route->name.value},
+               {"organisation", run.organisation != nullptr ? run.organisation->name.value : ""},
+               {"program", run.facts.program.value},
+               {"line", run.facts.line},
+               {"previous", run.facts.previous_turn.value},
+               {"plan", run.plan->plan.version.value},
+               {"plan_confirmed_ms_ago", std::uint64_t(to_ms(now - state.plan_confirmed_at))},
+               {"deadline_ms", std::uint64_t(to_ms(run.deadline - run.begun))},
+               {"waited_ms", std::uint64_t(to_ms(now - run.begun))}});
+}
+
 asio::awaitable<void> settle_turn(std::shared_ptr<call_run> run)
 {
     co_await close_turn(run, false);
@@ -307,6 +350,7 @@
         co_await refuse(run, refused);
         co_return;
     }
+    log_admission(*run);
     if (!run->facts.program.empty()) {
         note(run->context.state->programs, hash_bytes(run->facts.program.value), run->begun);
     }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -26,6 +26,7 @@
 constexpr duration confirmation_patience = 2500ms; ///< a new leader of control is found within two seconds
 constexpr std::uint32_t control_group = 0;
 constexpr duration subscribe_interval = 500ms; ///< a quarter of the time in which a plan must be in force
+constexpr duration control_silence = 2s;       ///< four subscriptions
 constexpr duration balancer_notice = 3s;       ///< the balancer asks every second and wants two misses
 constexpr duration stop_margin = 700ms;        ///< before the platform kills the process
 constexpr std::uint32_t directory_rounds =
@@ -60,8 +61,9 @@
 
 void gateway_process::start()
 {
-    links_->listen(core::link_listen_of(state_->settings), [this](const wire::peer_route& from,
-                                                 const wire::envelope_ptr& message) { receive(message); });
+    links_->listen(
+        core::link_listen_of(state_->settings),
+        [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(message); });
     callers_->handle = make_call_handler({state_, ledger_.get(), rates_.get(), links_.get()});
     const tcp::endpoint at = parse_endpoint(state_->settings.caller_listen);
     acceptor_ = std::make_shared<tcp::acceptor>(pool_.executor());
@@ -179,6 +181,7 @@
 void gateway_process::take_view(const wire::control_view& view)
 {
     state_->plan_confirmed_at = runtime_clock::now();
+    note_answer(state_->control, state_->plan_confirmed_at);
     if (view.revision() <= state_->revision) {
         return;
     }
@@ -256,6 +259,7 @@
 
 void gateway_process::take_hello(const wire::control_hello& hello)
 {
+    note_answer(state_->control, runtime_clock::now());
     for (const std::string& one : hello.control()) {
         if (std::find(state_->controls.begin(), state_->controls.end(), one) == state_->controls.end()) {
             state_->controls.push_back(one);
@@ -299,6 +303,9 @@
         subscribe(round < 4 || round % directory_rounds == 0);
         const time_point now = runtime_clock::now();
         directory::forget_old(state_->crashes, now);
+        if (now - std::max(state_->control.heard_at, started_at_) > control_silence) {
+            note_silence(state_->control, "no control replica answers the subscriptions", now);
+        }
         state_->connections.drop_idle(now);
         co_await runtime::wait_for(subscribe_interval);
     }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -6,6 +6,7 @@
 #include "directory/directory_func.hpp"
 #include "entry/rate_gate.hpp"
 #include "gateway/caller_connection.hpp"
+#include "gateway/dependency.hpp"
 #include "gateway/dialect_type.hpp"
 #include "gateway/program_memory.hpp"
 #include "gateway/upstream_connection.hpp"
@@ -58,6 +59,8 @@
     std::size_t entries = 1;           ///< entries of the fleet, as control last counted them
     std::size_t ledgers = 0;           ///< ledger groups; 0 until control told of them
     bool leaving = false;              ///< a planned stop began
+    dependency control{"control"};
+    std::map<std::uint32_t, dependency> ledger; ///< by group
     gateway_counters counters;
     program_memory programs; ///< programs that this entry has admitted calls of
 };
