Replace a lost voter before a group grows; do not count a lost one of an even number

The wiped replica had come back under a new disk at 3.1 s and was counted as a fourth voter, since the group was below its size of five; the lost one was never removed. When the next replica lost power, two of four were no quorum. Seen in the log: member_change_planned change=promote members=4 and no removal. Test: lost_voter_of_a_group_below_its_size_goes_before_another_is_counted and ..._of_an_even_number_... failed first.

--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -64,21 +64,33 @@
     return retiring;
 }
 
+std::size_t count_lost(const std::vector<member_view>& members, const membership_policy& policy)
+{
+    return static_cast<std::size_t>(
+        std::count_if(members.begin(), members.end(),
+                      [&policy](const member_view& one) { return one.who.voter && is_lost(one, policy); }));
+}
+
 } // namespace
 
 planned_change plan_change(const std::vector<member_view>& members, const membership_policy& policy)
 {
     const auto voters = static_cast<std::size_t>(
         std::count_if(members.begin(), members.end(), [](const member_view& one) { return one.who.voter; }));
+    const member_view* leaving = find_leaving(members, policy);
+    if (leaving != nullptr && find_candidate(members, leaving, policy) != nullptr) {
+        return {leaving->own ? planned_kind::hand_over : planned_kind::remove, leaving->who.id};
+    }
     if (voters < policy.voters) {
         const member_view* candidate = find_candidate(members, nullptr, policy);
         if (candidate != nullptr) {
             return {planned_kind::promote, candidate->who.id};
         }
     }
-    const member_view* leaving = find_leaving(members, policy);
-    if (leaving != nullptr && find_candidate(members, leaving, policy) != nullptr) {
-        return {leaving->own ? planned_kind::hand_over : planned_kind::remove, leaving->who.id};
+    // One voter fewer of an even number leaves the quorum smaller; a lost one is better not counted.
+    if (voters % 2 == 0 && leaving != nullptr && leaving->silent > policy.learner_silence &&
+        count_lost(members, policy) * 2 < voters) {
+        return {planned_kind::remove, leaving->who.id};
     }
     for (const member_view& one : members) {
         const bool gone = !one.own && one.silent > policy.learner_silence;
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -92,6 +92,38 @@
     BOOST_TEST(next.id.value == 3U);
 }
 
+BOOST_FIXTURE_TEST_CASE(lost_voter_of_a_group_below_its_size_goes_before_another_is_counted, three_voters)
+{
+    // With both counted, three of four would be needed, and the next loss would leave two.
+    policy = make_policy(2, 3);
+    members[1].silent = 10s;
+    add(4, "place-2", false);
+    const planned_change next = plan();
+    BOOST_TEST((next.kind == planned_kind::remove));
+    BOOST_TEST(next.id.value == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(lost_voter_of_an_even_number_goes_where_nobody_can_take_its_place, three_voters)
+{
+    policy = make_policy(2, 3);
+    add(4, "place-2", true);
+    members[1].silent = 2s;
+    BOOST_TEST((plan().kind == planned_kind::nothing));
+    members[1].silent = 10s;
+    const planned_change next = plan();
+    BOOST_TEST((next.kind == planned_kind::remove));
+    BOOST_TEST(next.id.value == 2U);
+    members[2].silent = 10s; // two of four are no quorum: nothing could be agreed on
+    BOOST_TEST((plan().kind == planned_kind::nothing));
+}
+
+BOOST_FIXTURE_TEST_CASE(group_below_its_size_with_all_voters_alive_counts_another, three_voters)
+{
+    policy = make_policy(2, 3);
+    add(4, "place-2", false);
+    BOOST_TEST((plan().kind == planned_kind::promote));
+}
+
 BOOST_FIXTURE_TEST_CASE(learner_that_is_silent_for_long_is_dropped, three_voters)
 {
     add(4, "place-1", false).silent = 30s;
