--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -72,11 +72,7 @@
         state_ = decode_fleet_state(bytes);
         publish_view();
     };
-    machine.leadership_changed = [this](bool leads) {
-        if (leads) {
-            rates_.begin(runtime_clock::now());
-        }
-    };
+    machine.leadership_changed = [](bool) {};
     machine.tick = [this](time_point now) { tick(now); };
     set_seeds(settings_.seeds);
     if (settings_.first_start) {
@@ -190,12 +186,6 @@
         answer(make_redirect(*group_));
         return;
     }
-    if (request->has_borrow()) {
-        // A former leader that was cut off must not lend beside its successor: may_read() holds for one at a
-        // time.
-        answer(rates_.borrow(request->borrow(), now));
-        return;
-    }
     if (request->has_read()) {
         wire::envelope reply;
         reply.mutable_document()->set_version(state_.version);
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -5,7 +5,6 @@
 #include "core/fleet_settings.hpp"
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
-#include "core/rate_owner.hpp"
 #include "directory/directory_func.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
@@ -89,7 +88,6 @@
     std::unique_ptr<replica::group> group_;
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
-    rate_owner rates_;         ///< leader only
     bool push_posted_ = false; ///< the view will be pushed after this batch
     std::atomic<bool> confirmed_{
         false};                    ///< this replica leads and a quorum confirmed it, as of the last tick
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -120,7 +120,7 @@
     if (ledgers == 0) {
         return std::nullopt;
     }
-    return static_cast<std::uint32_t>(1 + hash_bytes(organisation.value) % ledgers);
+    return static_cast<std::uint32_t>(first_ledger_group + hash_bytes(organisation.value) % ledgers);
 }
 
 void to_wire(const founder_lists& lists, google::protobuf::RepeatedPtrField<wire::founding>* into)
--- a/src/core/fleet_state.hpp
+++ b/src/core/fleet_state.hpp
@@ -71,6 +71,8 @@
 /// @param wanted members of each. @return empty while too few stores are known.
 founder_lists choose_founders(const std::map<std::string, store_view>& stores, std::size_t ledgers,
                               std::size_t wanted);
+constexpr std::uint32_t first_ledger_group = 1; ///< control is group 0
+
 /// @return number of the ledger group that holds an organisation's turns; none while it is not known how many
 /// groups there are. Another group would say that a kept turn does not exist.
 std::optional<std::uint32_t> ledger_of(const organisation_name& organisation, std::size_t ledgers);
--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -81,6 +81,13 @@
         answer(make_redirect(group_));
         return;
     }
+    if (request.has_borrow()) {
+        // A former leader that was cut off must not lend beside its successor: may_read() holds for one at a
+        // time.
+        answer(group_.may_read() ? rates_.borrow(request.borrow(), runtime_clock::now())
+                                 : make_redirect(group_));
+        return;
+    }
     if (request.has_open_turn() && group_.waiting_proposals() > most_waiting) {
         // More would only wait until their callers have gone; the ends of turns still get through.
         wire::envelope refused;
@@ -161,6 +168,7 @@
 {
     if (leads) {
         clock_ = {state_.now, runtime_clock::now()};
+        rates_.begin(runtime_clock::now());
     }
 }
 
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -1,9 +1,10 @@
-// One replica of one ledger group: turns and budgets of the organisations that the group holds.
+// One replica of one ledger group: turns, budgets and rate buckets of the organisations that the group holds.
 #pragma once
 
 #include "core/fleet_settings.hpp"
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
+#include "core/rate_owner.hpp"
 #include "replica/log_store.hpp"
 #include "turns/turn_func.hpp"
 #include "wire/link_type.hpp"
@@ -55,6 +56,7 @@
     replica::group group_;
     turns::turn_state state_;
     group_clock clock_;
+    rate_owner rates_; ///< used while this replica leads
     std::atomic<std::shared_ptr<const ledger_status>> status_{std::make_shared<const ledger_status>()};
 };
 
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -114,7 +114,7 @@
     if (replica != nullptr && replica->receive(*message)) {
         return;
     }
-    const bool asked = message->has_open_turn() || message->has_close_turn();
+    const bool asked = message->has_open_turn() || message->has_close_turn() || message->has_borrow();
     if (!asked) {
         return; // consensus of a group that control has not told of yet; its sender repeats it
     }
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -289,13 +289,10 @@
     const organisation_name who =
         run->organisation != nullptr ? run->organisation->name : organisation_name{};
     const time_point deadline = runtime_clock::now() + limit;
-    std::optional<std::uint32_t> group = core::ledger_of(who, state.ledgers);
-    while (!group) {
-        if (runtime_clock::now() >= deadline) {
-            throw link_error("control has not told of the ledger groups yet");
-        }
-        co_await runtime::wait_for(ledger_step);
-        group = core::ledger_of(who, state.ledgers);
+    const bool known = co_await await_ledgers(run, deadline);
+    const std::optional<std::uint32_t> group = core::ledger_of(who, state.ledgers);
+    if (!known || !group) {
+        throw link_error("control has not told of the ledger groups yet");
     }
     dependency& asked =
         run->context.state->ledger.try_emplace(*group, dependency{"ledger group " + std::to_string(*group)})
@@ -369,6 +366,15 @@
                             std::move(answer.body));
 }
 
+asio::awaitable<bool> await_ledgers(std::shared_ptr<call_run> run, time_point deadline)
+{
+    const gateway_state& state = *run->context.state;
+    while (state.ledgers == 0 && runtime_clock::now() < deadline) {
+        co_await runtime::wait_for(ledger_step);
+    }
+    co_return state.ledgers > 0;
+}
+
 asio::awaitable<refusal> open_turn(std::shared_ptr<call_run> run)
 {
     wire::envelope question;
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -138,8 +138,12 @@
     const duration longest = kind == limit::demand_kind::starts ? longest_start_wait : longest_rate_wait;
     const duration left = (run->deadline - run->begun) / 3;
     std::uint32_t retry_ms = 0;
+    const bool known = co_await await_ledgers(run, run->begun + left);
+    if (!known) {
+        co_return refusal{503, "no configuration yet", no_plan_yet};
+    }
     try {
-        co_await run->context.rates->pass(limits, std::min(left, longest), version, kind);
+        co_await run->context.state->rates->pass(limits, std::min(left, longest), version, kind);
         co_return refusal{0, "", {}};
     }
     catch (const refusal_error& refused) {
--- a/src/gateway/call_flow.hpp
+++ b/src/gateway/call_flow.hpp
@@ -9,7 +9,6 @@
 struct call_context {
     std::shared_ptr<gateway_state> state;
     wire::group_client* ledger = nullptr;
-    entry::rate_gate* rates = nullptr;
     wire::link* links = nullptr;
 };
 
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -72,6 +72,8 @@
                                                 const directory::instance_record& to);
 /// Sends the caller an answer that was read whole.
 boost::asio::awaitable<void> pass_answer(std::shared_ptr<call_run> run, upstream_answer answer);
+/// Waits until control told this entry of the ledger groups. @return false if that did not happen in time.
+boost::asio::awaitable<bool> await_ledgers(std::shared_ptr<call_run> run, time_point deadline);
 /// Asks the ledger whether a turn may run. @return a refusal with status 0 if it may.
 boost::asio::awaitable<refusal> open_turn(std::shared_ptr<call_run> run);
 /// Tells the ledger how a turn ended. @return whether it is committed.
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -24,11 +24,10 @@
 using namespace std::chrono_literals;
 
 constexpr duration confirmation_patience = 2500ms; ///< a new leader of control is found within two seconds
-constexpr std::uint32_t control_group = 0;
-constexpr duration subscribe_interval = 500ms; ///< a quarter of the time in which a plan must be in force
-constexpr duration control_silence = 2s;       ///< four subscriptions
-constexpr duration balancer_notice = 3s;       ///< the balancer asks every second and wants two misses
-constexpr duration stop_margin = 700ms;        ///< before the platform kills the process
+constexpr duration subscribe_interval = 500ms;     ///< a quarter of the time in which a plan must be in force
+constexpr duration control_silence = 2s;           ///< four subscriptions
+constexpr duration balancer_notice = 3s;           ///< the balancer asks every second and wants two misses
+constexpr duration stop_margin = 700ms;            ///< before the platform kills the process
 constexpr std::uint32_t directory_rounds =
     10;                                   ///< the whole directory is asked for at the start and every 5 s
 constexpr std::size_t most_controls = 16; ///< addresses of control replicas that are remembered
@@ -44,16 +43,15 @@
 
 gateway_process::gateway_process(const core::fleet_settings& given, const dialect& speaks,
                                  runtime::worker_pool& pool)
-    : pool_(pool), state_(std::make_shared<gateway_state>()), callers_(std::make_shared<caller_server>())
+    : pool_(pool), self_{random_id()}, state_(std::make_shared<gateway_state>()),
+      callers_(std::make_shared<caller_server>())
 {
-    const incarnation_id self{random_id()};
     state_->settings = given;
     state_->speaks = speaks;
     state_->controls = given.seeds;
-    links_ = std::make_unique<wire::link>(pool_.executor(), core::make_link_settings(), self);
+    links_ = std::make_unique<wire::link>(pool_.executor(), core::make_link_settings(), self_);
     ledger_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
     control_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
-    rates_ = std::make_unique<entry::rate_gate>(*control_, self, 1, control_group);
     know_controls();
 }
 
@@ -64,7 +62,7 @@
     links_->listen(
         core::link_listen_of(state_->settings),
         [this](const wire::peer_route& from, const wire::envelope_ptr& message) { receive(message); });
-    callers_->handle = make_call_handler({state_, ledger_.get(), rates_.get(), links_.get()});
+    callers_->handle = make_call_handler({state_, ledger_.get(), links_.get()});
     const tcp::endpoint at = parse_endpoint(state_->settings.caller_listen);
     acceptor_ = std::make_shared<tcp::acceptor>(pool_.executor());
     try {
@@ -78,7 +76,6 @@
     }
     pool_.spawn(accept_callers(acceptor_, callers_));
     pool_.spawn(subscribe_loop());
-    pool_.spawn(rates_->borrow_loop(0, [this] { return running_.load(); }));
     readiness_ = std::make_unique<http::server>(
         pool_.executor(), state_->settings.readiness_listen, http::server_limits{},
         [this](http::request& received, http::responder& out) { return answer_readiness(received, out); });
@@ -274,12 +271,25 @@
         for (const wire::peer_address& one : hello.stores()) {
             stores.push_back({one.name(), one.endpoint()});
         }
-        state_->ledgers = static_cast<std::size_t>(hello.ledgers_size());
+        if (state_->ledgers == 0) {
+            begin_to_borrow(static_cast<std::size_t>(hello.ledgers_size()));
+        }
         ledger_->set_replicas(std::move(stores));
     }
     state_->entries = std::max<std::size_t>(hello.entries(), 1);
 }
 
+void gateway_process::begin_to_borrow(std::size_t ledgers)
+{
+    rates_ = std::make_unique<entry::rate_gate>(*ledger_, self_, static_cast<std::uint32_t>(ledgers),
+                                                core::first_ledger_group);
+    for (std::uint32_t shard = 0; shard < ledgers; ++shard) {
+        pool_.spawn(rates_->borrow_loop(shard, [this] { return running_.load(); }));
+    }
+    state_->rates = rates_.get();
+    state_->ledgers = ledgers;
+}
+
 void gateway_process::subscribe(bool whole_directory)
 {
     wire::envelope message;
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -59,6 +59,7 @@
     std::size_t entries = 1;           ///< entries of the fleet, as control last counted them
     std::size_t ledgers = 0;           ///< ledger groups; 0 until control told of them
     bool leaving = false;              ///< a planned stop began
+    entry::rate_gate* rates = nullptr; ///< set once the ledger groups, which own the buckets, are known
     dependency control{"control"};
     std::map<std::uint32_t, dependency> ledger; ///< by group
     gateway_counters counters;
@@ -92,7 +93,10 @@
     void know_controls();
     void add_metrics();
 
+    void begin_to_borrow(std::size_t ledgers);
+
     runtime::worker_pool& pool_;
+    incarnation_id self_;
     std::unique_ptr<wire::link> links_;
     std::unique_ptr<wire::group_client> ledger_;
     std::unique_ptr<wire::group_client> control_;
