--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-constexpr duration batch_interval =
-    200ms; ///< routine announcements wait this long; a sixth of their interval
+constexpr duration batch_interval = 1s; ///< routine announcements wait this long; entries only log their age
 constexpr std::uint64_t peer_interval =
     8; ///< every eighth announcement goes to the other replicas: none forgets
 constexpr duration confirm_limit = 300ms; ///< an instance waits a second for its acknowledgement
@@ -110,6 +109,7 @@
 {
     wire::envelope update;
     bool leaving = false;
+    bool changed = false;
     {
         const std::lock_guard lock(mutex_);
         const time_point now = runtime_clock::now();
@@ -131,11 +131,13 @@
         if (merged == directory::merge_result::changed) {
             log_change(held, "itself");
         }
-        leaving =
-            merged == directory::merge_result::changed && held.state != directory::instance_state::serving;
+        changed = merged == directory::merge_result::changed;
+        leaving = changed && held.state != directory::instance_state::serving;
         to_wire(held, now, update.mutable_directory()->add_instances());
     }
-    flush_batch();
+    if (changed) {
+        flush_batch();
+    }
     co_await spread(std::move(update), leaving);
 }
 
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -328,7 +328,7 @@
     if (directory.has_directory()) {
         links_->send(wish.endpoint(), std::move(directory));
     }
-    links_->send(wish.endpoint(), make_hello(now));
+    links_->send(wish.endpoint(), make_hello(now, wish.hello_digest()));
     const fleet_view view = view_.load();
     // What is new is on its way from the leader; a whole document from every replica would fill their links.
     const bool missed = wish.version() == 0 || now - view_at_.load() > push_patience;
@@ -337,7 +337,21 @@
     }
 }
 
-wire::envelope control_process::make_hello(time_point now)
+wire::envelope control_process::make_hello(time_point now, std::uint64_t held_digest)
+{
+    wire::envelope message = make_whole_hello(now);
+    wire::control_hello* hello = message.mutable_hello();
+    const std::uint64_t digest = hash_bytes(hello->SerializeAsString());
+    if (digest == held_digest) {
+        hello->Clear();
+        hello->set_unchanged(true);
+    }
+    hello->set_sender(settings_.link);
+    hello->set_digest(digest);
+    return message;
+}
+
+wire::envelope control_process::make_whole_hello(time_point now)
 {
     const fleet_view view = view_.load();
     wire::envelope message;
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -74,7 +74,8 @@
     void tick(time_point now);
     void found_ledger(time_point now);
     wire::envelope judge(const std::string& store, time_point now);
-    wire::envelope make_hello(time_point now);
+    wire::envelope make_hello(time_point now, std::uint64_t held_digest);
+    wire::envelope make_whole_hello(time_point now);
     boost::asio::awaitable<void> spread(wire::envelope update, bool wait_for_peer);
     boost::asio::awaitable<wire::envelope> order(wire::envelope command);
     boost::asio::awaitable<void> batch_loop();
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -129,13 +129,15 @@
 
 void store_process::take_hello(const wire::control_hello& hello)
 {
-    const std::string bytes = hello.SerializeAsString();
+    bool newest = false; // a replica that lags behind may not know of stores that retire
     {
         const std::lock_guard lock(mutex_);
-        if (bytes == known_hello_ || !running_.load()) {
+        if (hello.unchanged() || !running_.load()) {
             return;
         }
-        known_hello_ = bytes;
+        hello_digests_[hello.sender()] = hello.digest();
+        newest = hello.revision() >= known_revision_;
+        known_revision_ = std::max(known_revision_, hello.revision());
         if (hello.control_size() > 0) {
             controls_.assign(hello.control().begin(), hello.control().end());
         }
@@ -151,7 +153,9 @@
         ledger_replica* held = find_replica(group);
         ledger_replica& replica = held != nullptr ? *held : open_replica(group);
         replica.set_contacts(contacts, founders[i]);
-        replica.set_retiring({hello.retiring().begin(), hello.retiring().end()});
+        if (newest) {
+            replica.set_retiring({hello.retiring().begin(), hello.retiring().end()});
+        }
     }
 }
 
@@ -166,9 +170,11 @@
     wire::store_report* store = body->mutable_store();
     store->set_disk(disk_.id.value);
     std::vector<std::string> controls;
+    std::map<std::string, std::uint64_t> digests;
     {
         const std::lock_guard lock(mutex_);
         controls = controls_;
+        digests = hello_digests_;
         for (const auto& [group, one] : ledgers_) {
             const std::shared_ptr<const ledger_status> status = one->status();
             wire::ledger_report* told = store->add_groups();
@@ -187,6 +193,8 @@
         }
     }
     for (const std::string& endpoint : controls) {
+        const auto digest = digests.find(endpoint);
+        body->set_hello_digest(digest == digests.end() ? 0 : digest->second);
         links_->send(endpoint, message);
     }
 }
--- a/src/core/store_process.hpp
+++ b/src/core/store_process.hpp
@@ -50,7 +50,8 @@
     std::mutex mutex_;                                                 ///< guards everything below
     std::map<std::uint32_t, std::unique_ptr<ledger_replica>> ledgers_; ///< by group
     std::vector<std::string> controls_;                                ///< links of the control replicas
-    std::string known_hello_; ///< the last hello, to act on changes only
+    std::uint64_t known_revision_ = 0; ///< of the control group's state, the highest heard of
+    std::map<std::string, std::uint64_t> hello_digests_; ///< of what each control replica last told
 };
 
 } // namespace guavawick::core
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -208,6 +208,11 @@
     co_return co_await connect_upstream(to.id.value, to.address, std::min(connect_limit, left));
 }
 
+std::string chain_key(const call_run& run, const request_name& turn)
+{
+    return make_chain_key(run.organisation != nullptr ? run.organisation->name.value : "", turn.value);
+}
+
 /// Ends a stream whose last event was passed on.
 asio::awaitable<attempt_end> end_stream(std::shared_ptr<call_run> run, attempt_state& state)
 {
@@ -227,6 +232,10 @@
             co_return attempt_end::answered;
         }
     }
+    if (run->route->keeps_turns) {
+        keep_chain(run->context.state->chains, chain_key(*run, run->facts.request),
+                   run->history + run->received.body + run->output);
+    }
     run->context.state->counters.answered.fetch_add(1);
     log_event(event::call_answered, call_fields(*run));
     co_await run->port.finish();
@@ -385,8 +394,14 @@
     body->set_budget_tokens(run->facts.budget_tokens);
     body->set_most_tokens(run->facts.most_tokens);
     body->set_line(run->facts.line);
+    std::string known_chain;
     if (run->route->keeps_turns) {
         body->set_previous(run->facts.previous_turn.value);
+        if (const std::string* held =
+                find_chain(run->context.state->chains, chain_key(*run, run->facts.previous_turn))) {
+            known_chain = *held;
+            body->set_has_history(true);
+        }
     }
     const duration left = run->deadline - runtime_clock::now();
     std::string fault;
@@ -412,7 +427,7 @@
     if (outcome == turns::open_outcome::unknown_turn) {
         co_return refusal{404, "no such turn", {}};
     }
-    run->history = answer.history();
+    run->history = known_chain.empty() ? answer.history() : std::move(known_chain);
     run->warm_instance = answer.upstream();
     co_return refusal{0, "", {}};
 }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -28,9 +28,9 @@
 constexpr duration control_silence = 2s;           ///< four subscriptions
 constexpr duration balancer_notice = 3s;           ///< the balancer asks every second and wants two misses
 constexpr duration stop_margin = 700ms;            ///< before the platform kills the process
-constexpr std::uint32_t directory_rounds =
-    10;                                   ///< the whole directory is asked for at the start and every 5 s
-constexpr std::size_t most_controls = 16; ///< addresses of control replicas that are remembered
+constexpr std::uint32_t first_rounds = 4;      ///< in which every replica is asked for its whole directory
+constexpr std::uint32_t directory_rounds = 10; ///< then one after the other is, every 5 s
+constexpr std::size_t most_controls = 16;      ///< addresses of control replicas that are remembered
 
 tcp::endpoint parse_endpoint(const std::string& address)
 {
@@ -257,28 +257,50 @@
 void gateway_process::take_hello(const wire::control_hello& hello)
 {
     note_answer(state_->control, runtime_clock::now());
+    if (hello.unchanged()) {
+        return;
+    }
+    hello_digests_[hello.sender()] = hello.digest();
     for (const std::string& one : hello.control()) {
         if (std::find(state_->controls.begin(), state_->controls.end(), one) == state_->controls.end()) {
             state_->controls.push_back(one);
             if (state_->controls.size() > most_controls) {
+                hello_digests_.erase(state_->controls.front());
+                stores_told_.erase(state_->controls.front());
                 state_->controls.erase(state_->controls.begin());
             }
         }
     }
     know_controls();
     if (hello.stores_size() > 0 && hello.ledgers_size() > 0) {
-        std::vector<replica_address> stores;
+        std::map<std::string, std::string>& told = stores_told_[hello.sender()];
+        told.clear();
         for (const wire::peer_address& one : hello.stores()) {
-            stores.push_back({one.name(), one.endpoint()});
+            told[one.endpoint()] = one.name();
         }
         if (state_->ledgers == 0) {
             begin_to_borrow(static_cast<std::size_t>(hello.ledgers_size()));
         }
-        ledger_->set_replicas(std::move(stores));
+        know_stores();
     }
     state_->entries = std::max<std::size_t>(hello.entries(), 1);
 }
 
+void gateway_process::know_stores()
+{
+    // A replica that has just started, or is cut off, knows only some of them.
+    std::map<std::string, std::string> all;
+    for (const auto& [sender, told] : stores_told_) {
+        all.insert(told.begin(), told.end());
+    }
+    std::vector<replica_address> stores;
+    stores.reserve(all.size());
+    for (const auto& [endpoint, name] : all) {
+        stores.push_back({name, endpoint});
+    }
+    ledger_->set_replicas(std::move(stores));
+}
+
 void gateway_process::begin_to_borrow(std::size_t ledgers)
 {
     rates_ = std::make_unique<entry::rate_gate>(*ledger_, self_, static_cast<std::uint32_t>(ledgers),
@@ -290,7 +312,7 @@
     state_->ledgers = ledgers;
 }
 
-void gateway_process::subscribe(bool whole_directory)
+void gateway_process::subscribe(directory_wish asks)
 {
     wire::envelope message;
     wire::subscribe_request* body = message.mutable_subscribe();
@@ -300,17 +322,26 @@
     body->set_data_centre(state_->settings.data_centre);
     body->set_revision(state_->revision);
     body->set_version(state_->plan ? state_->plan->plan.version.value : 0);
-    body->set_whole_directory(whole_directory);
-    for (const std::string& endpoint : state_->controls) {
+    for (std::size_t i = 0; i < state_->controls.size(); ++i) {
+        const std::string& endpoint = state_->controls[i];
+        const auto digest = hello_digests_.find(endpoint);
+        body->set_hello_digest(digest == hello_digests_.end() ? 0 : digest->second);
+        body->set_whole_directory(asks == directory_wish::from_all ||
+                                  (asks == directory_wish::from_one && i == next_directory_));
         links_->send(endpoint, message);
     }
+    if (asks == directory_wish::from_one) {
+        next_directory_ = (next_directory_ + 1) % std::max<std::size_t>(state_->controls.size(), 1);
+    }
 }
 
 asio::awaitable<void> gateway_process::subscribe_loop()
 {
     for (std::uint32_t round = 0; running_.load(); ++round) {
         // On the thread of the pool, like everything that touches the state.
-        subscribe(round < 4 || round % directory_rounds == 0);
+        subscribe(round < first_rounds            ? directory_wish::from_all
+                  : round % directory_rounds == 0 ? directory_wish::from_one
+                                                  : directory_wish::none);
         const time_point now = runtime_clock::now();
         directory::forget_old(state_->crashes, now);
         if (now - std::max(state_->control.heard_at, started_at_) > control_silence) {
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -6,6 +6,7 @@
 #include "directory/directory_func.hpp"
 #include "entry/rate_gate.hpp"
 #include "gateway/caller_connection.hpp"
+#include "gateway/chain_cache.hpp"
 #include "gateway/dependency.hpp"
 #include "gateway/dialect_type.hpp"
 #include "gateway/program_memory.hpp"
@@ -63,6 +64,7 @@
     dependency control{"control"};
     std::map<std::uint32_t, dependency> ledger; ///< by group
     gateway_counters counters;
+    chain_cache chains;
     program_memory programs; ///< programs that this entry has admitted calls of
 };
 
@@ -86,13 +88,16 @@
     void take_view(const wire::control_view& view);
     void take_directory(const wire::directory_update& update);
     void take_hello(const wire::control_hello& hello);
-    void subscribe(bool whole_directory);
+    /// Which replicas are asked for all they know beside what changes.
+    enum class directory_wish : std::uint8_t { none, from_one, from_all };
+    void subscribe(directory_wish asks);
     boost::asio::awaitable<void> subscribe_loop();
     boost::asio::awaitable<void> answer_readiness(http::request& received, http::responder& out);
     [[nodiscard]] bool is_ready() const;
     void know_controls();
     void add_metrics();
 
+    void know_stores();
     void begin_to_borrow(std::size_t ledgers);
 
     runtime::worker_pool& pool_;
@@ -107,6 +112,10 @@
     http::metric_set metrics_;
     std::unique_ptr<http::server> readiness_;
     std::unique_ptr<http::server> metrics_server_;
+    std::map<std::string, std::uint64_t> hello_digests_; ///< of what each control replica last told
+    std::map<std::string, std::map<std::string, std::string>>
+        stores_told_;                ///< by control replica: names by endpoint
+    std::size_t next_directory_ = 0; ///< replica that is asked for its directory next
     time_point started_at_ = runtime_clock::now();
     std::atomic<bool> running_{true};
     std::atomic<bool> ready_{false};
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -15,9 +15,10 @@
     return sum;
 }
 
-/// Collects a chain's bytes, oldest turn first. @return false if a turn is missing.
+/// Collects a chain's bytes, oldest turn first. @param into nullptr: only checks that no turn is missing.
+/// @return false if a turn is missing.
 bool collect_history(const turn_state& state, const organisation_name& who, const request_name& last,
-                     std::string& into)
+                     std::string* into)
 {
     std::vector<const turn*> chain;
     request_name next = last;
@@ -29,9 +30,9 @@
         chain.push_back(&found->second);
         next = found->second.previous;
     }
-    for (auto one = chain.rbegin(); one != chain.rend(); ++one) {
-        into += (*one)->input;
-        into += (*one)->output;
+    for (auto one = chain.rbegin(); into != nullptr && one != chain.rend(); ++one) {
+        *into += (*one)->input;
+        *into += (*one)->output;
     }
     return true;
 }
@@ -68,8 +69,8 @@
     open_answer answer;
     if (!wish.previous.empty()) {
         const auto previous = state.turns.find({wish.organisation, wish.previous});
-        if (previous == state.turns.end() ||
-            !collect_history(state, wish.organisation, wish.previous, answer.history)) {
+        if (previous == state.turns.end() || !collect_history(state, wish.organisation, wish.previous,
+                                                              wish.has_history ? nullptr : &answer.history)) {
             answer.outcome = open_outcome::unknown_turn;
             return answer;
         }
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -83,7 +83,8 @@
             message.budget_tokens(),
             message.most_tokens(),
             request_name{message.previous()},
-            message.line()};
+            message.line(),
+            message.has_history()};
 }
 
 close_request from_wire(const wire::close_turn& message)
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -70,6 +70,7 @@
     std::uint64_t most_tokens = 0;   ///< of this turn
     request_name previous;           ///< empty: starts a chain
     std::string line;                ///< the line of turns that it belongs to
+    bool has_history = false;        ///< the asking entry holds the chain's bytes
 };
 
 /// Whether a turn may run.
@@ -78,9 +79,9 @@
 /// Answer to a wish.
 struct open_answer {
     open_outcome outcome = open_outcome::granted;
-    std::string history;        ///< everything before the new input, oldest first
-    std::string upstream;       ///< where the cache of the line, or of its program, is warm; empty if unknown
-    std::uint64_t spent = 0;    ///< tokens, for logs
+    std::string history;     ///< everything before the new input, oldest first; empty where the entry has it
+    std::string upstream;    ///< where the cache of the line, or of its program, is warm; empty if unknown
+    std::uint64_t spent = 0; ///< tokens, for logs
     std::uint64_t reserved = 0; ///< tokens, for logs
 };
 
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -80,6 +80,20 @@
     BOOST_TEST(wish("t1").history == "hello one\n");
 }
 
+BOOST_FIXTURE_TEST_CASE(entry_that_holds_the_chain_gets_no_bytes_but_is_told_of_an_unknown_turn, two_turns)
+{
+    open_request made;
+    made.organisation = organisation_name{"o"};
+    made.request = request_name{"new"};
+    made.previous = request_name{"t2"};
+    made.has_history = true;
+    const open_answer granted = open(state, made);
+    BOOST_TEST((granted.outcome == open_outcome::granted));
+    BOOST_TEST(granted.history.empty());
+    made.previous = request_name{"t9"};
+    BOOST_TEST((open(state, made).outcome == open_outcome::unknown_turn));
+}
+
 BOOST_FIXTURE_TEST_CASE(turn_of_another_organisation_is_unknown, two_turns)
 {
     BOOST_TEST((wish("t2", "other").outcome == open_outcome::unknown_turn));
