--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -3,6 +3,7 @@
 
 #include "base/clock_type.hpp"
 #include "base/settings_type.hpp"
+#include "limit/bucket_func.hpp"
 
 #include <string>
 #include <vector>
@@ -25,9 +26,8 @@
     std::size_t data_centres = 1;            ///< number of data centres
     std::size_t losses = 1;                  ///< instances with a disk that may be lost at once
     duration announcement_interval = 1200ms; ///< between two heartbeats of an upstream instance
-    double rate_overage = 0;  ///< fraction by which operators let an organisation exceed its rate and burst
-    double rate_slack = 0;    ///< requests by which they let it exceed them beside
-    duration stop_grace = 8s; ///< from the stop signal until the process is killed
+    limit::tolerance rate_tolerance;         ///< by which organisations may exceed their rate and burst
+    duration stop_grace = 8s;                ///< from the stop signal until the process is killed
 };
 
 constexpr duration fleet_election_timeout =
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -214,6 +214,15 @@
     }
 }
 
+void rate_gate::give_back(const organisation_name& who)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = accounts_.find(who.value);
+    if (found != accounts_.end()) {
+        limit::give_back(found->second.purse, runtime_clock::now());
+    }
+}
+
 std::uint64_t rate_gate::refused() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/entry/rate_gate.hpp
+++ b/src/entry/rate_gate.hpp
@@ -29,6 +29,8 @@
     boost::asio::awaitable<void> pass(configuration::organisation who, duration limit,
                                       std::uint64_t plan_version = 0,
                                       limit::demand_kind kind = limit::demand_kind::continues);
+    /// Returns the token of a request that turned out not to run.
+    void give_back(const organisation_name& who);
     /// Keeps borrowing for the organisations of one shard until `running` says no.
     boost::asio::awaitable<void> borrow_loop(std::uint32_t shard, std::function<bool()> running);
     /// @return requests that waited in vain.
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -20,8 +20,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration longest_rate_wait = 1500ms; ///< of running programs; longer waits are refused at once
-constexpr duration longest_start_wait =
-    500ms;                                 ///< of programs that would begin: little is lost by coming back
+constexpr duration longest_start_wait = 1s; ///< of programs that would begin: little is lost by coming back
+constexpr duration start_again = 700ms;    ///< a program that found no token; others of its kind wait as well
 constexpr duration default_deadline = 30s; ///< of callers that name none
 constexpr duration deadline_slack = 60ms;  ///< for the upstream's own answer at the deadline to arrive
 constexpr int too_many_requests = 429;
@@ -126,9 +126,8 @@
     if (who == nullptr || who->rate <= 0) {
         co_return refusal{0, "", {}};
     }
-    const core::fleet_settings& settings = run->context.state->settings;
     const limit::limits allowed =
-        limit::tolerate({who->rate, std::max(who->burst, 1.0)}, settings.rate_overage, settings.rate_slack);
+        limit::tolerate({who->rate, std::max(who->burst, 1.0)}, run->context.state->settings.rate_tolerance);
     configuration::organisation limits;
     limits.name = who->name;
     limits.rate = allowed.rate;
@@ -149,8 +148,11 @@
     catch (const refusal_error& refused) {
         retry_ms = refused.retry_after_ms;
     }
-    co_return refusal{too_many_requests, "the organisation's rate is used up",
-                      std::chrono::milliseconds(retry_ms)};
+    duration again = std::chrono::milliseconds(retry_ms);
+    if (kind == limit::demand_kind::starts) {
+        again = std::max(again, start_again);
+    }
+    co_return refusal{too_many_requests, "the organisation's rate is used up", again};
 }
 
 /// @return calls a second that one entry may send to one cold upstream of a service.
@@ -375,6 +377,9 @@
     if (run->is_turn) {
         refused = co_await open_turn(run);
         if (refused.status != 0) {
+            if (run->organisation != nullptr && run->organisation->rate > 0) {
+                run->context.state->rates->give_back(run->organisation->name);
+            }
             co_await refuse(run, refused);
             co_return;
         }
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -11,9 +11,11 @@
 constexpr double held_seconds = 0.25;         ///< an entry holds tokens for this much of its demand
 constexpr double largest_share = 0.5;         ///< of the burst, what one request may take
 constexpr double rounding = 1e-9;
-constexpr double start_reserve = 0.3;    ///< of the burst, left for programs that are under way
-constexpr double tolerated_share = 0.5;  ///< of the tolerance; the rest covers requests that travel together
-constexpr duration renew_margin = 400ms; ///< a lease is renewed this long before it lapses
+constexpr double start_reserve = 0.3; ///< of the burst, left for programs that are under way
+// The rest of the tolerance covers requests that are admitted apart and reach their upstreams together.
+constexpr double tolerated_overage = 0.8;
+constexpr double tolerated_slack = 0.5;
+constexpr duration renew_margin = 400ms;    ///< a lease is renewed this long before it lapses
 constexpr duration report_interval = 100ms; ///< spent tokens are told at most this often
 
 double decay(const purse& held, time_point now)
@@ -100,10 +102,10 @@
     return owned.level < owned.allowed.burst * start_reserve;
 }
 
-limits tolerate(const limits& published, double overage, double slack)
+limits tolerate(const limits& published, const tolerance& allowed)
 {
-    const double factor = 1.0 + overage * tolerated_share;
-    return {published.rate * factor, published.burst * factor + slack * tolerated_share};
+    const double more = allowed.slack * tolerated_slack / std::max(to_seconds(allowed.window), 1.0);
+    return {published.rate * (1.0 + allowed.overage * tolerated_overage) + more, published.burst};
 }
 
 duration wait_for_token(const bucket& owned)
@@ -124,6 +126,14 @@
     return true;
 }
 
+void give_back(purse& held, time_point now)
+{
+    drop_lapsed(held, now);
+    if (now < held.lapses_at) {
+        held.tokens += 1.0;
+    }
+}
+
 void note_demand(purse& held, time_point now)
 {
     held.demand = held.demand * decay(held, now) + 1.0 / demand_window_seconds;
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -36,13 +36,21 @@
 
 /// @return whether the level is too low to begin further programs.
 bool is_scarce(const bucket& owned);
-/// @return limits with a part of the tolerance that operators grant on top. Tokens that lie idle at one
-/// entry are missing at another; without it an organisation would get less than its rate.
-/// @param overage fraction of the limits that they may be exceeded by. @param slack requests beside it.
-limits tolerate(const limits& published, double overage, double slack);
+/// By how much operators let an organisation exceed rate x window + burst in any window.
+struct tolerance {
+    double overage = 0;   ///< fraction of that number
+    double slack = 0;     ///< requests beside it
+    duration window = 5s; ///< length of the window
+};
+
+/// @return limits with a part of the tolerance on top. Tokens that lie idle at one entry are missing at
+/// another; without it an organisation would get less than its rate.
+limits tolerate(const limits& published, const tolerance& allowed);
 
 /// Spends one token. @return false if there is none or the lease has ended.
 bool spend(purse& held, time_point now);
+/// Returns a token whose request turned out not to run. A token of a lapsed lease is gone.
+void give_back(purse& held, time_point now);
 /// Notes one request of the organisation, whether it got a token or not.
 void note_demand(purse& held, time_point now);
 /// Fills an entry's next request. Tokens given back leave the purse at once.
