Avoid upstreams that are silent on a call or answer with failures; repeatable calls go on elsewhere

Change: an instance that has not begun an answer after four times the objective (0.8 s at least) gets no new calls for a second; a call that may be repeated leaves it, within its attempts; each failure counts 0.2 of 2 s in placing and fades by half every 3 s.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -25,6 +25,7 @@
 constexpr duration default_idle_limit = 5s;   ///< of connections to upstreams that name no limit
 constexpr duration reuse_unrepeatable = 2s;   ///< a call that must not be lost uses connections idle for less
 constexpr std::size_t most_buffered = 8U << 20U; ///< bytes of an answer that is not a stream
+constexpr int least_failure = 500;               ///< statuses of an upstream's own failures
 constexpr duration ledger_step = 20ms;           ///< how often a waiting call looks for the ledger groups
 constexpr duration retry_ledger = 300ms;         ///< a new leader of the ledger needs about this long
 constexpr int misdirected_status = 421;
@@ -53,6 +54,7 @@
     bool out_of_order = false; ///< events are missing or doubled
     std::string body;
     event_splitter splitter;
+    std::optional<boost::asio::basic_waitable_timer<runtime_clock>> silence; ///< until the answer begins
 };
 
 std::string make_request(const call_run& run, const directory::instance_record& to)
@@ -105,6 +107,7 @@
 {
     state.head = head;
     state.has_head = true;
+    state.silence.reset();
     const bool success = head.status >= 200 && head.status < 300;
     state.streams = success && head.is_event_stream && head.facts.signed_by_upstream;
     if (state.streams && !run->head_sent) {
@@ -159,9 +162,10 @@
     }
 }
 
-void note_load(placing::instance_load& load, const answer_facts& facts, time_point now)
+void note_load(placing::instance_load& load, int status, const answer_facts& facts, time_point now)
 {
-    placing::note_success(load);
+    const bool failed = status >= least_failure && !facts.not_run;
+    placing::note_answer(load, failed, now);
     if (facts.has_load) {
         load.reported_running = facts.running;
         load.reported_waiting = facts.waiting;
@@ -181,6 +185,31 @@
                                           {"heard_ms_ago", std::uint64_t(to_ms(now - one.heard_at))}});
 }
 
+/// While the answer has not begun in time, new calls avoid the instance. A call that may be repeated goes to
+/// another one.
+void watch_silence(const asio::any_io_executor& executor, const std::shared_ptr<call_run>& run,
+                   const connection_ptr& with, const directory::instance_id& to, attempt_state& state)
+{
+    state.silence.emplace(executor, placing::silence_limit(run->route->latency_objective));
+    state.silence->async_wait([executor, weak = std::weak_ptr<call_run>(run), with, to,
+                               &state](boost::system::error_code cancelled) {
+        const std::shared_ptr<call_run> held = weak.lock();
+        if (cancelled || !held || held->current != with) {
+            return;
+        }
+        const time_point now = runtime_clock::now();
+        placing::note_silence(held->context.state->loads[to], now);
+        log_event(event::instance_suspected, {{"instance", to.value},
+                                              {"request", held->facts.request.value},
+                                              {"reason", "no answer has begun in time"}});
+        if (held->route->repeatable() && held->attempts < held->route->max_attempts) {
+            close_connection(*with);
+            return;
+        }
+        watch_silence(executor, held, with, to, state);
+    });
+}
+
 void log_attempt(const call_run& run, const directory::instance_record& to, const char* reason, int status)
 {
     std::vector<event_field> fields = call_fields(run);
@@ -344,15 +373,19 @@
     ++load.own_running;
     const auto request = std::make_shared<const std::string>(make_request(*run, target));
     bool reusable = false;
+    const auto executor = co_await asio::this_coro::executor;
+    watch_silence(executor, run, with, target.id, state);
     const exchange_end end = co_await exchange(with, request, run->facts.request.value,
                                                run->received.method == "HEAD", shared.speaks, sink, reusable);
+    state.silence.reset();
     --load.own_running;
     run->current = nullptr;
     const time_point now = runtime_clock::now();
     if (end == exchange_end::whole) {
-        note_load(load, state.head.facts, now);
+        note_load(load, state.head.status, state.head.facts, now);
     }
-    else if (run->stopped == stop_reason::none) {
+    else if (run->stopped == stop_reason::none ||
+             (run->stopped == stop_reason::deadline && !state.has_head)) {
         suspect(target, load, now);
     }
     if (reusable) {
--- a/src/placing/placing_func.cpp
+++ b/src/placing/placing_func.cpp
@@ -4,6 +4,7 @@
 #include "base/hash_func.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace guavawick::placing {
 namespace {
@@ -11,7 +12,12 @@
 constexpr duration first_suspicion = 300ms; ///< a quarter of the announcement interval
 constexpr duration longest_suspicion = 3s;  ///< a crashed instance is back after some seconds
 constexpr std::uint32_t most_doublings = 4;
-constexpr double cold_burst = 1.0; ///< calls at once that a cold instance takes from one entry
+constexpr duration silence_suspicion = 1s;    ///< then a call tries whether the instance answers again
+constexpr int silence_factor = 4;             ///< of the objective: callers give a stream up after as much
+constexpr duration least_silence = 800ms;     ///< four times the users' objective of streams
+constexpr double error_weight = 0.2;          ///< of one answer in the share of failures
+constexpr double error_half_life_seconds = 3; ///< several restarts of an instance
+constexpr double cold_burst = 1.0;            ///< calls at once that a cold instance takes from one entry
 
 bool is_cold(const candidate& one, time_point now)
 {
@@ -67,6 +73,7 @@
     if (one.record->data_centre != wish.own_data_centre) {
         cost += wish.model ? costs.model_other_place_ms : costs.service_other_place_ms;
     }
+    cost += recent_errors(load, now) * costs.error_ms;
     if (load.suspect_until > now) {
         cost += costs.suspect_ms;
     }
@@ -111,10 +118,30 @@
     ++load.failures;
 }
 
-void note_success(instance_load& load)
+void note_silence(instance_load& load, time_point now)
+{
+    load.suspect_until = std::max(load.suspect_until, now + silence_suspicion);
+}
+
+void note_answer(instance_load& load, bool failed, time_point now)
 {
     load.failures = 0;
     load.suspect_until = {};
+    load.error_share = recent_errors(load, now) * (1 - error_weight) + (failed ? error_weight : 0);
+    load.errors_at = now;
+}
+
+double recent_errors(const instance_load& load, time_point now)
+{
+    if (load.error_share <= 0) {
+        return 0;
+    }
+    return load.error_share * std::exp2(-to_seconds(now - load.errors_at) / error_half_life_seconds);
+}
+
+duration silence_limit(duration objective)
+{
+    return std::max<duration>(objective * silence_factor, least_silence);
 }
 
 } // namespace guavawick::placing
--- a/src/placing/placing_type.hpp
+++ b/src/placing/placing_type.hpp
@@ -23,7 +23,9 @@
     time_point reported_at{};
     time_point suspect_until{}; ///< it did not answer; avoided until then
     std::uint32_t failures = 0; ///< in a row
-    double cold_tokens = 0;     ///< calls that it may get from this entry while cold
+    double error_share = 0;     ///< recent answers that were failures, as of errors_at
+    time_point errors_at{};
+    double cold_tokens = 0; ///< calls that it may get from this entry while cold
     time_point cold_filled_at{};
 };
 
@@ -55,8 +57,10 @@
     double model_other_place_ms =
         25; ///< a prompt of some KB to another data centre, for each turn of the line
     double service_other_place_ms = 10; ///< a round trip between data centres, and its bytes
-    double suspect_ms = 100'000;        ///< only where nothing else is left
-    duration report_age = 1s;           ///< older reports are not believed
+    double error_ms =
+        2000; ///< a failed call: its time, the callers' pause of up to 400 ms and a later one's risk
+    double suspect_ms = 100'000; ///< only where nothing else is left
+    duration report_age = 1s;    ///< older reports are not believed
 };
 
 } // namespace guavawick::placing
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -53,6 +53,34 @@
     BOOST_TEST(choose_id() == "i3");
 }
 
+BOOST_FIXTURE_TEST_CASE(engine_that_failed_a_call_is_avoided_and_later_tried_again, engines)
+{
+    wish.warm_instance = "i3";
+    note_answer(loads[3], true, now);
+    BOOST_TEST(choose_id() != "i3");
+    now += 15s;
+    BOOST_TEST(choose_id() == "i3");
+}
+
+BOOST_FIXTURE_TEST_CASE(engine_that_is_silent_on_a_call_is_avoided_until_it_answers, engines)
+{
+    wish.warm_instance = "i3";
+    note_silence(loads[3], now);
+    BOOST_TEST(choose_id() != "i3");
+    note_answer(loads[3], false, now);
+    BOOST_TEST(choose_id() == "i3");
+    note_silence(loads[3], now);
+    now += 2s;
+    BOOST_TEST(choose_id() == "i3"); // one call tries it again
+}
+
+BOOST_AUTO_TEST_CASE(silence_limit_follows_the_objective_and_has_a_floor)
+{
+    BOOST_TEST((silence_limit(duration{}) == 800ms));
+    BOOST_TEST((silence_limit(200ms) == 800ms));
+    BOOST_TEST((silence_limit(600ms) == 2400ms));
+}
+
 BOOST_FIXTURE_TEST_CASE(line_of_turns_leaves_an_engine_where_calls_wait, engines)
 {
     wish.warm_instance = "i3";
