--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -460,7 +460,7 @@
     if (outcome == turns::open_outcome::unknown_turn) {
         co_return refusal{404, "no such turn", {}};
     }
-    run->history = known_chain.empty() ? answer.history() : std::move(known_chain);
+    run->history = answer.history().empty() ? known_chain : answer.history();
     run->warm_instance = answer.upstream();
     co_return refusal{0, "", {}};
 }
