--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -260,8 +260,6 @@
             run->port.abort();
             co_return attempt_end::answered;
         }
-    }
-    if (run->route->keeps_turns) {
         keep_chain(run->context.state->chains, chain_key(*run, run->facts.request),
                    run->history + run->received.body + run->output);
     }
