Lend rate tokens by one owner in both kinds of ledger

rate_owner and ledger_service::borrow had the same loan loop and differed in what a new owner lends during the first lease, which is now the owner's stated policy (nothing, or half the rate); both keep what they did. Two flags of the gateway that nothing set are gone.

--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -4,7 +4,7 @@
 #include "core/fleet_settings.hpp"
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
-#include "core/rate_owner.hpp"
+#include "limit/rate_owner.hpp"
 #include "replica/log_store.hpp"
 #include "turns/turn_func.hpp"
 #include "wire/link_type.hpp"
@@ -56,7 +56,7 @@
     replica::group group_;
     turns::turn_state state_;
     group_clock clock_;
-    rate_owner rates_; ///< used while this replica leads
+    limit::rate_owner rates_{limit::first_lease::half}; ///< used while this replica leads
     std::atomic<std::shared_ptr<const ledger_status>> status_{std::make_shared<const ledger_status>()};
 };
 
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -118,8 +118,6 @@
     std::size_t next_directory_ = 0; ///< replica that is asked for its directory next
     time_point started_at_ = runtime_clock::now();
     std::atomic<bool> running_{true};
-    std::atomic<bool> ready_{false};
-    std::atomic<bool> finished_{false};
 };
 
 } // namespace guavawick::gateway
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -108,14 +108,6 @@
     return {published.rate * (1.0 + allowed.overage * tolerated_overage) + more, published.burst};
 }
 
-duration wait_for_token(const bucket& owned)
-{
-    if (owned.level >= 1.0 || owned.allowed.rate <= 0) {
-        return duration{};
-    }
-    return from_seconds((1.0 - owned.level) / owned.allowed.rate);
-}
-
 bool spend(purse& held, time_point now)
 {
     drop_lapsed(held, now);
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -31,8 +31,6 @@
 double borrow(bucket& owned, const borrow_request& wish, time_point now);
 /// @return tokens lent and not reported as spent.
 double lent(const bucket& owned);
-/// @return time until the bucket has a token for someone new.
-duration wait_for_token(const bucket& owned);
 
 /// @return whether the level is too low to begin further programs.
 bool is_scarce(const bucket& owned);
--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -93,7 +93,7 @@
     leads_since_ = runtime_clock::now();
     group_time_base_ = state_.now;
     sessions_.clear();
-    buckets_.clear();
+    rates_.begin(leads_since_);
     free_offered_.clear();
     if (leads) {
         return;
@@ -299,37 +299,8 @@
 
 wire::envelope ledger_service::borrow(const wire::envelope& request, time_point now)
 {
-    const wire::borrow_request& asked = request.borrow();
-    wire::envelope reply;
-    // Tokens lent by an earlier owner may still be spent; nothing is lent until they have lapsed.
-    if (now < leads_since_ + giver_lease(limit::token_lease)) {
-        reply.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::busy));
-        return reply;
-    }
-    wire::borrow_reply* body = reply.mutable_borrowed();
-    body->set_sequence(asked.sequence());
-    for (const wire::borrow_item& item : asked.items()) {
-        const limit::limits allowed{item.rate(), item.burst()};
-        // A new owner starts each bucket empty, from the moment at which lending became safe.
-        const time_point since = leads_since_ + giver_lease(limit::token_lease);
-        const auto [found, fresh] =
-            buckets_.try_emplace(item.organisation(), limit::make_bucket(allowed, since));
-        limit::set_limits(found->second, allowed, now);
-        const limit::borrow_request wish{incarnation_id{asked.entry_incarnation()},
-                                         asked.sequence(),
-                                         item.acked(),
-                                         item.held(),
-                                         item.returned(),
-                                         item.wanted(),
-                                         item.wanted_starts()};
-        const double granted = limit::borrow(found->second, wish, now);
-        wire::grant_item* made = body->add_items();
-        made->set_organisation(item.organisation());
-        made->set_tokens(granted);
-        made->set_scarce(limit::is_scarce(found->second));
-        made->set_retry_ms(static_cast<std::uint32_t>(to_ms(limit::wait_for_token(found->second))));
-    }
-    if (!group_.may_read()) {
+    wire::envelope reply = rates_.borrow(request.borrow(), now);
+    if (reply.has_borrowed() && !group_.may_read()) {
         return redirect(); // the lease ended meanwhile; what was lent lapses unused
     }
     return reply;
--- a/src/replica/ledger_service.hpp
+++ b/src/replica/ledger_service.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "ledger/ledger_func.hpp"
-#include "limit/bucket_func.hpp"
+#include "limit/rate_owner.hpp"
 #include "replica/control_service.hpp"
 #include "replica/group.hpp"
 
@@ -52,7 +52,7 @@
     ledger::ledger_state state_;
     std::map<parked_key, parked_open> parked_;                ///< leader: openers that wait for their turn
     std::unordered_map<incarnation_id, time_point> sessions_; ///< leader: when each entry was last heard
-    std::unordered_map<std::string, limit::bucket> buckets_;  ///< leader: by organisation
+    limit::rate_owner rates_{limit::first_lease::nothing};    ///< leader
     std::map<ledger::program_key, time_point> free_offered_;  ///< leader: when a freeing was last asked for
     time_point leads_since_{};
     ledger::group_time group_time_base_{};
