--- a/src/base/settings_func.cpp
+++ b/src/base/settings_func.cpp
@@ -362,6 +362,7 @@
     reader.read_duration(*table, prefix, "election_timeout", into.election_timeout, {100ms, 60s});
     reader.read_duration(*table, prefix, "heartbeat", into.heartbeat, {10ms, 10s});
     reader.read_number(*table, prefix, "snapshot_entries", into.snapshot_entries, {10, 10000000});
+    reader.read_number(*table, prefix, "snapshot_log_bytes", into.snapshot_log_bytes, {65536, 1U << 30U});
     reader.read_strings(*table, prefix, "operator_keys", into.operator_keys);
     if (into.heartbeat * 3 > into.election_timeout) {
         reader.add_fault(table, prefix + "heartbeat", "expected at most a third of election_timeout");
--- a/src/base/settings_type.hpp
+++ b/src/base/settings_type.hpp
@@ -67,6 +67,8 @@
     duration election_timeout = 1000ms; ///< time without contact to a leader after which an election starts
     duration heartbeat = 150ms;         ///< interval between the heartbeats of a leader
     std::uint64_t snapshot_entries = 20000; ///< number of log entries after which a snapshot is written
+    std::uint64_t snapshot_log_bytes =
+        64U << 20U; ///< bytes of log after which a snapshot is written; a quarter stays for lagging members
     std::vector<std::string> operator_keys; ///< "NAME:SHA256HEX" of each operator's key
 };
 
--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -127,6 +127,7 @@
     request.index = state.newest_snapshot->index;
     request.sent_at = to_wire(now);
     peer.snapshot_pending = true;
+    peer.snapshot_index = request.index;
     peer.snapshot_sent_at = now;
     pending.immediate_messages.push_back(std::move(request));
 }
@@ -167,6 +168,14 @@
     pending.immediate_messages.push_back(std::move(request));
 }
 
+/// Keeps contact with a member that is installing a snapshot: every log starts with the entry 0.
+void send_bare_heartbeat(group_state& state, member_id to, time_point now, effects& pending)
+{
+    message request = make_message(state, message_kind::append_request, to);
+    request.sent_at = to_wire(now);
+    pending.immediate_messages.push_back(std::move(request));
+}
+
 void broadcast_append(group_state& state, time_point now, effects& pending)
 {
     for (const member& other : current_members(state).members) {
@@ -178,6 +187,9 @@
             found->second.next = last_index(state) + 1;
         }
         send_append(state, other.id, found->second, now, pending);
+        if (found->second.snapshot_pending) {
+            send_bare_heartbeat(state, other.id, now, pending);
+        }
     }
     state.heartbeat_due = now + state.settings.heartbeat;
 }
@@ -462,15 +474,16 @@
         }
         return;
     }
-    peer.snapshot_pending = false;
     peer.match = std::max(peer.match, reply.index);
     peer.next = std::max(peer.next, peer.match + 1);
+    peer.snapshot_pending =
+        peer.snapshot_pending && peer.match < peer.snapshot_index && peer.next <= state.base_index;
     peer.probing = false;
     advance_commit(state, pending);
     if (state.transfer_target == reply.from && peer.match == last_index(state)) {
         pending.immediate_messages.push_back(make_message(state, message_kind::timeout_now, reply.from));
     }
-    if (peer.next <= last_index(state)) {
+    if (peer.next <= last_index(state) && !peer.snapshot_pending) {
         send_append(state, reply.from, peer, now, pending);
     }
 }
@@ -485,13 +498,13 @@
     }
     accept_leader(state, request, now, pending);
     reply.term = state.term;
-    const bool has_entry = term_at(state, request.state->index) == request.state->term;
-    if (request.state->index > state.commit && has_entry) {
+    const bool is_needed = needs_snapshot(state, *request.state);
+    if (request.state->index > state.commit && !is_needed) {
         // Keep the log: entries after the snapshot's index may have been acknowledged to the leader.
         state.commit = request.state->index;
         collect_committed(state, pending);
     }
-    else if (request.state->index > state.commit) {
+    else if (is_needed) {
         state.newest_snapshot = request.state;
         state.entries.clear();
         state.base_index = request.state->index;
@@ -516,6 +529,21 @@
     }
 }
 
+/// @return the index up to which a snapshot replaces the log: lagging members get the entries after it.
+log_index retained_base(const group_state& state, log_index snapshot_index)
+{
+    log_index base = snapshot_index;
+    std::uint64_t bytes = 0;
+    while (base > state.base_index && snapshot_index - base < state.settings.retained_entries) {
+        bytes += find_entry(state, base)->payload.size();
+        if (bytes > state.settings.retained_bytes) {
+            break;
+        }
+        --base;
+    }
+    return base;
+}
+
 void tick_leader(group_state& state, time_point now, effects& pending)
 {
     const time_point quorum_contact_at = std::max(quorum_acked_at(state, now), state.leader_since);
@@ -536,6 +564,11 @@
 
 } // namespace
 
+bool needs_snapshot(const group_state& state, const snapshot& offered)
+{
+    return offered.index > state.commit && term_at(state, offered.index) != offered.term;
+}
+
 const membership& current_members(const group_state& state)
 {
     assert(!state.memberships.empty());
@@ -563,7 +596,7 @@
     return entry == nullptr ? 0 : entry->term;
 }
 
-group_state restore_state(member_id self, const options& settings, const persisted_state& disk,
+group_state restore_state(member_id self, const options& settings, persisted_state disk,
                           const membership& initial_members, time_point now, std::uint64_t seed)
 {
     group_state state;
@@ -579,14 +612,14 @@
         state.base_term = disk.newest_snapshot->term;
         state.memberships = {{state.base_index, disk.newest_snapshot->members}};
     }
-    for (const log_entry& entry : disk.entries) {
+    for (log_entry& entry : disk.entries) {
         if (entry.index != last_index(state) + 1) {
             continue;
         }
         if (entry.kind == entry_kind::membership) {
             state.memberships.push_back({entry.index, decode_membership(entry.payload)});
         }
-        state.entries.push_back(entry);
+        state.entries.push_back(std::move(entry));
     }
     state.commit = state.base_index;
     state.applied = state.base_index;
@@ -642,6 +675,22 @@
     start_pre_vote(state, now, pending);
 }
 
+bool has_work(const effects& pending)
+{
+    return !pending.messages.empty() || !pending.immediate_messages.empty() || !pending.appended.empty() ||
+           !pending.committed.empty() || pending.hard_state_changed || pending.truncate_after.has_value() ||
+           pending.install != nullptr || pending.became_leader || pending.lost_leadership;
+}
+
+time_point next_tick_at(const group_state& state)
+{
+    if (state.role == role_type::leader) {
+        return state.transfer_target ? std::min(state.heartbeat_due, state.transfer_deadline)
+                                     : state.heartbeat_due;
+    }
+    return is_voter(state, state.self) ? state.election_due : time_point::max();
+}
+
 log_index propose(group_state& state, entry_kind kind, std::string payload, effects& pending)
 {
     if (state.role != role_type::leader || state.transfer_target) {
@@ -724,8 +773,7 @@
 void compact(group_state& state, std::shared_ptr<const snapshot> created)
 {
     assert(created->index <= state.applied);
-    const log_index retained = state.settings.retained_entries;
-    const log_index new_base = created->index > retained ? created->index - retained : 0;
+    const log_index new_base = retained_base(state, created->index);
     if (new_base > state.base_index) {
         state.base_term = term_at(state, new_base);
         state.entries.erase(state.entries.begin(),
--- a/src/consensus/consensus_func.hpp
+++ b/src/consensus/consensus_func.hpp
@@ -18,13 +18,17 @@
 /// Restores a member's state from its persisted data.
 /// @param initial_members members of a new group; ignored if the snapshot or the log contains a membership.
 /// @param seed seed of the random election timeouts.
-group_state restore_state(member_id self, const options& settings, const persisted_state& disk,
+group_state restore_state(member_id self, const options& settings, persisted_state disk,
                           const membership& initial_members, time_point now, std::uint64_t seed);
 
+/// @return whether the driver must execute the effects.
+bool has_work(const effects& pending);
 /// Processes one message. @param pending receives the effects that the driver must carry out.
 void step(group_state& state, const message& incoming, time_point now, effects& pending);
 /// Runs the work that is due at `now`: elections, heartbeats and check-quorum.
 void tick(group_state& state, time_point now, effects& pending);
+/// @return when tick() next has work to do unless a message arrives before; time_point::max() if never.
+time_point next_tick_at(const group_state& state);
 /// Appends an entry to the log. @return its index, or 0 if this member is not the leader or is transferring
 /// leadership.
 log_index propose(group_state& state, entry_kind kind, std::string payload, effects& pending);
@@ -42,6 +46,9 @@
 /// @pre the snapshot's index is not above the applied index.
 void compact(group_state& state, std::shared_ptr<const snapshot> created);
 
+/// @return whether this member can only reach the snapshot's index by installing it.
+bool needs_snapshot(const group_state& state, const snapshot& offered);
+
 /// @return the newest membership in the log, which applies before it is committed.
 const membership& current_members(const group_state& state);
 /// @return the member with the given id, or nullptr.
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -55,10 +55,11 @@
 
 /// State of a group as of one log index. Replaces the entries up to it, on disk and for lagging replicas.
 struct snapshot {
-    log_index index = 0;  ///< last entry included in the state
-    term_number term = 0; ///< term of that entry
-    membership members;   ///< members as of that entry
-    std::string state;    ///< encoded state of the state machine
+    log_index index = 0;             ///< last entry included in the state
+    term_number term = 0;            ///< term of that entry
+    membership members;              ///< members as of that entry
+    std::string state;               ///< encoded state of the state machine; empty in an offer
+    std::uint64_t offered_bytes = 0; ///< offer to another member: size of the state that it has to query
 };
 
 /// Type of a message between members.
@@ -97,6 +98,7 @@
     std::size_t max_batch_bytes = 1 << 20; ///< payload bytes per message
     log_index max_inflight_entries = 2048; ///< unacknowledged entries per member: four full batches
     log_index retained_entries = 2000;     ///< entries kept before a snapshot's index for lagging members
+    std::uint64_t retained_bytes = 1U << 30U; ///< payload bytes of these entries at most
 };
 
 /// Role of a member.
@@ -109,6 +111,7 @@
     time_point acked_sent_at{};    ///< send time of the newest message that it acknowledged
     time_point snapshot_sent_at{}; ///< when a snapshot was last sent
     bool snapshot_pending = false; ///< a snapshot was sent and not yet acknowledged
+    log_index snapshot_index = 0;  ///< index of that snapshot
     bool probing = false;          ///< it rejected entries: no entries are sent until it accepts a position
     log_index probe_index = 0;     ///< the position that was last probed
 };
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -339,7 +339,10 @@
     if (directory_message.has_directory()) {
         links_->send(request.endpoint(), std::move(directory_message));
     }
-    links_->send(request.endpoint(), make_hello(now, request.hello_digest()));
+    if (const std::shared_ptr<const prepared_hello> hello = hello_.load()) {
+        const bool known = hello->full.hello().digest() == request.hello_digest();
+        links_->send(request.endpoint(), known ? hello->unchanged : hello->full);
+    }
     const fleet_view view = view_.load();
     // The leader pushes a new view itself; a full document from every replica would saturate the links.
     const bool push_missed = request.version() == 0 || now - view_published_at_.load() > push_retry_delay;
@@ -348,18 +351,18 @@
     }
 }
 
-wire::envelope control_process::make_hello(time_point now, std::uint64_t known_digest)
+void control_process::update_hello(time_point now)
 {
-    wire::envelope message = make_full_hello(now);
-    wire::control_hello* hello = message.mutable_hello();
+    auto prepared = std::make_shared<prepared_hello>();
+    prepared->full = make_full_hello(now);
+    wire::control_hello* hello = prepared->full.mutable_hello();
     const std::uint64_t digest = hash_bytes(hello->SerializeAsString());
-    if (digest == known_digest) {
-        hello->Clear();
-        hello->set_unchanged(true);
-    }
     hello->set_sender(settings_.link);
     hello->set_digest(digest);
-    return message;
+    prepared->unchanged.mutable_hello()->set_unchanged(true);
+    prepared->unchanged.mutable_hello()->set_sender(settings_.link);
+    prepared->unchanged.mutable_hello()->set_digest(digest);
+    hello_.store(std::move(prepared));
 }
 
 wire::envelope control_process::make_full_hello(time_point now)
@@ -418,6 +421,7 @@
         replicas.push_back({endpoint, endpoint});
     }
     client_->set_replicas(std::move(replicas));
+    update_hello(now);
     // During the bootstrap the contacts are the initial members, so none may be added.
     if (!group_->is_blank() || !settings_.bootstrap) {
         group_->set_contacts(contacts);
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -67,6 +67,12 @@
 private:
     using fleet_view = std::shared_ptr<const fleet_state>;
 
+    /// Replies to subscriptions, encoded once for all subscribers.
+    struct prepared_hello {
+        wire::envelope full;
+        wire::envelope unchanged; ///< for a subscriber that has the digest of the full one
+    };
+
     void receive(const wire::reply_target& from, const wire::envelope_ptr& message);
     void handle_request(const wire::envelope_ptr& request, const reply_function& send_reply);
     void handle_subscription(const wire::subscribe_request& request);
@@ -79,7 +85,7 @@
     void tick(time_point now);
     void bootstrap_ledger_groups(time_point now);
     wire::envelope make_retirement_reply(const std::string& store, time_point now);
-    wire::envelope make_hello(time_point now, std::uint64_t known_digest);
+    void update_hello(time_point now);
     wire::envelope make_full_hello(time_point now);
     boost::asio::awaitable<void> send_to_peers(wire::envelope update, bool wait_for_peer);
     boost::asio::awaitable<wire::envelope> call_leader(wire::envelope request);
@@ -100,7 +106,8 @@
     time_point
         bootstrap_wait_since_{};   ///< start of the current bootstrap_delay; unset before the first store
     std::atomic<fleet_view> view_; ///< state after the last applied command
-    std::atomic<time_point> view_published_at_{time_point{}}; ///< when `view_` was last replaced
+    std::atomic<std::shared_ptr<const prepared_hello>> hello_; ///< as of the last tick; empty before it
+    std::atomic<time_point> view_published_at_{time_point{}};  ///< when `view_` was last replaced
     std::atomic<bool> running_{true};
 
     mutable std::mutex mutex_; ///< guards everything below
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -27,12 +27,16 @@
     std::size_t tolerated_failures = 1; ///< instances with a disk that may fail at the same time
     duration instance_heartbeat_interval = 1200ms; ///< between two heartbeats of an upstream instance
     limit::tolerance rate_tolerance;               ///< by how much organisations may exceed rate and burst
-    duration stop_grace = 8s;                      ///< from the stop signal until the process is killed
+    std::uint64_t memory_limit = 0; ///< bytes of memory that this process may use; 0 if unknown
+    std::uint64_t disk_limit = 0;   ///< bytes that the data folder may hold; 0 if unknown
+    duration stop_grace = 8s;       ///< from the stop signal until the process is killed
 };
 
 constexpr duration fleet_election_timeout = 600ms; ///< 5 heartbeats; callers wait this long for a new leader
 constexpr duration fleet_heartbeat_interval =
     120ms; ///< a fifth of the election timeout, so that single lost messages start no election
+constexpr std::uint64_t fleet_snapshot_log_bytes =
+    6U << 20U; ///< log that a group holds in memory and reads at its start, beside a quarter that is retained
 constexpr duration fleet_link_silence_limit =
     900ms; ///< 3 pings; a broken connection may stay silent without an error
 
@@ -44,6 +48,7 @@
     settings.link = fleet.link;
     settings.data_folder = fleet.data_folder;
     settings.snapshot_entries = snapshot_entries;
+    settings.snapshot_log_bytes = fleet_snapshot_log_bytes;
     settings.election_timeout = fleet_election_timeout;
     settings.heartbeat = fleet_heartbeat_interval;
     return settings;
--- a/src/core/group_serving.cpp
+++ b/src/core/group_serving.cpp
@@ -28,11 +28,20 @@
         }
         return true;
     }
+    if (message.has_snapshot_query() && message.snapshot_query().group() == group.number()) {
+        group.handle(std::make_shared<const wire::snapshot_query>(message.snapshot_query()));
+        return true;
+    }
+    if (message.has_snapshot_part() && message.snapshot_part().group() == group.number()) {
+        group.handle(std::make_shared<const wire::snapshot_part>(message.snapshot_part()));
+        return true;
+    }
     if (message.has_join()) {
         const wire::join_request& join = message.join();
         if (join.group() == group.number() && join.id() != 0) {
-            group.handle_join({consensus::member_id{join.id()}, join.name(), join.endpoint(), false, 0,
-                               join.data_centre()});
+            group.handle_join(
+                {consensus::member_id{join.id()}, join.name(), join.endpoint(), false, 0, join.data_centre()},
+                join.forwarded());
         }
         return true;
     }
--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -7,7 +7,7 @@
 namespace guavawick::core {
 namespace {
 
-constexpr std::uint64_t snapshot_entries = 6000;   ///< about 12 MB of log at 2 KB an entry
+constexpr std::uint64_t snapshot_entries = 20000;  ///< a snapshot is due earlier by the bytes of the log
 constexpr std::size_t max_pending_proposals = 200; ///< a store commits some hundreds of proposals a second
 
 const char* to_string(turns::open_outcome outcome)
@@ -28,6 +28,7 @@
 ledger_replica::ledger_replica(std::uint32_t number, const fleet_settings& settings,
                                consensus::member_id disk_id, wire::link& links)
     : policy_(consensus::make_membership_policy(settings.tolerated_failures, settings.data_centre_count)),
+      contents_(settings.data_folder + "/group-" + std::to_string(number) + "/contents"),
       group_(number, make_replica_settings(settings, snapshot_entries), disk_id, {}, links)
 {
     group_.enable_managed_membership(policy_, settings.data_centre);
@@ -37,13 +38,54 @@
 {
     replica::state_machine machine;
     machine.apply = [this](const std::string& command) { return apply(command); };
-    machine.save = [this] { return turns::encode_state(state_); };
-    machine.restore = [this](const std::string& bytes) { state_ = turns::decode_state(bytes); };
+    machine.save = [this] {
+        contents_.sync();
+        import_ = {}; // a member that applies entries no longer needs what it copied for an import
+        return turns::encode_state(state_);
+    };
+    machine.restore = [this](const std::string& bytes) {
+        state_ = turns::decode_state(bytes,
+                                     [this](std::string_view content) { return contents_.append(content); });
+    };
+    machine.contents = make_content_callbacks();
     machine.leadership_changed = [this](bool leads) { handle_leadership_change(leads); };
     machine.tick = [this](time_point) { publish_status(); };
     group_.start(std::move(machine));
 }
 
+replica::content_callbacks ledger_replica::make_content_callbacks()
+{
+    replica::content_callbacks callbacks;
+    callbacks.read = [this](const std::vector<content_range>& ranges, std::string& into) {
+        for (const content_range& range : ranges) {
+            contents_.read(range, into);
+        }
+    };
+    callbacks.begin_import = [this](const std::string& encoded) { begin_import(import_, encoded, state_); };
+    callbacks.next_missing = [this] { return next_missing(import_); };
+    callbacks.add = [this](const std::string& bytes) {
+        add_contents(import_, bytes, [this](std::string_view content) { return contents_.append(content); });
+    };
+    callbacks.finish_import = [this] {
+        contents_.sync();
+        return turns::encode_state(take_state(import_));
+    };
+    callbacks.remove_unused = [this] { remove_unused_contents(); };
+    return callbacks;
+}
+
+void ledger_replica::remove_unused_contents()
+{
+    std::set<std::uint32_t> used;
+    for (const auto& [key, turn] : state_.turns) {
+        used.insert(turn.content.segment);
+    }
+    for (const auto& [key, content] : import_.copied) {
+        used.insert(content.segment);
+    }
+    contents_.remove_unused(used);
+}
+
 void ledger_replica::stop()
 {
     group_.stop();
@@ -89,13 +131,15 @@
                                            : make_redirect(group_));
         return;
     }
-    if (request.has_open_turn() && group_.pending_proposals() > max_pending_proposals) {
-        // Further turns would wait until their callers have given up. Turns can still be closed.
+    const bool overloaded = group_.pending_proposals() > max_pending_proposals;
+    if (request.has_open_turn() && (overloaded || !admits_turns_.load())) {
+        // Further turns would wait until their callers have given up, or their contents would not fit. Turns
+        // can still be closed.
         wire::envelope refusal;
         refusal.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::overloaded));
         log_event(event::turn_opened, {{"request", request.open_turn().request()},
                                        {"group", std::uint64_t{group_.number()}},
-                                       {"outcome", "overloaded"},
+                                       {"outcome", overloaded ? "overloaded" : "store_full"},
                                        {"waiting", std::uint64_t{group_.pending_proposals()}}});
         send_reply(std::move(refusal));
         return;
@@ -134,11 +178,21 @@
         return apply_open(command.open());
     }
     turns::advance_time(state_, turns::group_time{command.close().now_ms()});
-    turns::close_turn(state_, turns::from_wire(command.close()));
+    apply_close(command.close());
     reply.mutable_done();
     return reply;
 }
 
+void ledger_replica::apply_close(const wire::close_turn& request)
+{
+    const turns::close_request closing = turns::from_wire(request);
+    content_range content;
+    if (turns::stores_content(state_, closing)) {
+        content = contents_.append(request.input() + request.output());
+    }
+    turns::close_turn(state_, closing, content);
+}
+
 wire::envelope ledger_replica::apply_open(const wire::open_turn& request)
 {
     turns::advance_time(state_, turns::group_time{request.now_ms()});
@@ -146,7 +200,11 @@
     wire::envelope reply;
     wire::open_turn_reply* body = reply.mutable_turn_opened();
     body->set_outcome(static_cast<std::uint32_t>(result.outcome));
-    body->set_history(result.history);
+    if (group_.leads()) { // the other members' replies go nowhere
+        for (const content_range& content : result.history) {
+            contents_.read(content, *body->mutable_history());
+        }
+    }
     body->set_upstream(result.upstream);
     body->set_spent(result.spent);
     body->set_reserved(result.reserved);
@@ -158,7 +216,7 @@
                                        {"spent", result.spent},
                                        {"reserved", result.reserved},
                                        {"previous", request.previous()},
-                                       {"history_bytes", std::uint64_t{result.history.size()}},
+                                       {"history_bytes", std::uint64_t{body->history().size()}},
                                        {"warm", result.upstream},
                                        {"turns_held", std::uint64_t{state_.turns.size()}}});
     }
@@ -177,6 +235,7 @@
 {
     auto status = std::make_shared<ledger_replica_status>();
     status->blank = group_.is_blank();
+    status->content_bytes = contents_.size();
     status->leads = group_.leads() && group_.has_read_lease();
     if (status->leads) {
         status->members = group_.report().members;
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -4,8 +4,10 @@
 #include "core/fleet_settings.hpp"
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
+#include "core/turn_import.hpp"
 #include "limit/rate_owner.hpp"
 #include "replica/log_store.hpp"
+#include "replica/segment_store.hpp"
 #include "turns/turn_func.hpp"
 #include "wire/link_type.hpp"
 
@@ -18,6 +20,7 @@
 struct ledger_replica_status {
     bool blank = true;                           ///< the disk holds no data of the group
     bool leads = false;                          ///< this replica leads and a quorum confirmed it
+    std::uint64_t content_bytes = 0;             ///< size of the contents' segments on disk
     std::vector<replica::member_report> members; ///< as the leader sees them; empty on other replicas
 };
 
@@ -42,6 +45,8 @@
                       const std::vector<consensus::member>& initial_members);
     /// Sets the names of the stores that must give up their membership.
     void set_retiring_stores(std::set<std::string> names);
+    /// Sets whether new turns are admitted.
+    void set_admits_turns(bool admits) { admits_turns_.store(admits); }
     /// @return the status as of the last tick.
     [[nodiscard]] std::shared_ptr<const ledger_replica_status> status() const { return status_.load(); }
     [[nodiscard]] const replica::group& group() const { return group_; }
@@ -51,16 +56,22 @@
     void propose(const wire::envelope& request, const reply_function& send_reply);
     wire::envelope apply(const std::string& command);
     wire::envelope apply_open(const wire::open_turn& request);
+    void apply_close(const wire::close_turn& request);
+    replica::content_callbacks make_content_callbacks();
+    void remove_unused_contents();
     void handle_leadership_change(bool leads);
     void publish_status();
 
     consensus::membership_policy policy_;
-    replica::group group_;
     turns::turn_state state_;
+    replica::segment_store contents_; ///< inputs and outputs of the turns in `state_`
+    turn_import import_;
     group_clock clock_;
     limit::rate_owner rate_owner_{limit::takeover_policy::half_rate}; ///< used while this replica leads
+    std::atomic<bool> admits_turns_{true};
     std::atomic<std::shared_ptr<const ledger_replica_status>> status_{
         std::make_shared<const ledger_replica_status>()};
+    replica::group group_; ///< last member: its thread, which uses the others, ends first
 };
 
 } // namespace guavawick::core
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -5,6 +5,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "core/group_metrics.hpp"
+#include "runtime/memory_func.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -73,6 +74,9 @@
     auto replica = std::make_unique<ledger_replica>(group, settings_, disk_.id, *links_);
     replica->start();
     add_group_metrics(metrics_, replica->group());
+    metrics_.add({"guavawick_replica_content_bytes", "Contents of turns on disk.", false,
+                  [started = replica.get()] { return static_cast<double>(started->status()->content_bytes); },
+                  std::to_string(group)});
     const std::lock_guard lock(mutex_);
     return *replicas_.emplace(group, std::move(replica)).first->second;
 }
@@ -205,10 +209,40 @@
     }
 }
 
+void store_process::check_budget()
+{
+    store_usage usage;
+    usage.memory = runtime::resident_memory();
+    usage.memory_limit = settings_.memory_limit;
+    usage.disk_limit = settings_.disk_limit;
+    const std::lock_guard lock(mutex_);
+    for (const auto& [group, replica] : replicas_) {
+        usage.disk += replica->status()->content_bytes + replica->group().counters().log_bytes.load();
+    }
+    const store_pressure previous = pressure_;
+    pressure_ = next_pressure(usage, previous);
+    if (pressure_ > previous) {
+        runtime::return_free_memory();
+    }
+    const bool admits = pressure_ != store_pressure::refuses_turns;
+    for (const auto& [group, replica] : replicas_) {
+        replica->set_admits_turns(admits);
+    }
+    if (admits == (previous != store_pressure::refuses_turns)) {
+        return;
+    }
+    log_event(event::store_admission_changed, {{"admits_turns", admits ? "yes" : "no"},
+                                               {"memory", usage.memory},
+                                               {"memory_limit", usage.memory_limit},
+                                               {"disk", usage.disk},
+                                               {"disk_limit", usage.disk_limit}});
+}
+
 boost::asio::awaitable<void> store_process::report_loop()
 {
     while (running_.load()) {
         send_report();
+        check_budget();
         co_await runtime::wait_for(report_interval);
     }
 }
--- a/src/core/store_process.hpp
+++ b/src/core/store_process.hpp
@@ -3,6 +3,7 @@
 
 #include "core/fleet_settings.hpp"
 #include "core/ledger_replica.hpp"
+#include "core/store_budget.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
 #include "replica/log_store.hpp"
@@ -37,6 +38,7 @@
     void receive(const wire::reply_target& from, const wire::envelope_ptr& message);
     void handle_hello(const wire::control_hello& hello);
     void send_report();
+    void check_budget();
     boost::asio::awaitable<void> report_loop();
     [[nodiscard]] ledger_replica* find_replica(std::uint32_t group);
     ledger_replica& open_replica(std::uint32_t group);
@@ -46,6 +48,7 @@
     replica::disk_identity disk_;
     std::unique_ptr<wire::link> links_;
     std::atomic<bool> running_{true};
+    store_pressure pressure_ = store_pressure::none; ///< used by the report loop only
     std::unique_ptr<http::server> metrics_server_;
     http::metric_set metrics_;
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -139,8 +139,8 @@
     add_metrics();
     pool_.spawn(poll_loop());
     pool_.spawn(load_poll_loop());
+    pool_.spawn(rate_limiter_->borrow_loop([this] { return is_running(); }));
     for (std::uint32_t shard = 0; shard < shard_count; ++shard) {
-        pool_.spawn(rate_limiter_->borrow_loop(shard, [this] { return is_running(); }));
         pool_.spawn(session_loop(shard));
     }
     caller_server_ =
--- a/src/entry/rate_gate.cpp
+++ b/src/entry/rate_gate.cpp
@@ -18,6 +18,7 @@
 namespace {
 
 constexpr duration borrow_interval = 20ms; ///< between two checks of leases and waiting requests
+constexpr duration rest_interval = 200ms;  ///< the same while there are neither; a third of a lease
 constexpr duration borrow_timeout = 1s;
 constexpr std::uint32_t min_retry_after_ms = 100;  ///< several borrow intervals
 constexpr std::uint32_t max_retry_after_ms = 1000; ///< further ahead the bucket's level is unpredictable
@@ -34,17 +35,16 @@
     time_point deadline{};
 };
 
-/// Wakes a borrow_loop(): at once if a request has to wait, otherwise at intervals.
-struct borrow_wakeup {
-    explicit borrow_wakeup(const asio::any_io_executor& pool) : signal(pool, 1) {}
+/// Wakes the borrow_loop(): at once if a request has to wait, otherwise at intervals.
+struct borrow_signal {
+    explicit borrow_signal(const asio::any_io_executor& pool) : channel(pool, 1) {}
 
-    asio::experimental::concurrent_channel<void(boost::system::error_code)> signal;
+    asio::experimental::concurrent_channel<void(boost::system::error_code)> channel;
 };
 
 rate_limiter::rate_limiter(wire::group_client& client, incarnation_id entry, std::uint32_t shard_count,
                            std::uint32_t first_group)
-    : client_(client), entry_(entry), shard_count_(shard_count), first_group_(first_group),
-      wakeups_(shard_count)
+    : client_(client), entry_(entry), shard_count_(shard_count), first_group_(first_group)
 {
 }
 
@@ -64,7 +64,12 @@
     {
         const std::lock_guard lock(mutex_);
         const time_point now = runtime_clock::now();
-        organisation_state& state = organisations_[organisation.name.value];
+        const auto [entry, inserted] = organisations_.try_emplace(organisation.name.value);
+        organisation_state& state = entry->second;
+        if (inserted) {
+            state.shard =
+                ledger::shard_of(organisation_name{organisation.name.value}, program_name{}, shard_count_);
+        }
         state.allowed = {organisation.rate, organisation.burst};
         state.plan_version = plan_version;
         limit::record_demand(state.token_lease, now);
@@ -86,10 +91,8 @@
         }
         waiter->deadline = now + timeout;
         queue.push_back(waiter);
-        const auto& wakeup = wakeups_[ledger::shard_of(organisation_name{organisation.name.value},
-                                                       program_name{}, shard_count_)];
-        if (wakeup) {
-            wakeup->signal.try_send(boost::system::error_code{});
+        if (signal_) {
+            signal_->channel.try_send(boost::system::error_code{});
         }
     }
     const bool granted = co_await waiter->result.async_receive(asio::use_awaitable);
@@ -126,17 +129,14 @@
                      state.running_waiters.empty() ? reserved : state.token_lease.tokens, now);
 }
 
-wire::envelope rate_limiter::make_borrow_request(std::uint32_t shard, std::uint64_t sequence, time_point now,
-                                                 borrow_requests& sent_requests)
+std::map<std::uint32_t, rate_limiter::shard_request> rate_limiter::make_borrow_requests(time_point now)
 {
+    std::map<std::uint32_t, shard_request> requests;
     const std::lock_guard lock(mutex_);
-    wire::envelope request;
-    wire::borrow_request* body = request.mutable_borrow();
-    body->set_entry_incarnation(entry_.value);
-    body->set_sequence(sequence);
     for (auto position = organisations_.begin(); position != organisations_.end();) {
         auto& [name, state] = *position;
-        if (ledger::shard_of(organisation_name{name}, program_name{}, shard_count_) != shard) {
+        grant_tokens(state, now);
+        if (asked_shards_.contains(state.shard)) {
             ++position;
             continue;
         }
@@ -145,11 +145,21 @@
             position = organisations_.erase(position);
             continue;
         }
+        const auto sequence = requests.contains(state.shard)
+                                  ? requests[state.shard].message.borrow().sequence()
+                                  : next_sequence_;
         const limit::borrow_request item_request =
             limit::prepare_request(state.token_lease, entry_, sequence, state.running_waiters.size(), now,
                                    state.start_waiters.size());
         if (limit::is_request_due(state.token_lease, item_request, now)) {
             limit::record_request_sent(state.token_lease, item_request, now);
+            shard_request& request = requests[state.shard];
+            wire::borrow_request* body = request.message.mutable_borrow();
+            if (request.items.empty()) {
+                body->set_entry_incarnation(entry_.value);
+                body->set_sequence(next_sequence_++);
+                request.asked_at = now;
+            }
             wire::borrow_item* item = body->add_items();
             item->set_organisation(name);
             item->set_wanted(item_request.wanted);
@@ -160,69 +170,82 @@
             item->set_rate(state.allowed.rate);
             item->set_burst(state.allowed.burst);
             item->set_plan_version(state.plan_version);
-            sent_requests[name] = item_request;
+            request.items[name] = item_request;
         }
         ++position;
     }
-    return request;
+    for (const auto& [shard, request] : requests) {
+        asked_shards_.insert(shard);
+    }
+    return requests;
 }
 
-void rate_limiter::apply_reply(const wire::envelope& reply, const borrow_requests& sent_requests,
-                               time_point asked_at)
+void rate_limiter::apply_reply(const wire::envelope& reply, const shard_request& request)
 {
     const std::lock_guard lock(mutex_);
     const time_point now = runtime_clock::now();
     for (const wire::grant_item& item : reply.borrowed().items()) {
         const auto found = organisations_.find(item.organisation());
-        const auto request = sent_requests.find(item.organisation());
-        if (found == organisations_.end() || request == sent_requests.end()) {
+        const auto asked = request.items.find(item.organisation());
+        if (found == organisations_.end() || asked == request.items.end()) {
             continue;
         }
-        limit::receive_grant(found->second.token_lease, request->second, item.tokens(), asked_at, now);
+        limit::receive_grant(found->second.token_lease, asked->second, item.tokens(), request.asked_at, now);
         found->second.scarce = item.scarce();
         grant_tokens(found->second, now);
     }
 }
 
-asio::awaitable<void> rate_limiter::wakeup_loop(std::shared_ptr<borrow_wakeup> wakeup,
+bool rate_limiter::is_at_rest(time_point now) const
+{
+    const std::lock_guard lock(mutex_);
+    return std::all_of(organisations_.begin(), organisations_.end(), [now](const auto& entry) {
+        const organisation_state& state = entry.second;
+        return state.running_waiters.empty() && state.start_waiters.empty() &&
+               limit::is_at_rest(state.token_lease, now);
+    });
+}
+
+asio::awaitable<void> rate_limiter::signal_loop(std::shared_ptr<borrow_signal> signal,
                                                 std::function<bool()> is_running)
 {
     while (is_running()) {
-        co_await runtime::wait_for(borrow_interval);
-        wakeup->signal.try_send(boost::system::error_code{});
+        co_await runtime::wait_for(is_at_rest(runtime_clock::now()) ? rest_interval : borrow_interval);
+        signal->channel.try_send(boost::system::error_code{});
     }
 }
 
-asio::awaitable<void> rate_limiter::borrow_loop(std::uint32_t shard, std::function<bool()> is_running)
+asio::awaitable<void> rate_limiter::call_owner(std::uint32_t shard, shard_request request)
+{
+    try {
+        wire::envelope message = request.message;
+        const wire::envelope_ptr reply =
+            co_await client_.call(first_group_ + shard, std::move(message), borrow_timeout);
+        apply_reply(*reply, request);
+    }
+    catch (const link_error&) {
+        // Requests wait until their deadline; the next iteration sends a new borrow request.
+    }
+    const std::lock_guard lock(mutex_);
+    asked_shards_.erase(shard);
+    if (signal_) {
+        signal_->channel.try_send(boost::system::error_code{});
+    }
+}
+
+asio::awaitable<void> rate_limiter::borrow_loop(std::function<bool()> is_running)
 {
     const auto pool = co_await asio::this_coro::executor;
-    const auto wakeup = std::make_shared<borrow_wakeup>(pool);
+    const auto signal = std::make_shared<borrow_signal>(pool);
     {
         const std::lock_guard lock(mutex_);
-        wakeups_[shard] = wakeup;
+        signal_ = signal;
     }
-    asio::co_spawn(pool, wakeup_loop(wakeup, is_running), asio::detached);
-    std::uint64_t sequence = 0;
+    asio::co_spawn(pool, signal_loop(signal, is_running), asio::detached);
     while (is_running()) {
-        co_await wakeup->signal.async_receive(asio::use_awaitable);
-        borrow_requests sent_requests;
-        const time_point asked_at = runtime_clock::now();
-        wire::envelope request = make_borrow_request(shard, ++sequence, asked_at, sent_requests);
-        if (!sent_requests.empty()) {
-            try {
-                const wire::envelope_ptr reply =
-                    co_await client_.call(first_group_ + shard, std::move(request), borrow_timeout);
-                apply_reply(*reply, sent_requests, asked_at);
-            }
-            catch (const link_error&) {
-                // Requests wait until their deadline; the next iteration sends a new borrow request.
-            }
-        }
-        const std::lock_guard lock(mutex_);
-        for (auto& [name, state] : organisations_) {
-            if (ledger::shard_of(organisation_name{name}, program_name{}, shard_count_) == shard) {
-                grant_tokens(state, runtime_clock::now());
-            }
+        co_await signal->channel.async_receive(asio::use_awaitable);
+        for (auto& [shard, request] : make_borrow_requests(runtime_clock::now())) {
+            asio::co_spawn(pool, call_owner(shard, std::move(request)), asio::detached);
         }
     }
 }
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -319,9 +319,7 @@
 {
     rate_limiter_ = std::make_unique<entry::rate_limiter>(
         *ledger_client_, incarnation_, static_cast<std::uint32_t>(group_count), core::first_ledger_group);
-    for (std::uint32_t shard = 0; shard < group_count; ++shard) {
-        pool_.spawn(rate_limiter_->borrow_loop(shard, [this] { return running_.load(); }));
-    }
+    pool_.spawn(rate_limiter_->borrow_loop([this] { return running_.load(); }));
     state_->rate_limiter = rate_limiter_.get();
     state_->ledger_group_count = group_count;
 }
--- a/src/limit/bucket_func.cpp
+++ b/src/limit/bucket_func.cpp
@@ -173,6 +173,11 @@
     return changes_tokens || renews_lease || reports_spending;
 }
 
+bool is_at_rest(const token_lease& lease, time_point now)
+{
+    return lease.tokens == 0 && lease.reported_tokens == 0 && prefetch_target(lease, now) == 0;
+}
+
 void record_request_sent(token_lease& lease, const borrow_request& request, time_point now)
 {
     lease.reported_tokens = request.held;
--- a/src/limit/bucket_func.hpp
+++ b/src/limit/bucket_func.hpp
@@ -65,6 +65,8 @@
 /// @return whether a request must be sent: it asks for tokens, returns tokens, renews the lease or reports
 /// spent tokens.
 bool is_request_due(const token_lease& lease, const borrow_request& request, time_point now);
+/// @return whether the entry has neither tokens nor anything to report or expect.
+bool is_at_rest(const token_lease& lease, time_point now);
 /// Records that a request was sent to the owner.
 void record_request_sent(token_lease& lease, const borrow_request& request, time_point now);
 /// Applies the owner's reply to a request. @param asked_at time by the entry's clock before the request was
--- a/src/replica/consensus_codec.cpp
+++ b/src/replica/consensus_codec.cpp
@@ -14,13 +14,13 @@
     into->set_payload(from.payload);
 }
 
-consensus::log_entry from_wire(const wire::log_record& from)
+consensus::log_entry from_wire(wire::log_record&& from)
 {
     consensus::log_entry entry;
     entry.term = from.term();
     entry.index = from.index();
     entry.kind = static_cast<consensus::entry_kind>(from.kind());
-    entry.payload = from.payload();
+    entry.payload = std::move(*from.mutable_payload());
     return entry;
 }
 
@@ -43,6 +43,7 @@
     into->set_term(from.term);
     to_wire(from.members, into->mutable_members());
     into->set_state(from.state);
+    into->set_offered_bytes(from.offered_bytes);
 }
 
 std::shared_ptr<const consensus::snapshot> from_wire(const wire::snapshot_record& from)
@@ -56,6 +57,7 @@
                                              member.data_centre()});
     }
     snapshot->state = from.state();
+    snapshot->offered_bytes = from.offered_bytes();
     return snapshot;
 }
 
@@ -97,7 +99,7 @@
     message.transfer = from.transfer();
     message.sent_at = from.sent_at();
     for (const wire::log_record& entry : from.entries()) {
-        message.entries.push_back(from_wire(entry));
+        message.entries.push_back(from_wire(wire::log_record(entry)));
     }
     if (from.has_snapshot()) {
         message.state = from_wire(from.snapshot());
--- a/src/replica/consensus_codec.hpp
+++ b/src/replica/consensus_codec.hpp
@@ -20,8 +20,8 @@
 void to_wire(const consensus::message& from, std::uint32_t group, wire::consensus_message* into);
 /// Converts a membership to a wire message.
 void to_wire(const consensus::membership& from, wire::membership* into);
-/// Converts a wire message to a log entry.
-consensus::log_entry from_wire(const wire::log_record& from);
+/// Converts a wire message to a log entry and takes its payload.
+consensus::log_entry from_wire(wire::log_record&& from);
 /// Converts a wire message to a snapshot.
 std::shared_ptr<const consensus::snapshot> from_wire(const wire::snapshot_record& from);
 /// Converts a wire message to a message between members. @throw decode_error if its kind is unknown.
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -13,9 +13,13 @@
 namespace guavawick::replica {
 namespace {
 
-constexpr duration tick_interval = 20ms; ///< longest time between two ticks of the consensus algorithm
+constexpr duration handover_poll_interval = 20ms;
 constexpr duration machine_tick_interval = 100ms;
+constexpr duration idle_tick_interval = 500ms; ///< of a replica that is not a member
 constexpr duration join_request_interval = 300ms;
+constexpr duration max_join_request_interval = 2400ms; ///< of a replica that the group does not need
+constexpr std::size_t fast_join_rounds = 10;           ///< rounds of requests before their interval grows
+constexpr std::size_t contacts_per_join_round = 4;
 constexpr duration membership_check_interval = 200ms;
 constexpr duration handover_timeout = 3s; ///< longest wait for a leadership transfer in stop()
 
@@ -25,6 +29,7 @@
     result.election_timeout = settings.election_timeout;
     result.heartbeat = settings.heartbeat;
     result.retained_entries = std::max<std::uint64_t>(settings.snapshot_entries / 10, 1);
+    result.retained_bytes = settings.snapshot_log_bytes / 4;
     return result;
 }
 
@@ -34,8 +39,8 @@
              const std::vector<replica_address>& replicas, wire::link& links)
     : number_(number), settings_(settings), replicas_(replicas), links_(links),
       store_(settings.data_folder + "/group-" + std::to_string(number)),
-      state_(consensus::restore_state(self, make_options(settings), store_.loaded(), {}, runtime_clock::now(),
-                                      random_id()))
+      state_(consensus::restore_state(self, make_options(settings), store_.take_loaded(), {},
+                                      runtime_clock::now(), random_id()))
 {
     if (store_.tail_truncated()) {
         log_event(event::log_tail_cut, {{"group", std::uint64_t{number_}}});
@@ -51,9 +56,11 @@
 void group::start(state_machine machine)
 {
     machine_ = std::move(machine);
-    if (store_.loaded().newest_snapshot) {
-        machine_.restore(store_.loaded().newest_snapshot->state);
+    log_bytes_at_snapshot_ = 0;
+    if (state_.newest_snapshot) {
+        machine_.restore(state_.newest_snapshot->state);
     }
+    remove_unused_contents();
     log_event(event::group_started,
               {{"group", std::uint64_t{number_}}, {"last_index", consensus::last_index(state_)}});
     thread_ = std::thread([this] { run(); });
@@ -75,7 +82,7 @@
     const time_point deadline = runtime_clock::now() + handover_timeout;
     while (!finished->load() && runtime_clock::now() < deadline) {
         post([this, finished] { finished->store(finished->load() || !leads()); });
-        std::this_thread::sleep_for(tick_interval);
+        std::this_thread::sleep_for(handover_poll_interval);
     }
     {
         const std::lock_guard lock(mutex_);
@@ -98,19 +105,29 @@
 {
     post([this, endpoint, received = std::move(received)] {
         learned_endpoints_[received.from] = endpoint;
+        if (receive_offer(received, endpoint)) {
+            return;
+        }
         consensus::step(state_, received, runtime_clock::now(), pending_effects_);
     });
 }
 
-void group::handle_join(const consensus::member& joining)
+void group::handle_join(const consensus::member& joining, bool forwarded)
 {
-    post([this, joining] {
+    post([this, joining, forwarded] {
         learned_endpoints_[joining.id] = joining.endpoint;
         if (is_blank()) {
             blank_candidates_[joining.endpoint] = joining;
             blank_peers_[joining.name] = joining.id;
             return;
         }
+        if (state_.role != consensus::role_type::leader) {
+            const std::string leader = leader_endpoint();
+            if (managed_ && !forwarded && !leader.empty()) {
+                links_.send(leader, make_join_message(joining, true));
+            }
+            return;
+        }
         if (managed_ &&
             !consensus::admits_learner(consensus::collect_member_status(state_, runtime_clock::now()),
                                        joining, policy_)) {
@@ -129,7 +146,8 @@
     while (true) {
         {
             std::unique_lock lock(mutex_);
-            wake_.wait_for(lock, tick_interval, [this] { return stopping_ || !inbox_.empty(); });
+            wake_.wait_for(lock, std::max(next_wake() - runtime_clock::now(), duration{}),
+                           [this] { return stopping_ || !inbox_.empty(); });
             if (stopping_) {
                 return;
             }
@@ -147,6 +165,22 @@
     }
 }
 
+time_point group::next_wake() const
+{
+    if (consensus::has_work(pending_effects_)) {
+        return time_point{};
+    }
+    const time_point maintenance =
+        leads() ? std::min(next_machine_tick_, next_membership_check_) : next_machine_tick_;
+    const time_point join = managed_ && !is_member() ? next_join_request_ : time_point::max();
+    return std::min({consensus::next_tick_at(state_), maintenance, join});
+}
+
+bool group::is_member() const
+{
+    return consensus::find_member(consensus::current_members(state_), state_.self) != nullptr;
+}
+
 void group::process_batch(std::vector<std::function<void()>>& tasks)
 {
     for (const auto& task : tasks) {
@@ -155,7 +189,8 @@
     const time_point now = runtime_clock::now();
     consensus::tick(state_, now, pending_effects_);
     if (now >= next_machine_tick_) {
-        next_machine_tick_ = now + machine_tick_interval;
+        const bool is_idle = managed_ && !is_member() && !bootstraps_with_contacts_;
+        next_machine_tick_ = now + (is_idle ? idle_tick_interval : machine_tick_interval);
         machine_.tick(now);
     }
     if (leads() && now >= next_membership_check_) {
@@ -196,6 +231,8 @@
     if (effects.install) {
         machine_.restore(effects.install->state);
         last_snapshot_index_ = effects.install->index;
+        log_bytes_at_snapshot_ = store_.log_bytes();
+        remove_unused_contents();
         log_event(event::snapshot_installed,
                   {{"group", std::uint64_t{number_}}, {"index", effects.install->index}});
     }
@@ -218,7 +255,8 @@
         }
         wire::envelope envelope;
         envelope.set_group(number_);
-        to_wire(message, number_, envelope.mutable_consensus());
+        to_wire(message.state && machine_.contents ? make_offer(message) : message, number_,
+                envelope.mutable_consensus());
         envelope.mutable_consensus()->set_from_endpoint(settings_.link);
         links_.send(endpoint, std::move(envelope));
     }
@@ -263,26 +301,6 @@
     }
 }
 
-void group::snapshot_if_due()
-{
-    if (state_.applied < last_snapshot_index_ + settings_.snapshot_entries) {
-        return;
-    }
-    auto snapshot = std::make_shared<consensus::snapshot>();
-    snapshot->index = state_.applied;
-    snapshot->term = consensus::term_at(state_, state_.applied);
-    for (const consensus::indexed_membership& indexed : state_.memberships) {
-        if (indexed.index <= state_.applied) {
-            snapshot->members = indexed.value;
-        }
-    }
-    snapshot->state = machine_.save();
-    consensus::compact(state_, snapshot);
-    store_.write_snapshot(state_);
-    last_snapshot_index_ = snapshot->index;
-    log_event(event::snapshot_written, {{"group", std::uint64_t{number_}}, {"index", snapshot->index}});
-}
-
 void group::propose(std::string command, proposal_callback done)
 {
     const consensus::log_index index =
@@ -353,16 +371,23 @@
     });
 }
 
-void group::send_join_request(const std::string& endpoint)
+wire::envelope group::make_join_message(const consensus::member& joining, bool forwarded) const
 {
     wire::envelope envelope;
     envelope.set_group(number_);
     envelope.mutable_join()->set_group(number_);
-    envelope.mutable_join()->set_id(state_.self.value);
-    envelope.mutable_join()->set_name(settings_.name);
-    envelope.mutable_join()->set_endpoint(settings_.link);
-    envelope.mutable_join()->set_data_centre(data_centre_);
-    links_.send(endpoint, std::move(envelope));
+    envelope.mutable_join()->set_id(joining.id.value);
+    envelope.mutable_join()->set_name(joining.name);
+    envelope.mutable_join()->set_endpoint(joining.endpoint);
+    envelope.mutable_join()->set_data_centre(joining.data_centre);
+    envelope.mutable_join()->set_forwarded(forwarded);
+    return envelope;
+}
+
+void group::send_join_request(const std::string& endpoint)
+{
+    links_.send(endpoint, make_join_message(
+                              {state_.self, settings_.name, settings_.link, false, 0, data_centre_}, false));
 }
 
 void group::bootstrap_or_join(time_point now)
@@ -439,7 +464,11 @@
 
 void group::bootstrap_or_join_managed(time_point now)
 {
-    if (now < next_join_request_ || !consensus::needs_managed_join(state_, now)) {
+    if (now < next_join_request_) {
+        return;
+    }
+    if (!consensus::needs_managed_join(state_, now)) {
+        join_rounds_ = 0;
         return;
     }
     next_join_request_ = now + join_request_interval;
@@ -462,11 +491,24 @@
             return;
         }
     }
-    for (const std::string& endpoint : contacts_) {
-        if (endpoint == settings_.link) {
-            continue;
+    send_join_round(now);
+}
+
+void group::send_join_round(time_point now)
+{
+    // Members forward a request to their leader. Asking all contacts at once would make the messages of a
+    // fleet grow with the square of its size.
+    std::size_t asked = 0;
+    for (std::size_t i = 0; i < contacts_.size() && asked < contacts_per_join_round; ++i) {
+        const std::string& endpoint = contacts_[next_contact_++ % contacts_.size()];
+        if (endpoint != settings_.link) {
+            send_join_request(endpoint);
+            ++asked;
         }
-        send_join_request(endpoint);
+    }
+    if (++join_rounds_ > fast_join_rounds) {
+        const duration grown = join_request_interval * (join_rounds_ - fast_join_rounds);
+        next_join_request_ = now + std::min(grown, max_join_request_interval);
     }
 }
 
@@ -497,6 +539,7 @@
         consensus::restore_state(state_.self, make_options(settings_), disk, {}, runtime_clock::now(), seed);
     store_.write_snapshot(state_);
     last_snapshot_index_ = 1;
+    log_bytes_at_snapshot_ = store_.log_bytes();
 }
 
 } // namespace guavawick::replica
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -2,6 +2,7 @@
 // sends messages and applies committed commands.
 #pragma once
 
+#include "base/content_type.hpp"
 #include "consensus/consensus_func.hpp"
 #include "replica/log_store.hpp"
 #include "wire/link_type.hpp"
@@ -12,12 +13,35 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+namespace guavawick::wire {
+class snapshot_query;
+class snapshot_part;
+} // namespace guavawick::wire
+
 namespace guavawick::replica {
 
+/// Callbacks of a state machine whose snapshots name contents on this member's disk. A member that installs a
+/// snapshot of another one copies the contents that it lacks. All of them are called on the group's thread.
+struct content_callbacks {
+    /// Appends the bytes of contents on this member's disk. @throw storage_error if they are gone.
+    std::function<void(const std::vector<content_range>&, std::string& into)> read;
+    /// Starts to import a state that another member encoded. @throw decode_error.
+    std::function<void(const std::string& state)> begin_import;
+    /// @return places at the other member of the next contents to copy; empty once none is missing.
+    std::function<std::vector<content_range>()> next_missing;
+    /// Stores the contents that next_missing() named. @throw decode_error if the bytes don't match them.
+    std::function<void(const std::string& bytes)> add;
+    /// @return the imported state, encoded for this member. @pre no content is missing.
+    std::function<std::string()> finish_import;
+    /// Removes contents that the newest snapshot, which is now durable, does not name.
+    std::function<void()> remove_unused;
+};
+
 /// Callbacks of a group's state machine. All of them are called on the group's thread.
 struct state_machine {
     std::function<wire::envelope(const std::string& command)>
@@ -25,7 +49,8 @@
     std::function<std::string()> save;               ///< encodes the state for a snapshot
     std::function<void(const std::string&)> restore; ///< replaces the state by a snapshot's
     std::function<void(bool leads)> leadership_changed;
-    std::function<void(time_point)> tick; ///< called about every machine_tick_interval
+    std::function<void(time_point)> tick;      ///< called about every machine_tick_interval
+    std::optional<content_callbacks> contents; ///< if snapshots name contents on disk
 };
 
 /// Receives a command's result, or nullptr if this replica could not propose the command or lost leadership
@@ -96,9 +121,14 @@
     void post(std::function<void()> task);
     /// Handles a message of another member. Thread-safe. @param endpoint the sender's link endpoint.
     void handle(consensus::message received, const std::string& endpoint);
-    /// Handles the join request of a blank replica: a leader adds it as a learner, and a replica that is
-    /// blank itself records it for the bootstrap. Thread-safe.
-    void handle_join(const consensus::member& joining);
+    /// Handles another member's query for a part of a snapshot. Thread-safe.
+    void handle(std::shared_ptr<const wire::snapshot_query> query);
+    /// Handles a part of the snapshot that this member installs. Thread-safe.
+    void handle(std::shared_ptr<const wire::snapshot_part> part);
+    /// Handles the join request of a blank replica: a leader adds it as a learner, another member passes it
+    /// on to the leader, and a replica that is blank itself records it for the bootstrap. Thread-safe.
+    /// @param forwarded another member passed the request on; it is not passed on again.
+    void handle_join(const consensus::member& joining, bool forwarded = false);
     /// Proposes the removal of the member with a name. Thread-safe.
     /// @param done called with the result on the group's thread.
     void remove_member(const std::string& name, std::function<void(consensus::change_result)> done);
@@ -132,6 +162,23 @@
         proposal_callback done;
     };
 
+    /// A snapshot that this member copies part by part from the leader.
+    struct snapshot_import {
+        consensus::message offer;           ///< installs the snapshot once its state is complete
+        std::string endpoint;               ///< link endpoint of the leader
+        std::string state;                  ///< bytes of the leader's state received so far
+        bool copies_contents = false;       ///< the state is complete; its contents are being copied
+        std::uint64_t batch = 0;            ///< number of the batch of contents that was queried
+        std::vector<content_range> queried; ///< contents of that batch
+        time_point progress_at{};           ///< when the newest part arrived
+    };
+
+    /// A snapshot that other members may still query.
+    struct snapshot_export {
+        std::shared_ptr<const consensus::snapshot> snapshot;
+        time_point used_at{}; ///< when it was last offered or queried
+    };
+
     void run();
     void process_batch(std::vector<std::function<void()>>& tasks);
     void execute_effects(consensus::effects& effects);
@@ -139,7 +186,18 @@
     void apply(const consensus::log_entry& entry);
     void fail_pending_proposals();
     void snapshot_if_due();
+    void remove_unused_contents();
+    [[nodiscard]] consensus::message make_offer(const consensus::message& request);
+    bool receive_offer(const consensus::message& offer, const std::string& endpoint);
+    void answer_query(const wire::snapshot_query& query);
+    void receive_part(const wire::snapshot_part& part);
+    void query_next_part();
+    void finish_import();
     void send_join_request(const std::string& endpoint);
+    void send_join_round(time_point now);
+    [[nodiscard]] wire::envelope make_join_message(const consensus::member& joining, bool forwarded) const;
+    [[nodiscard]] time_point next_wake() const;
+    [[nodiscard]] bool is_member() const;
     void bootstrap_or_join(time_point now);
     void bootstrap_from_settings(const std::map<std::string, consensus::member_id>& ids);
     void create_group(const consensus::membership& members);
@@ -168,9 +226,14 @@
     std::map<std::string, consensus::member>
         blank_candidates_; ///< blank replicas by endpoint, recorded while this one is blank
     time_point next_join_request_{};
+    std::size_t next_contact_ = 0; ///< contact that the next join request goes to, modulo their number
+    std::size_t join_rounds_ = 0;  ///< rounds of join requests without success
     time_point next_machine_tick_{};
     time_point next_membership_check_{};
     consensus::log_index last_snapshot_index_ = 0;
+    std::uint64_t log_bytes_at_snapshot_ = 0;
+    std::optional<snapshot_import> import_;
+    std::map<consensus::log_index, snapshot_export> exports_; ///< by the snapshot's index
     group_counters counters_;
 
     std::mutex mutex_; ///< guards `inbox_` and `stopping_`; no other mutex is locked while it is held
--- a/src/replica/log_store.cpp
+++ b/src/replica/log_store.cpp
@@ -4,14 +4,11 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "replica/consensus_codec.hpp"
+#include "replica/file_func.hpp"
 #include "wire.pb.h"
 
-#include <cerrno>
-#include <cstring>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -22,11 +19,6 @@
 constexpr std::uint32_t max_record_size = 1U << 30U; ///< bytes; a greater length means damage
 constexpr mode_t file_mode = 0600;
 
-[[noreturn]] void fail(const std::string& path, const char* action)
-{
-    throw storage_error(path + ": " + action + ": " + std::strerror(errno));
-}
-
 void append_u32(std::string& into, std::uint32_t value)
 {
     for (unsigned shift = 0; shift < 32; shift += 8) {
@@ -43,70 +35,6 @@
     return value;
 }
 
-std::string read_file(const std::string& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file) {
-        return {};
-    }
-    std::ostringstream bytes;
-    bytes << file.rdbuf();
-    return bytes.str();
-}
-
-void write_all(int fd, const std::string& bytes, const std::string& path)
-{
-    std::size_t total = 0;
-    while (total < bytes.size()) {
-        const ssize_t written = ::write(fd, bytes.data() + total, bytes.size() - total);
-        if (written < 0 && errno == EINTR) {
-            continue;
-        }
-        if (written < 0) {
-            fail(path, "write");
-        }
-        total += static_cast<std::size_t>(written);
-    }
-}
-
-void sync_folder(const std::string& folder)
-{
-    const int fd = ::open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (fd < 0 || ::fsync(fd) != 0) {
-        fail(folder, "sync");
-    }
-    ::close(fd);
-}
-
-/// Replaces a file atomically: writes and syncs a new file, then renames it.
-void replace_file(const std::string& folder, const std::string& name, const std::string& bytes)
-{
-    const std::string path = folder + "/" + name;
-    const std::string temporary_path = path + ".new";
-    const int fd = ::open(temporary_path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, file_mode);
-    if (fd < 0) {
-        fail(temporary_path, "open");
-    }
-    write_all(fd, bytes, temporary_path);
-    if (::fsync(fd) != 0) {
-        fail(temporary_path, "sync");
-    }
-    ::close(fd);
-    if (::rename(temporary_path.c_str(), path.c_str()) != 0) {
-        fail(path, "rename");
-    }
-    sync_folder(folder);
-}
-
-void create_folder(const std::string& folder)
-{
-    std::error_code error;
-    std::filesystem::create_directories(folder, error);
-    if (error) {
-        throw storage_error(folder + ": can't be created: " + error.message());
-    }
-}
-
 /// @return whether an intact record starts at `offset`.
 bool is_intact(const std::string& bytes, std::size_t offset)
 {
@@ -120,6 +48,12 @@
     return crc32c({bytes.data() + offset + frame_header_size, size}) == read_u32(bytes, offset + 4);
 }
 
+template <typename Message>
+bool parse(std::string_view bytes, Message& into)
+{
+    return into.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+}
+
 std::string encode_hard_state(consensus::term_number term, consensus::member_id voted_for)
 {
     wire::log_file_record record;
@@ -142,11 +76,11 @@
     return frame_record(record.SerializeAsString());
 }
 
-void load_record(const wire::log_file_record& record, consensus::persisted_state& into)
+void load_record(wire::log_file_record& record, consensus::persisted_state& into)
 {
     switch (record.body_case()) {
     case wire::log_file_record::kEntry:
-        into.entries.push_back(from_wire(record.entry()));
+        into.entries.push_back(from_wire(std::move(*record.mutable_entry())));
         return;
     case wire::log_file_record::kHardState:
         into.term = record.hard_state().term();
@@ -173,13 +107,13 @@
     return frame + bytes;
 }
 
-std::vector<std::string> read_records(const std::string& bytes, std::size_t& valid_bytes)
+std::vector<std::string_view> read_records(const std::string& bytes, std::size_t& valid_bytes)
 {
-    std::vector<std::string> records;
+    std::vector<std::string_view> records;
     std::size_t offset = 0;
     while (is_intact(bytes, offset)) {
         const std::uint32_t size = read_u32(bytes, offset);
-        records.push_back(bytes.substr(offset + frame_header_size, size));
+        records.push_back(std::string_view(bytes).substr(offset + frame_header_size, size));
         offset += frame_header_size + size;
     }
     valid_bytes = offset;
@@ -215,9 +149,9 @@
         return;
     }
     std::size_t valid_bytes = 0;
-    const std::vector<std::string> records = read_records(bytes, valid_bytes);
+    const std::vector<std::string_view> records = read_records(bytes, valid_bytes);
     wire::snapshot_record record;
-    if (records.size() != 1 || valid_bytes != bytes.size() || !record.ParseFromString(records.front())) {
+    if (records.size() != 1 || valid_bytes != bytes.size() || !parse(records.front(), record)) {
         throw storage_error(path + ": damaged");
     }
     loaded_.newest_snapshot = from_wire(record);
@@ -228,16 +162,16 @@
     const std::string path = folder_ + "/log";
     const std::string bytes = read_file(path);
     std::size_t valid_bytes = 0;
-    std::vector<std::string> records;
+    std::vector<std::string_view> records;
     try {
         records = read_records(bytes, valid_bytes);
     }
     catch (const storage_error& error) {
         throw storage_error(path + ": " + error.what());
     }
-    for (const std::string& encoded : records) {
+    for (const std::string_view encoded : records) {
         wire::log_file_record record;
-        if (!record.ParseFromString(encoded)) {
+        if (!parse(encoded, record)) {
             throw storage_error(path + ": a record cannot be decoded");
         }
         load_record(record, loaded_);
@@ -245,7 +179,7 @@
     if (valid_bytes < bytes.size()) {
         tail_truncated_ = true;
         if (::truncate(path.c_str(), static_cast<off_t>(valid_bytes)) != 0) {
-            fail(path, "truncate");
+            throw_storage_error(path, "truncate");
         }
     }
     log_bytes_ = valid_bytes;
@@ -256,7 +190,7 @@
     const std::string path = folder_ + "/log";
     log_fd_ = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode);
     if (log_fd_ < 0) {
-        fail(path, "open");
+        throw_storage_error(path, "open");
     }
     sync();
     sync_folder(folder_);
@@ -271,7 +205,7 @@
 void log_store::sync()
 {
     if (::fdatasync(log_fd_) != 0) {
-        fail(folder_ + "/log", "sync");
+        throw_storage_error(folder_ + "/log", "sync");
     }
     ++syncs_;
 }
@@ -326,9 +260,9 @@
     const std::string bytes = read_file(path);
     if (!bytes.empty()) {
         std::size_t valid_bytes = 0;
-        const std::vector<std::string> records = read_records(bytes, valid_bytes);
+        const std::vector<std::string_view> records = read_records(bytes, valid_bytes);
         wire::hard_state_record record;
-        if (records.size() != 1 || !record.ParseFromString(records.front()) || record.voted_for() == 0) {
+        if (records.size() != 1 || !parse(records.front(), record) || record.voted_for() == 0) {
             throw storage_error(path + ": damaged");
         }
         return {consensus::member_id{record.voted_for()}, false};
--- a/src/replica/log_store.hpp
+++ b/src/replica/log_store.hpp
@@ -6,6 +6,9 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 namespace guavawick::replica {
 
@@ -22,6 +25,8 @@
 
     /// @return the state that was read when the store was opened.
     [[nodiscard]] const consensus::persisted_state& loaded() const { return loaded_; }
+    /// @return the state that was read, which this store then no longer holds.
+    [[nodiscard]] consensus::persisted_state take_loaded() { return std::exchange(loaded_, {}); }
     /// @return whether an incomplete record was truncated when the store was opened.
     [[nodiscard]] bool tail_truncated() const { return tail_truncated_; }
     /// Writes the log entries, the truncation and the hard state that the effects require, and syncs them.
@@ -65,9 +70,9 @@
 /// @return the bytes as one framed record: length, CRC-32C, bytes. The numbers are little-endian, 4 bytes
 /// each.
 std::string frame_record(const std::string& bytes);
-/// Reads framed records up to the first incomplete or damaged one.
+/// Reads framed records up to the first incomplete or damaged one. @return the records, within `bytes`.
 /// @param valid_bytes receives the length of the records read, frames included.
 /// @throw storage_error if a damaged record is followed by an intact one.
-std::vector<std::string> read_records(const std::string& bytes, std::size_t& valid_bytes);
+std::vector<std::string_view> read_records(const std::string& bytes, std::size_t& valid_bytes);
 
 } // namespace guavawick::replica
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -15,25 +15,24 @@
     return sum;
 }
 
-/// Concatenates the inputs and outputs of a chain of turns, oldest first.
-/// @param history receives the bytes; if nullptr, only checks that no turn is missing.
+/// Lists the contents of a chain of turns, oldest first.
+/// @param history receives the places; if nullptr, only checks that no turn is missing.
 /// @return false if a turn is missing.
 bool collect_history(const turn_state& state, const organisation_name& organisation, const request_name& last,
-                     std::string* history)
+                     std::vector<content_range>* history)
 {
-    std::vector<const turn*> chain;
+    std::vector<content_range> chain;
     request_name current = last;
     while (!current.empty() && chain.size() < max_chain_length) {
         const auto found = state.turns.find({organisation, current});
         if (found == state.turns.end()) {
             return false;
         }
-        chain.push_back(&found->second);
+        chain.push_back(found->second.content);
         current = found->second.previous;
     }
-    for (auto ended_turn = chain.rbegin(); history != nullptr && ended_turn != chain.rend(); ++ended_turn) {
-        *history += (*ended_turn)->input;
-        *history += (*ended_turn)->output;
+    if (history != nullptr) {
+        history->assign(chain.rbegin(), chain.rend());
     }
     return true;
 }
@@ -109,7 +108,12 @@
     return result;
 }
 
-void close_turn(turn_state& state, const close_request& request)
+bool stores_content(const turn_state& state, const close_request& request)
+{
+    return request.keep && !state.turns.contains({request.organisation, request.request});
+}
+
+void close_turn(turn_state& state, const close_request& request, const content_range& content)
 {
     if (!request.program.empty()) {
         program_account& account = state.programs[{request.organisation, request.program}];
@@ -129,7 +133,7 @@
     const group_time keep_until = state.now + request.retention + retention_slack;
     const auto [entry, inserted] = state.turns.try_emplace({request.organisation, request.request});
     if (inserted) {
-        entry->second = {request.previous, request.input, request.output, request.upstream, keep_until};
+        entry->second = {request.previous, content, request.upstream, keep_until};
         extend_chain(state, request.organisation, request.previous, keep_until);
     }
 }
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -2,6 +2,7 @@
 #include "base/failure_type.hpp"
 #include "turns/turn_func.hpp"
 #include "wire.pb.h"
+#include "wire/content_codec.hpp"
 
 namespace guavawick::turns {
 
@@ -14,8 +15,7 @@
         record->set_organisation(key.organisation.value);
         record->set_request(key.request.value);
         record->set_previous(turn.previous.value);
-        record->set_input(turn.input);
-        record->set_output(turn.output);
+        wire::to_wire(turn.content, record->mutable_content());
         record->set_upstream(turn.upstream);
         record->set_keep_until_ms(turn.keep_until.count());
     }
@@ -43,7 +43,7 @@
     return encoded.SerializeAsString();
 }
 
-turn_state decode_state(const std::string& bytes)
+turn_state decode_state(const std::string& bytes, const content_writer& write_content)
 {
     wire::turn_snapshot encoded;
     if (!encoded.ParseFromString(bytes)) {
@@ -52,9 +52,10 @@
     turn_state state;
     state.now = group_time{encoded.now_ms()};
     for (const wire::turn_record& record : encoded.turns()) {
+        const content_range content = record.has_content() ? wire::from_wire(record.content())
+                                                           : write_content(record.input() + record.output());
         state.turns[{organisation_name{record.organisation()}, request_name{record.request()}}] = {
-            request_name{record.previous()}, record.input(), record.output(), record.upstream(),
-            group_time{record.keep_until_ms()}};
+            request_name{record.previous()}, content, record.upstream(), group_time{record.keep_until_ms()}};
     }
     for (const wire::program_budget& budget : encoded.programs()) {
         program_account& account =
@@ -95,8 +96,6 @@
             message.used_tokens(),
             message.keep(),
             request_name{message.previous()},
-            message.input(),
-            message.output(),
             message.upstream(),
             std::chrono::milliseconds{message.retention_ms()},
             message.line()};
--- a/src/turns/turn_func.hpp
+++ b/src/turns/turn_func.hpp
@@ -4,6 +4,9 @@
 
 #include "turns/turn_type.hpp"
 
+#include <functional>
+#include <string_view>
+
 namespace guavawick::wire {
 class open_turn;
 class close_turn;
@@ -16,13 +19,19 @@
 /// Opens a turn: reserves its tokens in the program's budget and collects the history that it continues from.
 /// A resent request gets the same result. The budget may be exceeded by at most the tokens of one turn.
 open_result open_turn(turn_state& state, const open_request& request);
+/// @return whether close_turn() would store a turn, so that its content must be written first.
+bool stores_content(const turn_state& state, const close_request& request);
 /// Closes a turn: charges its tokens to the program and stores the turn if requested. A resend has no effect.
-void close_turn(turn_state& state, const close_request& request);
+/// @param content where the turn's content was written. @pre valid if stores_content().
+void close_turn(turn_state& state, const close_request& request, const content_range& content);
 
-/// @return the serialised state, for snapshots.
+/// @return the serialised state, for snapshots. It names the contents' places on this member's disk.
 std::string encode_state(const turn_state& state);
+/// Stores bytes and returns where.
+using content_writer = std::function<content_range(std::string_view bytes)>;
+/// @param write_content stores the contents that a snapshot of version 0.1.0 holds itself.
 /// @return the state from a snapshot. @throw decode_error if the bytes are not a valid snapshot.
-turn_state decode_state(const std::string& bytes);
+turn_state decode_state(const std::string& bytes, const content_writer& write_content);
 /// @return the request in a message.
 open_request from_wire(const wire::open_turn& message);
 /// @return the request in a message.
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -2,6 +2,7 @@
 // group.
 #pragma once
 
+#include "base/content_type.hpp"
 #include "base/id_type.hpp"
 
 #include <chrono>
@@ -30,8 +31,7 @@
 /// A stored turn that ended successfully. Several turns may continue from the same one.
 struct turn {
     request_name previous;   ///< the turn that it continues from; empty for the first
-    std::string input;       ///< bytes that the caller sent
-    std::string output;      ///< data of the streamed events, each followed by a line feed
+    content_range content;   ///< the bytes that the caller sent, then the data of each event and a line feed
     std::string upstream;    ///< instance that ran it and has its prompt cached
     group_time keep_until{}; ///< the turn is removed after this
 };
@@ -79,8 +79,8 @@
 /// Result of opening a turn.
 struct open_result {
     open_outcome outcome = open_outcome::granted;
-    std::string
-        history; ///< inputs and outputs of the earlier turns, oldest first; empty if the gateway has them
+    std::vector<content_range>
+        history; ///< contents of the earlier turns, oldest first; empty if the gateway has them
     std::string
         upstream; ///< instance that has the prompt of the line, or of its program, cached; empty if unknown
     std::uint64_t spent = 0;    ///< tokens of closed turns, for logs
@@ -95,8 +95,6 @@
     std::uint64_t used_tokens = 0;
     bool keep = false; ///< it ended successfully, and turns may continue from it
     request_name previous;
-    std::string input;
-    std::string output;
     std::string upstream;
     std::chrono::milliseconds retention{};
     std::string line;
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -222,6 +222,72 @@
     BOOST_TEST(!has_read_lease(old.state, cluster.now));
 }
 
+BOOST_FIXTURE_TEST_CASE(member_that_installs_a_snapshot_keeps_contact_and_gets_one_offer_a_timeout,
+                        three_members)
+{
+    group_state& state = leader().state;
+    const member_id installing = follower().id;
+    progress& peer = state.peers.at(installing);
+    for (int i = 0; i < 30; ++i) {
+        cluster.propose(leader());
+        cluster.deliver_all();
+    }
+    auto created = std::make_shared<snapshot>();
+    created->index = state.applied;
+    created->term = term_at(state, state.applied);
+    created->members = current_members(state);
+    compact(state, created);
+    peer = {}; // it has an empty disk
+    std::size_t offers = 0;
+    std::size_t messages = 0;
+    const time_point begin = cluster.now;
+    const duration timeout = state.settings.election_timeout;
+    for (time_point now = begin; now < begin + timeout; now += state.settings.heartbeat) {
+        effects pending;
+        tick(state, now, pending);
+        for (const message& sent : pending.immediate_messages) {
+            if (sent.to != installing) {
+                continue;
+            }
+            ++messages;
+            offers += sent.kind == message_kind::snapshot_request ? 1 : 0;
+            message reply;
+            reply.kind = message_kind::append_reply;
+            reply.from = installing;
+            reply.to = state.self;
+            reply.term = state.term;
+            reply.sent_at = sent.sent_at;
+            effects effects_of_reply;
+            step(state, reply, now, effects_of_reply);
+            messages += effects_of_reply.immediate_messages.size();
+        }
+        BOOST_TEST((messages == 0 || is_recently_active(state, installing, now)));
+    }
+    BOOST_TEST(offers == 1U);
+    BOOST_TEST(messages <= 2 * static_cast<std::size_t>(timeout / state.settings.heartbeat) + 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(compacted_log_retains_no_more_bytes_than_its_limit, three_members)
+{
+    group_state& state = leader().state;
+    for (int i = 0; i < 30; ++i) {
+        cluster.propose(leader());
+        cluster.deliver_all();
+    }
+    std::uint64_t newest_bytes = 0;
+    for (std::size_t i = state.entries.size() - 3; i < state.entries.size(); ++i) {
+        newest_bytes += state.entries[i].payload.size();
+    }
+    state.settings.retained_entries = 100;
+    state.settings.retained_bytes = newest_bytes;
+    auto created = std::make_shared<snapshot>();
+    created->index = state.applied;
+    created->term = term_at(state, state.applied);
+    created->members = current_members(state);
+    compact(state, created);
+    BOOST_TEST(state.base_index >= created->index - 3);
+}
+
 BOOST_FIXTURE_TEST_CASE(partitioned_member_returns_without_a_new_election, three_members)
 {
     fake_member& partitioned = follower();
--- a/tests/unit/decoder_test.cpp
+++ b/tests/unit/decoder_test.cpp
@@ -150,7 +150,7 @@
     const std::string damaged = damage(bytes, position, value);
     std::size_t valid = 0;
     try {
-        const std::vector<std::string> read = replica::read_records(damaged, valid);
+        const std::vector<std::string_view> read = replica::read_records(damaged, valid);
         RC_ASSERT(read.size() <= records.size());
         for (std::size_t i = 0; i < read.size(); ++i) {
             RC_ASSERT(read[i] == records[i]);
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -1,6 +1,8 @@
 // Stored turns and token budgets of programs.
 #include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
 #include "turns/turn_func.hpp"
+#include "wire.pb.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,6 +16,7 @@
 /// A state with two stored turns of organisation "o", the second of which continues from the first.
 struct two_turns_fixture {
     turn_state state;
+    std::string stored; ///< contents of all turns, at the offsets that the state names
 
     two_turns_fixture()
     {
@@ -30,10 +33,27 @@
         closing.request = request_name{request};
         closing.keep = true;
         closing.previous = request_name{previous};
-        closing.input = input;
-        closing.output = output;
         closing.retention = 60s;
-        close_turn(state, closing);
+        const content_range content =
+            stores_content(state, closing) ? write(input + output) : content_range{};
+        close_turn(state, closing, content);
+    }
+
+    content_range write(std::string_view content)
+    {
+        const content_range range{1, static_cast<std::uint32_t>(stored.size()),
+                                  static_cast<std::uint32_t>(content.size()), crc32c(content)};
+        stored += content;
+        return range;
+    }
+
+    std::string read_history(const open_result& result)
+    {
+        std::string history;
+        for (const content_range& range : result.history) {
+            history += stored.substr(range.offset, range.size);
+        }
+        return history;
     }
 
     open_result open_after(const std::string& previous, const std::string& organisation = "o")
@@ -66,18 +86,23 @@
         closing.used_tokens = used_tokens;
         closing.line = line;
         closing.upstream = upstream;
-        close_turn(state, closing);
+        close_turn(state, closing, {});
     }
 };
 
+content_range writes_nothing(std::string_view)
+{
+    throw decode_error("the state holds a content");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(turns_test)
 
 BOOST_FIXTURE_TEST_CASE(turn_gets_the_whole_history_oldest_first, two_turns_fixture)
 {
-    BOOST_TEST(open_after("t2").history == "hello one\nmore two\n");
-    BOOST_TEST(open_after("t1").history == "hello one\n");
+    BOOST_TEST(read_history(open_after("t2")) == "hello one\nmore two\n");
+    BOOST_TEST(read_history(open_after("t1")) == "hello one\n");
 }
 
 BOOST_FIXTURE_TEST_CASE(gateway_that_has_the_history_gets_no_bytes_but_an_unknown_turn_is_reported,
@@ -114,7 +139,7 @@
 BOOST_FIXTURE_TEST_CASE(duplicate_close_keeps_the_first_content, two_turns_fixture)
 {
     store_turn("t2", "t1", "other", "other\n");
-    BOOST_TEST(open_after("t2").history == "hello one\nmore two\n");
+    BOOST_TEST(read_history(open_after("t2")) == "hello one\nmore two\n");
 }
 
 BOOST_FIXTURE_TEST_CASE(looping_program_exceeds_its_budget_by_less_than_one_turn, two_turns_fixture)
@@ -168,11 +193,39 @@
     reserve("a", 1000, 135);
     settle_turn("a", 30, "main", "engine-1");
     reserve("b", 1000, 135);
-    const turn_state copy = decode_state(encode_state(state));
+    const turn_state copy = decode_state(encode_state(state), writes_nothing);
     BOOST_TEST(encode_state(copy) == encode_state(state));
     BOOST_TEST(copy.turns.size() == 2U);
     BOOST_TEST(copy.programs.begin()->second.reserved.size() == 1U);
-    BOOST_CHECK_THROW(decode_state("\xff\xff"), decode_error);
+    BOOST_CHECK_THROW(decode_state("\xff\xff", writes_nothing), decode_error);
+}
+
+BOOST_FIXTURE_TEST_CASE(duplicate_close_stores_no_content, two_turns_fixture)
+{
+    const std::size_t before = stored.size();
+    store_turn("t2", "t1", "other", "other\n");
+    BOOST_TEST(stored.size() == before);
+}
+
+// Size of a store's state: 10,000 turns of a busy minute must take a few megabytes whatever their contents.
+BOOST_FIXTURE_TEST_CASE(encoded_state_does_not_grow_with_the_contents, two_turns_fixture)
+{
+    const std::size_t before = encode_state(state).size();
+    store_turn("t3", "t2", std::string(1U << 20U, 'x'), "y\n");
+    BOOST_TEST(encode_state(state).size() - before < 200U);
+}
+
+BOOST_FIXTURE_TEST_CASE(snapshot_with_contents_inside_is_read_and_its_contents_are_written, two_turns_fixture)
+{
+    wire::turn_snapshot old;
+    wire::turn_record* record = old.add_turns();
+    record->set_organisation("o");
+    record->set_request("t1");
+    record->set_input("hello ");
+    record->set_output("one\n");
+    stored.clear();
+    state = decode_state(old.SerializeAsString(), [this](std::string_view bytes) { return write(bytes); });
+    BOOST_TEST(read_history(open_after("t1")) == "hello one\n");
 }
 
 BOOST_AUTO_TEST_SUITE_END()
