--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -124,6 +124,30 @@
     return static_cast<std::size_t>(available) < policy.voters + policy.standby_learners;
 }
 
+std::vector<std::string> choose_join_contacts(join_schedule& schedule,
+                                              const std::vector<std::string>& contacts,
+                                              const std::string& self)
+{
+    ++schedule.rounds;
+    std::vector<std::string> chosen;
+    for (std::size_t i = 0; i < contacts.size() && chosen.size() < contacts_per_join_round; ++i) {
+        const std::string& contact = contacts[schedule.next_contact++ % contacts.size()];
+        if (contact != self) {
+            chosen.push_back(contact);
+        }
+    }
+    return chosen;
+}
+
+duration join_delay(const join_schedule& schedule)
+{
+    if (schedule.rounds <= fast_join_rounds) {
+        return join_interval;
+    }
+    const auto slow_rounds = static_cast<std::int64_t>(schedule.rounds - fast_join_rounds);
+    return std::min<duration>(join_interval * (1 + slow_rounds), max_join_interval);
+}
+
 membership_policy make_membership_policy(std::size_t tolerated_failures, std::size_t data_centres)
 {
     membership_policy policy;
--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -48,6 +48,27 @@
 /// replaced by a standby learner.
 bool admits_learner(const std::vector<member_status>& members, const member& joining,
                     const membership_policy& policy);
+/// Whom a replica has asked whether a group needs it. Members pass a request on to their leader, so it is
+/// enough to ask some contacts in turn: asking all of them would make a fleet's messages grow with the square
+/// of its size.
+struct join_schedule {
+    std::size_t next_contact = 0; ///< position of the next contact to ask
+    std::size_t rounds = 0;       ///< rounds of requests without success
+};
+
+constexpr std::size_t contacts_per_join_round = 4;
+constexpr duration join_interval = 300ms;      ///< between the first rounds
+constexpr std::size_t fast_join_rounds = 10;   ///< rounds before the interval grows
+constexpr duration max_join_interval = 2400ms; ///< of a replica that the group does not need
+
+/// Starts a round. @param contacts link endpoints of replicas that may be members. @param self is left out.
+/// @return the contacts to ask.
+std::vector<std::string> choose_join_contacts(join_schedule& schedule,
+                                              const std::vector<std::string>& contacts,
+                                              const std::string& self);
+/// @return the time until the next round.
+duration join_delay(const join_schedule& schedule);
+
 /// @param tolerated_failures simultaneous failures of members that the group must survive.
 /// @param data_centres number of data centres that the members are spread over.
 /// @return the policy that tolerates these failures.
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -17,9 +17,6 @@
 constexpr duration machine_tick_interval = 100ms;
 constexpr duration idle_tick_interval = 500ms; ///< of a replica that is not a member
 constexpr duration join_request_interval = 300ms;
-constexpr duration max_join_request_interval = 2400ms; ///< of a replica that the group does not need
-constexpr std::size_t fast_join_rounds = 10;           ///< rounds of requests before their interval grows
-constexpr std::size_t contacts_per_join_round = 4;
 constexpr duration membership_check_interval = 200ms;
 constexpr duration handover_timeout = 3s; ///< longest wait for a leadership transfer in stop()
 
@@ -468,7 +465,7 @@
         return;
     }
     if (!consensus::needs_managed_join(state_, now)) {
-        join_rounds_ = 0;
+        join_schedule_.rounds = 0;
         return;
     }
     next_join_request_ = now + join_request_interval;
@@ -496,20 +493,11 @@
 
 void group::send_join_round(time_point now)
 {
-    // Members forward a request to their leader. Asking all contacts at once would make the messages of a
-    // fleet grow with the square of its size.
-    std::size_t asked = 0;
-    for (std::size_t i = 0; i < contacts_.size() && asked < contacts_per_join_round; ++i) {
-        const std::string& endpoint = contacts_[next_contact_++ % contacts_.size()];
-        if (endpoint != settings_.link) {
-            send_join_request(endpoint);
-            ++asked;
-        }
-    }
-    if (++join_rounds_ > fast_join_rounds) {
-        const duration grown = join_request_interval * (join_rounds_ - fast_join_rounds);
-        next_join_request_ = now + std::min(grown, max_join_request_interval);
+    for (const std::string& endpoint :
+         consensus::choose_join_contacts(join_schedule_, contacts_, settings_.link)) {
+        send_join_request(endpoint);
     }
+    next_join_request_ = now + consensus::join_delay(join_schedule_);
 }
 
 void group::bootstrap_from_settings(const std::map<std::string, consensus::member_id>& ids)
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -226,8 +226,7 @@
     std::map<std::string, consensus::member>
         blank_candidates_; ///< blank replicas by endpoint, recorded while this one is blank
     time_point next_join_request_{};
-    std::size_t next_contact_ = 0; ///< contact that the next join request goes to, modulo their number
-    std::size_t join_rounds_ = 0;  ///< rounds of join requests without success
+    consensus::join_schedule join_schedule_;
     time_point next_machine_tick_{};
     time_point next_membership_check_{};
     consensus::log_index last_snapshot_index_ = 0;
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -5,6 +5,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "wire.pb.h"
+#include "wire/ping_policy.hpp"
 
 #include <boost/asio/experimental/concurrent_channel.hpp>
 #include <boost/asio/post.hpp>
@@ -29,8 +30,8 @@
 
 /// Replies buffered for one stream; further ones are dropped.
 constexpr std::size_t reply_capacity = 1U << 16U;
-constexpr duration poll_interval = 50ms; ///< also how often deadlines and heartbeats are checked
-constexpr duration ping_interval = 250ms;
+constexpr duration poll_interval = 50ms;       ///< also how often deadlines and pings are checked
+constexpr duration idle_poll_interval = 250ms; ///< the same while no call waits for its reply
 constexpr duration initial_resend_delay = 2s;
 constexpr duration max_resend_delay = 16s;
 /// A connection is closed if no request was sent on it for this long.
@@ -65,9 +66,16 @@
     time_point last_received_at{};
     time_point last_ping_at{};
     time_point last_used_at{};
+    time_point last_call_at{};     ///< when a call was last sent; unset if the connection carried none
     std::uint64_t incarnation = 0; ///< incarnation of the peer; 0 until its first reply
 };
 
+/// When a peer was last heard, for other threads.
+struct peer_activity {
+    time_point received_at{}; ///< when a message last arrived, or its connection was first opened
+    duration allowance{};     ///< by how much longer than a peer that is called often it may be silent
+};
+
 /// A message to send, queued by any thread for the link's thread.
 struct link_command {
     std::string endpoint; ///< destination of a request; empty for a reply
@@ -96,7 +104,7 @@
     mutable std::mutex mutex; ///< guards the five members that follow
     std::deque<link_command> commands;
     std::unordered_map<std::uint64_t, std::shared_ptr<pending_call>> calls;
-    std::unordered_map<std::string, time_point> last_received; ///< by endpoint: when a message last arrived
+    std::unordered_map<std::string, peer_activity> activities; ///< by endpoint
     std::optional<zmq::socket_t> new_router;
     bool stopping = false;
     receive_handler handler; ///< set before the router socket exists
@@ -163,8 +171,9 @@
             return &found->second;
         }
         try {
-            record_received(endpoint, now); // a peer counts as active from the start of its connection
-            return &peers.emplace(endpoint, make_connection(endpoint, now)).first->second;
+            peer_connection& opened = peers.emplace(endpoint, make_connection(endpoint, now)).first->second;
+            record_received(endpoint, opened, now); // a peer is active from the start of its connection
+            return &opened;
         }
         catch (const zmq::error_t&) {
             return nullptr; // the endpoint is not a valid address; the call fails at its deadline
@@ -196,6 +205,7 @@
         if (command.call) {
             command.call->resend_at = now + command.call->resend_delay;
             send_to(command.endpoint, command.call->bytes, now);
+            record_call(command.endpoint, now);
             return;
         }
         send_to(command.endpoint, command.bytes, now);
@@ -219,16 +229,32 @@
         }
     }
 
-    void record_received(const std::string& endpoint, time_point now)
+    void record_received(const std::string& endpoint, const peer_connection& peer, time_point now)
     {
         const std::lock_guard lock(mutex);
-        last_received[endpoint] = now;
+        activities[endpoint] = {now, silence_allowance(now - peer.last_call_at)};
+    }
+
+    /// The first call after a rest starts the peer's time to be heard, as its pings were rare until now.
+    void record_call(const std::string& endpoint, time_point now)
+    {
+        const auto found = peers.find(endpoint);
+        if (found == peers.end()) {
+            return;
+        }
+        peer_connection& peer = found->second;
+        const bool rested = now - peer.last_call_at >= call_memory;
+        peer.last_call_at = now;
+        if (rested) {
+            peer.last_received_at = now;
+            record_received(endpoint, peer, now);
+        }
     }
 
-    void erase_received(const std::string& endpoint)
+    void erase_activity(const std::string& endpoint)
     {
         const std::lock_guard lock(mutex);
-        last_received.erase(endpoint);
+        activities.erase(endpoint);
     }
 
     void deliver(const envelope_ptr& message)
@@ -271,7 +297,7 @@
                 continue;
             }
             peer.last_received_at = now;
-            record_received(endpoint, now);
+            record_received(endpoint, peer, now);
             const bool restarted = peer.incarnation != 0 && peer.incarnation != message->sender();
             peer.incarnation = message->sender();
             if (restarted) {
@@ -329,14 +355,15 @@
         for (auto entry = peers.begin(); entry != peers.end();) {
             peer_connection& peer = entry->second;
             if (now - peer.last_used_at > idle_connection_timeout) {
-                erase_received(entry->first);
+                erase_activity(entry->first);
                 entry = peers.erase(entry);
                 continue;
             }
-            if (now - peer.last_received_at > settings.silence_limit) {
+            const duration since_call = now - peer.last_call_at;
+            if (now - peer.last_received_at > settings.silence_limit + silence_allowance(since_call)) {
                 silent.push_back(entry->first);
             }
-            else if (now - peer.last_ping_at >= ping_interval) {
+            else if (now - peer.last_ping_at >= ping_interval(since_call)) {
                 peer.last_ping_at = now;
                 peer.socket.send(zmq::buffer(bytes), zmq::send_flags::dontwait);
             }
@@ -351,6 +378,7 @@
     {
         peer_connection& old = peers.at(endpoint);
         const time_point last_used_at = old.last_used_at;
+        const time_point last_call_at = old.last_call_at;
         if (old.incarnation != 0) {
             log_event(event::link_silent, {{"endpoint", endpoint}});
         }
@@ -358,10 +386,17 @@
         peers.erase(endpoint);
         reconnect_count.fetch_add(1);
         peer_connection& connection = peers.emplace(endpoint, make_connection(endpoint, now)).first->second;
+        connection.last_call_at = last_call_at;
         resend_calls(endpoint, now);
         connection.last_used_at = last_used_at; // a resent request does not keep an idle connection open
     }
 
+    bool has_calls()
+    {
+        const std::lock_guard lock(mutex);
+        return !calls.empty();
+    }
+
     void process_call_timers(time_point now)
     {
         std::vector<std::shared_ptr<pending_call>> expired;
@@ -415,7 +450,8 @@
                 items.push_back({peer.socket.handle(), 0, ZMQ_POLLIN, 0});
                 endpoints.push_back(&endpoint);
             }
-            zmq::poll(items, std::chrono::milliseconds(to_ms(poll_interval)));
+            zmq::poll(items,
+                      std::chrono::milliseconds(to_ms(has_calls() ? poll_interval : idle_poll_interval)));
             const time_point now = runtime_clock::now();
             for (std::size_t i = first_peer; i < items.size(); ++i) {
                 if ((items[i].revents & ZMQ_POLLIN) != 0) {
@@ -622,8 +658,9 @@
 bool link::active_within(const std::string& endpoint, duration span) const
 {
     const std::lock_guard lock(core_->mutex);
-    const auto found = core_->last_received.find(endpoint);
-    return found == core_->last_received.end() || runtime_clock::now() - found->second <= span;
+    const auto found = core_->activities.find(endpoint);
+    return found == core_->activities.end() ||
+           runtime_clock::now() - found->second.received_at <= span + found->second.allowance;
 }
 
 std::uint64_t link::reconnect_count() const
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -151,6 +151,47 @@
     BOOST_TEST(policy.max_voters_per_data_centre == 2U);
 }
 
+// Load that it answers: in a fleet of 36 stores and 8 groups most stores are not members of most groups.
+BOOST_AUTO_TEST_CASE(store_that_no_group_needs_sends_few_join_requests_whatever_the_size_of_the_fleet)
+{
+    const auto requests_in_ten_minutes = [](std::size_t stores) {
+        std::vector<std::string> contacts;
+        for (std::size_t i = 0; i < stores; ++i) {
+            contacts.push_back(std::to_string(i));
+        }
+        join_schedule schedule;
+        std::size_t requests = 0;
+        for (duration elapsed{}; elapsed < 10min; elapsed += join_delay(schedule)) {
+            requests += choose_join_contacts(schedule, contacts, "0").size();
+        }
+        return requests;
+    };
+    BOOST_TEST(requests_in_ten_minutes(36) <= 600U * 2);
+    BOOST_TEST(requests_in_ten_minutes(360) == requests_in_ten_minutes(36));
+}
+
+BOOST_AUTO_TEST_CASE(joining_store_asks_every_contact_but_itself_in_turn)
+{
+    const std::vector<std::string> contacts{"a", "b", "c", "d", "e", "f", "g", "self"};
+    join_schedule schedule;
+    std::set<std::string> asked;
+    for (int round = 0; round < 2; ++round) {
+        for (const std::string& contact : choose_join_contacts(schedule, contacts, "self")) {
+            asked.insert(contact);
+        }
+        BOOST_TEST((join_delay(schedule) == join_interval));
+    }
+    BOOST_TEST(asked.size() == 7U);
+    BOOST_TEST(!asked.contains("self"));
+}
+
+BOOST_AUTO_TEST_CASE(store_without_contacts_asks_nobody)
+{
+    join_schedule schedule;
+    BOOST_TEST(choose_join_contacts(schedule, {}, "self").empty());
+    BOOST_TEST(choose_join_contacts(schedule, {"self"}, "self").empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
