Bound what a gateway takes of an answer without end

Cause: looked for among what operators of similar systems report. A chunk head without end was buffered without a limit (33 MB when the test stopped sending); an event without end was buffered and searched again from its beginning with every part; the events of a kept turn had no limit.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -26,7 +26,8 @@
 constexpr duration default_idle_timeout = 5s; ///< for upstreams that send no idle timeout
 constexpr duration non_repeatable_idle_timeout =
     2s; ///< of a connection reused for a call that can't be repeated
-constexpr std::size_t max_buffered_bytes = 8U << 20U; ///< of a response that is not a stream
+constexpr std::size_t max_buffered_bytes =
+    8U << 20U; ///< of a response that is not a stream, and of the events of a turn that is kept
 constexpr int min_error_status = 500;           ///< from here on, statuses report errors of the upstream
 constexpr duration ledger_poll_interval = 20ms; ///< at which a waiting call checks for the ledger groups
 constexpr duration ledger_retry_after = 300ms;  ///< a ledger group needs about this long for a new leader
@@ -52,8 +53,8 @@
 struct attempt_state {
     response_head head;
     bool has_head = false;
-    bool streaming = false;    ///< events are forwarded as they arrive
-    bool out_of_order = false; ///< an event was missing or a duplicate
+    bool streaming = false; ///< events are forwarded as they arrive
+    bool unusable = false;  ///< an event was missing or a duplicate
     std::string body;
     event_splitter splitter;
     std::optional<boost::asio::basic_waitable_timer<runtime_clock>>
@@ -85,7 +86,8 @@
     return bytes;
 }
 
-/// Forwards an event to the caller. @return false if its id does not follow that of the previous event.
+/// Forwards an event to the caller.
+/// @return false if its id does not follow that of the previous event, or the turn is too long to be kept.
 asio::awaitable<bool> forward_event(std::shared_ptr<active_call> call, stream_event next)
 {
     if (next.id && call->last_event_id && *next.id <= *call->last_event_id) {
@@ -102,6 +104,9 @@
     if (call->route->keeps_turns) {
         call->output += next.data;
         call->output.push_back('\n');
+        if (call->output.size() > max_buffered_bytes) {
+            co_return false;
+        }
     }
     co_await call->response.write(std::move(next.bytes));
     co_return true;
@@ -136,10 +141,14 @@
     for (stream_event& next : split_events(state.splitter, part)) {
         const bool in_order = co_await forward_event(call, std::move(next));
         if (!in_order) {
-            state.out_of_order = true;
+            state.unusable = true;
             co_return false;
         }
     }
+    if (state.splitter.overflowed) {
+        state.unusable = true;
+        co_return false;
+    }
     co_return !call->response.caller_left();
 }
 
@@ -306,7 +315,7 @@
         }
         co_return attempt_result::not_executed;
     }
-    if (result == exchange_result::complete && !state.out_of_order) {
+    if (result == exchange_result::complete && !state.unusable) {
         if (state.streaming) {
             co_return co_await finish_stream(call, state);
         }
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -2,6 +2,7 @@
 #include "gateway/caller_connection.hpp"
 
 #include "base/event_type.hpp"
+#include "http/buffer_limit.hpp"
 #include "runtime/worker_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -226,7 +227,7 @@
              std::shared_ptr<std::set<std::pair<beast::tcp_stream*, const bool*>>> open_streams)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{http::max_unparsed_bytes};
     bool idle = true;
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -1,6 +1,7 @@
 // Splits a stream of server-sent events into complete events.
 #include "gateway/event_stream.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 namespace guavawick::gateway {
@@ -52,11 +53,15 @@
     return result;
 }
 
+constexpr std::size_t max_separator_bytes = 4; ///< of the empty line that ends an event
+
+/// @param searched bytes at the beginning in which no event ends.
 /// @return the length of the first complete event, 0 if there is none.
-std::size_t find_event_end(const std::string& bytes)
+std::size_t find_event_end(const std::string& bytes, std::size_t searched)
 {
-    const std::size_t line_feeds = bytes.find("\n\n");
-    const std::size_t carriage_returns = bytes.find("\r\n\r\n");
+    const std::size_t begin = searched - std::min(searched, max_separator_bytes - 1);
+    const std::size_t line_feeds = bytes.find("\n\n", begin);
+    const std::size_t carriage_returns = bytes.find("\r\n\r\n", begin);
     if (line_feeds == std::string::npos && carriage_returns == std::string::npos) {
         return 0;
     }
@@ -72,10 +77,16 @@
 {
     splitter.pending += bytes;
     std::vector<stream_event> events;
-    while (const std::size_t length = find_event_end(splitter.pending)) {
+    while (const std::size_t length = find_event_end(splitter.pending, splitter.searched)) {
         events.push_back(read_event(splitter.pending.substr(0, length)));
         splitter.pending.erase(0, length);
+        splitter.searched = 0;
+    }
+    if (splitter.pending.size() > max_event_bytes) {
+        splitter.overflowed = true;
+        splitter.pending.clear();
     }
+    splitter.searched = splitter.pending.size();
     return events;
 }
 
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -1,6 +1,7 @@
 // Splits a stream of server-sent events into complete events. Pure.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,9 +16,13 @@
     std::string data;                ///< its data lines, joined by line feeds
 };
 
+constexpr std::size_t max_event_bytes = 1U << 20U; ///< of one event, so that one without end is not buffered
+
 /// Buffers the received bytes of an event that is not complete yet.
 struct event_splitter {
     std::string pending;
+    std::size_t searched = 0; ///< bytes of `pending` in which no event ends
+    bool overflowed = false;  ///< an event was longer than max_event_bytes; its bytes were dropped
 };
 
 /// Appends received bytes to the pending ones. @return the events that are now complete, in order.
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "gateway/dialect_type.hpp"
+#include "http/buffer_limit.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -21,7 +22,7 @@
     explicit upstream_connection(const boost::asio::any_io_executor& executor) : socket(executor) {}
 
     boost::asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{http::max_unparsed_bytes};
     std::string instance;
     bool fresh = true; ///< not reused from the pool
     time_point idle_since{};
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,4 +1,5 @@
 // HTTP/1.1 client on Boost.Beast: a new connection for each request.
+#include "http/buffer_limit.hpp"
 #include "http/http_error_type.hpp"
 
 #include <boost/asio/connect.hpp>
@@ -62,7 +63,7 @@
 asio::awaitable<int> read_body(const std::string& base_url, beast::tcp_stream& stream,
                                const chunk_handler& on_chunk)
 {
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     beast::http::response_parser<beast::http::buffer_body> parser;
     parser.body_limit(max_response_bytes);
     boost::system::error_code error;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,6 +1,7 @@
 // HTTP/1.1 server on Boost.Beast.
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
+#include "http/buffer_limit.hpp"
 #include "http/http_type.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -262,7 +263,7 @@
 asio::awaitable<void> serve_connection(std::shared_ptr<server_state> state, tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{max_unparsed_bytes};
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     while (co_await serve_request(*state, stream, buffer)) {
--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -31,6 +31,31 @@
     BOOST_TEST(!split_events(splitter, "id: x1\ndata: a\n\n").front().id.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(event_that_never_ends_is_dropped_at_the_limit)
+{
+    event_splitter splitter;
+    BOOST_TEST(split_events(splitter, "data: a\n\n").size() == 1U);
+    const std::string part(64U << 10U, 'x');
+    for (std::size_t received = 0; received < 4 * max_event_bytes; received += part.size()) {
+        BOOST_TEST(split_events(splitter, part).empty());
+        BOOST_TEST_REQUIRE(splitter.pending.size() <= max_event_bytes);
+    }
+    BOOST_TEST(splitter.overflowed);
+}
+
+BOOST_AUTO_TEST_CASE(large_event_in_many_parts_is_complete)
+{
+    event_splitter splitter;
+    const std::string part(1000, 'x');
+    split_events(splitter, "data: ");
+    for (int i = 0; i < 500; ++i) {
+        split_events(splitter, part);
+    }
+    split_events(splitter, "\n");
+    BOOST_TEST(split_events(splitter, "\n").front().data.size() == 500U * 1000U);
+    BOOST_TEST(!splitter.overflowed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
