--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -84,6 +84,23 @@
     std::atomic<std::uint64_t> log_bytes{0};
 };
 
+/// A snapshot that this member copies part by part from the leader.
+struct snapshot_import {
+    consensus::message offer;           ///< installs the snapshot once its state is complete
+    std::string endpoint;               ///< link endpoint of the leader
+    std::string state;                  ///< bytes of the leader's state received so far
+    bool copies_contents = false;       ///< the state is complete; its contents are being copied
+    std::uint64_t batch = 0;            ///< number of the batch of contents that was queried
+    std::vector<content_range> queried; ///< contents of that batch
+    time_point progress_at{};           ///< when the newest part arrived
+};
+
+/// A snapshot that other members may still query.
+struct snapshot_export {
+    std::shared_ptr<const consensus::snapshot> snapshot;
+    time_point used_at{}; ///< when it was last offered or queried
+};
+
 /// This replica's member of one consensus group. Thread safety: functions marked as thread-safe may be called
 /// from any thread, and those with that precondition only on the group's thread. The others must be called
 /// from one thread.
@@ -162,23 +179,6 @@
         proposal_callback done;
     };
 
-    /// A snapshot that this member copies part by part from the leader.
-    struct snapshot_import {
-        consensus::message offer;           ///< installs the snapshot once its state is complete
-        std::string endpoint;               ///< link endpoint of the leader
-        std::string state;                  ///< bytes of the leader's state received so far
-        bool copies_contents = false;       ///< the state is complete; its contents are being copied
-        std::uint64_t batch = 0;            ///< number of the batch of contents that was queried
-        std::vector<content_range> queried; ///< contents of that batch
-        time_point progress_at{};           ///< when the newest part arrived
-    };
-
-    /// A snapshot that other members may still query.
-    struct snapshot_export {
-        std::shared_ptr<const consensus::snapshot> snapshot;
-        time_point used_at{}; ///< when it was last offered or queried
-    };
-
     static consensus::options make_options(const replica_settings& settings);
     void run();
     void process_batch(std::vector<std::function<void()>>& tasks);
