Call an endless upstream until the gateway knows it

The product was right. Change: the test calls until the upstream was reached, as fleet_test does; its destructor ends an accept.

--- a/tests/unit/hostile_upstream_test.cpp
+++ b/tests/unit/hostile_upstream_test.cpp
@@ -21,6 +21,7 @@
     asio::io_context context;
     tcp::acceptor acceptor{context};
     tcp::socket connection{context};
+    std::atomic<bool> accepted{false}; ///< a call has reached this upstream
     std::string address = find_free_address();
     std::thread thread;
     std::function<void(tcp::socket&)> serve;
@@ -38,7 +39,8 @@
 
     ~raw_upstream()
     {
-        ::shutdown(connection.native_handle(), SHUT_RDWR); // ends a read of the thread
+        ::shutdown(acceptor.native_handle(), SHUT_RDWR); // ends the thread's accept, or its read
+        ::shutdown(connection.native_handle(), SHUT_RDWR);
         if (thread.joinable()) {
             thread.join();
         }
@@ -51,8 +53,12 @@
     void start()
     {
         thread = std::thread([this] {
-            acceptor.accept(connection);
-            serve(connection);
+            boost::system::error_code error;
+            acceptor.accept(connection, error);
+            if (!error) {
+                accepted.store(true);
+                serve(connection);
+            }
         });
     }
 };
@@ -83,7 +89,8 @@
     raw_upstream endless;
     std::size_t taken_bytes = 0; ///< that the gateway took before it closed the connection
 
-    /// Makes the endless upstream the only one and calls it once. @return the status that the caller gets.
+    /// Makes the endless upstream the only one, and calls until the gateway knows it and a call reaches it.
+    /// @return the status that this caller gets.
     int call_endless(const std::string& target, const std::string& beginning, const std::string& repeated)
     {
         endless.serve = [this, beginning, repeated](tcp::socket& socket) {
@@ -98,7 +105,10 @@
         announce(upstream, "u1", 2, directory::instance_state::gone);
         announce_address(endless.address, "u2", 1);
         endless.start();
-        const int status = call("GET", target).status;
+        int status = 0;
+        while (!endless.accepted.load()) {
+            status = call("GET", target).status;
+        }
         endless.thread.join();
         return status;
     }
@@ -171,6 +181,8 @@
     announce(upstream, "u1", 2, directory::instance_state::gone);
     announce_address(doubling.address, "u2", 1);
     doubling.start();
+    while (call("GET", "/safe/x").status != 200) { // until the gateway knows the upstream
+    }
     for (const char* id : {"first", "second", "third"}) {
         const http::response response = call("GET", "/safe/x", {{"Call", id}});
         BOOST_TEST(response.status == 200);
