--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -24,7 +24,7 @@
 
 int main()
 {
-    fleet system(3, 3);
+    fleet system(4, 4);
     std::atomic<double> acknowledged_at{1e9};
     std::atomic<double> thawed_at{1e9};
     std::atomic<int> broken{0};
@@ -32,7 +32,7 @@
     const auto answer = [&](worker& self, const message& request, channel& to) {
         const double now = now_s();
         if (self.id() == "i-b") {
-            record("worker i-b in zone-b runs %s", request.header("X-Guavawick-Request-Id").c_str());
+            record("worker i-b in tame runs %s", request.header("X-Guavawick-Request-Id").c_str());
             if (now > acknowledged_at + evacuate_s && now > thawed_at + contact_s) {
                 ++broken;
             }
@@ -41,16 +41,16 @@
         ++served;
         return self.reply(to, request, 200, "ok");
     };
-    worker a(system, "i-a", "posting", "zone-a", 0, 6, answer);
-    worker b(system, "i-b", "posting", "zone-b", 1, 6, answer);
-    worker c(system, "i-c", "posting", "zone-c", 2, 6, answer);
+    worker a(system, "i-a", "posting", "trent", 0, 6, answer);
+    worker b(system, "i-b", "posting", "tame", 1, 6, answer);
+    worker c(system, "i-c", "posting", "soar", 2, 6, answer);
     if (give_order(system, 1, "/guavawick/Config.Replace", config, 15) != 200) {
         give_up("the config was not acknowledged");
     }
     system.wait_ready();
     sleep_ms(4000);
 
-    if (give_order(system, 1, "/guavawick/Evacuations.Start/zone-b", "") != 200) {
+    if (give_order(system, 1, "/guavawick/Evacuations.Start/tame", "") != 200) {
         give_up("the first evacuation was not acknowledged");
     }
     sleep_ms(2000);
@@ -60,15 +60,15 @@
         system.signal("gateway", frozen_machine, SIGSTOP);
     }
     sleep_ms(100);
-    if (give_order(system, frozen_machine, "/guavawick/Evacuations.Finish/zone-b", "") != 200) {
+    if (give_order(system, frozen_machine, "/guavawick/Evacuations.Finish/tame", "") != 200) {
         give_up("the end of the first evacuation was not acknowledged");
     }
     sleep_ms(2000);
-    if (give_order(system, 1, "/guavawick/Evacuations.Start/zone-b", "") != 200) {
+    if (give_order(system, 1, "/guavawick/Evacuations.Start/tame", "") != 200) {
         give_up("the second evacuation was not acknowledged");
     }
     acknowledged_at = now_s();
-    record("the second evacuation of zone-b is acknowledged and isn't taken back");
+    record("the second evacuation of tame is acknowledged and isn't taken back");
     sleep_until(frozen_at + freeze_s);
     if (with_trouble()) {
         system.signal("control", frozen_machine, SIGCONT);
@@ -79,7 +79,7 @@
     // Callers of the gateways that were never disturbed.
     int sent = 0;
     for (const double until = thawed_at + contact_s + 7; now_s() < until; ++sent) {
-        const int gateway = 1 + sent % 2;
+        const int gateway = 1 + sent % 3;
         const int status = exchange(system.gateway(gateway),
                                     make_request("GET", "/look/2f", "desk.example",
                                                  {{"X-Guavawick-Request-Id", "q" + std::to_string(sent)},
--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -367,7 +367,8 @@
 
 std::string fleet::zone(int machine) const
 {
-    return std::string("zone-") + static_cast<char>('a' + machine % 3);
+    static const char* const names[] = {"trent", "tame", "soar", "dove"};
+    return names[machine % 4];
 }
 
 void fleet::write_settings(const process& target, bool bootstrap)
@@ -378,7 +379,7 @@
     std::ofstream file(folder_ + "/" + target.role + std::to_string(target.machine) + ".toml");
     file << "node_name = \"" << name << "\"\nrole = \"" << target.role << "\"\nmachine_class = \""
          << (is_store ? "storage" : "front") << "\"\nip = \"" << ip << "\"\nzone = \"" << zone(target.machine)
-         << "\"\nregion = \"r\"\ninternal_ports = [7780,7795]\nseeds = [";
+         << "\"\nregion = \"midlands\"\ninternal_ports = [7780,7795]\nseeds = [";
     for (int i = 0; i < std::min(machines_, 3); ++i) {
         file << (i == 0 ? "\"" : ",\"") << control(i) << "\"";
     }
@@ -387,16 +388,16 @@
     if (target.role != "gateway") {
         file << "data_dir = \"" << folder_ << "/" << target.role << target.machine << ".data\"\n";
     }
-    file << "[zones]\nzone-a = \"r\"\nzone-b = \"r\"\nzone-c = \"r\"\n[listen]\n";
+    file << "[zones]\ntrent = \"midlands\"\ntame = \"midlands\"\nsoar = \"midlands\"\ndove = "
+            "\"midlands\"\n[listen]\n";
     if (!is_store) {
         file << "front = \"" << ip << ":8368\"\nready = \"" << ip << ":8369\"\ncontrol = \"" << ip
              << ":8367\"\n";
     }
     file
-        << "[limits]\nmemory_mb = " << (is_store ? 120 : 110)
-        << "\nmax_fds = 4100\ndisk_mb = " << (is_store ? 300 : 64)
+        << "[limits]\nmemory_mb = " << 260 << "\nmax_fds = 4100\ndisk_mb = " << (is_store ? 300 : 64)
         << "\n[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n"
-           "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4.1\n"
+           "[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 4.7\n"
            "drain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_apply_ms = 2000\n"
            "rollback_slack_ms = 250\nouter_bound_ms = 5000\nquota_window_s = 5\nquota_overage = 0.1\n"
            "quota_slack = 20\ncold_overage = 1.5\ncold_slack = 5\nevacuate_ms = 5000\nrecover_s = 12\n";
