--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -80,9 +80,9 @@
 
 int main()
 {
-    fleet system(3, 3);
-    worker first(system, "i-a", "models", "zone-a", 0, 64, stream);
-    worker second(system, "i-b", "models", "zone-b", 1, 64, stream);
+    fleet system(4, 4);
+    worker first(system, "i-a", "models", "trent", 0, 64, stream);
+    worker second(system, "i-b", "models", "tame", 1, 64, stream);
     if (give_order(system, 1, "/guavawick/Config.Replace", config, 15) != 200) {
         give_up("the config was not acknowledged");
     }
