--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,4 +1,4 @@
-// Eight turns of the largest size that the config allows take every store over its memory, one after the
+// Turns of the largest size that the config allows take every store over its memory, one after the
 // other.
 #include "../standin/standin.hpp"
 
@@ -11,19 +11,19 @@
 
 namespace {
 
-constexpr int large_turns = 8;
+constexpr int large_turns = 24;
 constexpr int bystanders = 10;                        // callers of small turns at the same time
-constexpr std::uint64_t memory_limit = 120ULL << 20U; // memory_mb of a storage machine, counted as MiB
+constexpr std::uint64_t memory_limit = 260ULL << 20U; // memory_mb of a storage machine, counted as MiB
 constexpr std::size_t large_body = 4194304 - 4096;    // under max_body_bytes
 constexpr std::size_t small_body = 5100;              // the mean of the site
 constexpr int prefill_ms = 647;                       // 20,000 prompt tokens at 30.9 a ms
 
 const char* const config = R"({"version":1,"routes":[{"name":"r1","hostname":"desk.example",
-"path_prefix":"/chat/","type":"streaming","timeout_ms":5000,"target_latency_ms":200,"priority":0,
+"path_prefix":"/chat/","type":"streaming","timeout_ms":6000,"target_latency_ms":200,"priority":0,
 "service":"models","max_attempts":2,"retain_context":true,"retention_s":60.0,"allow_anonymous":false,
 "session_affinity":true,"resumable":false,"gap_target_ms":500}],
 "services":[{"name":"models","health_path":"/health","max_connections":380,"protocol":"h1","tls":false,
-"cold_start_s":0.0,"cold_per_s":0.0,"engine":{"slots":64,"kv_capacity":171099,"kv_token_bytes":163840,
+"cold_start_s":0.0,"cold_per_s":0.0,"engine":{"slots":64,"kv_capacity":217590,"kv_token_bytes":163840,
 "link_mbps":550000.0,"moves":true,"backups":true,"stream_stride":3,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,
 "handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
 "header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -59,7 +59,7 @@
 {
     return make_request("POST", "/chat/4b", "desk.example",
                         {{"X-Guavawick-Request-Id", id},
-                         {"X-Guavawick-Deadline-Ms", "5000"},
+                         {"X-Guavawick-Deadline-Ms", "6000"},
                          {"X-Guavawick-Program-Id", "p" + id},
                          {"X-Guavawick-Session-Id", "s" + id},
                          {"X-Guavawick-Finish-Ms", "20000"},
@@ -74,9 +74,9 @@
 
 int main()
 {
-    fleet system(3, 3);
+    fleet system(4, 4);
     std::vector<std::unique_ptr<worker>> workers;
-    for (int i = 0; i < 9; ++i) {
+    for (int i = 0; i < 12; ++i) {
         workers.push_back(std::make_unique<worker>(system, "i-" + std::to_string(i), "models", system.zone(i),
                                                    i, 64, stream));
     }
@@ -90,10 +90,10 @@
     // delay".
     std::atomic<bool> stop{false};
     std::atomic<int> kills{0};
-    std::uint64_t peak[3] = {0, 0, 0};
+    std::uint64_t peak[4] = {0, 0, 0, 0};
     std::thread platform([&] {
         while (!stop) {
-            for (int i = 0; i < 3; ++i) {
+            for (int i = 0; i < 4; ++i) {
                 const std::uint64_t bytes = system.resident("store", i);
                 peak[i] = std::max(peak[i], bytes);
                 if (bytes > memory_limit) {
@@ -119,12 +119,12 @@
             sleep_ms(i * 75);
             for (int n = 0; now_s() < burst_at + 14; ++n) {
                 const std::string id = "b" + std::to_string(i) + "-" + std::to_string(n);
-                if (!kept.is_open() && !kept.connect(system.gateway(i % 3), 1000)) {
+                if (!kept.is_open() && !kept.connect(system.gateway(i % 4), 1000)) {
                     sleep_ms(100);
                     continue;
                 }
                 const bool complete = kept.send(make_turn(id, small_body)) &&
-                                      kept.read(answer, true, 6000) == read_result::complete;
+                                      kept.read(answer, true, 7000) == read_result::complete;
                 if (complete) {
                     answered += answer.status == 200 ? 1 : 0;
                     record("%s: answered %d", id.c_str(), answer.status);
@@ -148,15 +148,15 @@
             const std::string request = make_turn(id, with_trouble() ? large_body : small_body);
             channel kept;
             message answer;
-            if (!kept.connect(system.gateway(i % 3), 1000) ||
+            if (!kept.connect(system.gateway(i % 4), 1000) ||
                 !kept.send(make_turn("first-" + id, small_body)) ||
-                kept.read(answer, true, 6000) != read_result::complete || answer.status != 200) {
+                kept.read(answer, true, 7000) != read_result::complete || answer.status != 200) {
                 record("%s: the caller's first turn was not answered", id.c_str());
                 return;
             }
             sleep_until(burst_at);
             const bool complete =
-                kept.send(request) && kept.read(answer, true, 6000) == read_result::complete;
+                kept.send(request) && kept.read(answer, true, 7000) == read_result::complete;
             const std::lock_guard lock(run_mutex);
             const bool run = run_ids.contains(id);
             large_answered += complete && answer.status == 200 ? 1 : 0;
@@ -172,7 +172,7 @@
     }
     stop = true;
     platform.join();
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < 4; ++i) {
         record("store %d used %.1f MiB at most, its limit is %.1f MiB", i + 1,
                static_cast<double>(peak[i]) / (1U << 20U), static_cast<double>(memory_limit) / (1U << 20U));
     }
