--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -10,19 +10,19 @@
 
 namespace {
 
-constexpr int worker_count = 9; // drafter-models of the site
-constexpr int down_ms = 2500;   // a crashed worker is back after some seconds
+constexpr int worker_count = 12; // ember-models of the site
+constexpr int down_ms = 2500;    // a crashed worker is back after some seconds
 constexpr int poison_pause_ms = 1000;
 constexpr int poison_count = 20;
 constexpr double contact_s = 3.0; // contact_ms
 constexpr int bystanders = 12;
 
 const char* const config = R"({"version":1,"routes":[{"name":"r1","hostname":"desk.example",
-"path_prefix":"/draft/","type":"streaming","timeout_ms":5000,"target_latency_ms":200,"priority":0,
+"path_prefix":"/draft/","type":"streaming","timeout_ms":6000,"target_latency_ms":200,"priority":0,
 "service":"models","max_attempts":2,"retain_context":false,"retention_s":60.0,"allow_anonymous":false,
 "session_affinity":true,"resumable":false,"gap_target_ms":500}],
 "services":[{"name":"models","health_path":"/health","max_connections":380,"protocol":"h1","tls":false,
-"cold_start_s":0.0,"cold_per_s":0.0,"engine":{"slots":64,"kv_capacity":171099,"kv_token_bytes":163840,
+"cold_start_s":0.0,"cold_per_s":0.0,"engine":{"slots":64,"kv_capacity":217590,"kv_token_bytes":163840,
 "link_mbps":550000.0,"moves":true,"backups":true,"stream_stride":3,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,
 "handle_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,
 "header_timeout_ms":3000,"idle_timeout_ms":15000},
@@ -76,19 +76,19 @@
     return exchange(system.gateway(gateway),
                     make_request("POST", "/draft/2f", "desk.example",
                                  {{"X-Guavawick-Request-Id", id},
-                                  {"X-Guavawick-Deadline-Ms", "5000"},
+                                  {"X-Guavawick-Deadline-Ms", "6000"},
                                   {"X-Guavawick-Token-Usage", "1460,80"},
                                   {"X-Guavawick-Model", "m"},
                                   {"Api-Key", "k1k1k1k1k1"}},
                                  body),
-                    6000, &answer);
+                    7000, &answer);
 }
 
 } // namespace
 
 int main()
 {
-    fleet system(3, 3);
+    fleet system(4, 4);
     std::vector<std::unique_ptr<worker>> workers;
     for (int i = 0; i < worker_count; ++i) {
         workers.push_back(std::make_unique<worker>(system, "i-" + std::to_string(i), "models", system.zone(i),
@@ -108,7 +108,7 @@
             sleep_ms(i * 40);
             for (int n = 0; !stop; ++n) {
                 const std::string id = "b" + std::to_string(i) + "-" + std::to_string(n);
-                const int status = send_draft(system, i % 3, id, "a draft " + id);
+                const int status = send_draft(system, i % 4, id, "a draft " + id);
                 ++(status == 200 ? answered : cut);
                 if (status != 200) {
                     record("caller: %s ended with %d", id.c_str(), status);
@@ -119,8 +119,8 @@
     }
     sleep_ms(1000);
     for (int n = 0; n < poison_count; ++n) {
-        const int status = send_draft(system, n % 3, "p" + std::to_string(n), "poison");
-        record("caller: the request comes as p%d at gateway %d: %d", n, n % 3 + 1, status);
+        const int status = send_draft(system, n % 4, "p" + std::to_string(n), "poison");
+        record("caller: the request comes as p%d at gateway %d: %d", n, n % 4 + 1, status);
         sleep_ms(poison_pause_ms);
     }
     stop = true;
