Hold the history of a turn while it runs

Cause: opening a turn checked its chain but did not hold it. The chain expired while the turn ran, and the turn was stored with a predecessor that was gone.

Change: an open turn holds its chain and its program's account until its deadline and the slack. A turn is stored only if its whole chain is; otherwise its closing is refused and the response aborted, so that no response seems whole that can't be continued. The same cause on related paths: a program's account expired while a turn of it ran, or before its stored turns, and its budget started anew; the retention counted from the commit of the closing instead of the end of the response. GW4011 names the missing turn, GW4014 is new.

Evidence: of the new cases in turns_test, turn_that_runs_past_the_retention_of_its_history_can_be_continued, turn_whose_history_has_expired_is_not_stored, account_is_kept_as_long_as_the_turns_of_its_program and account_is_kept_while_a_turn_of_its_program_may_run fail without their part of the change.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -68,6 +68,7 @@
     turn_opened = 4011,
     turn_closed = 4012,
     lines_left_out = 4013,
+    turn_not_stored = 4014,
     attempt_started = 5000,
     attempt_finished = 5001,
     attempt_tombstoned = 5002,
--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -177,20 +177,31 @@
     if (command.has_open()) {
         return apply_open(command.open());
     }
-    turns::advance_time(state_, turns::group_time{command.close().now_ms()});
-    apply_close(command.close());
-    reply.mutable_done();
-    return reply;
+    return apply_close(command.close());
 }
 
-void ledger_replica::apply_close(const wire::close_turn& request)
+wire::envelope ledger_replica::apply_close(const wire::close_turn& request)
 {
+    turns::advance_time(state_, turns::group_time{request.now_ms()});
     const turns::close_request closing = turns::from_wire(request);
     content_range content;
     if (turns::stores_content(state_, closing)) {
         content = contents_.append(request.input() + request.output());
     }
-    turns::close_turn(state_, closing, content);
+    const turns::close_result result = turns::close_turn(state_, closing, content);
+    wire::envelope reply;
+    if (result.accepted) {
+        reply.mutable_done();
+        return reply;
+    }
+    reply.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::not_found));
+    if (group_.leads()) {
+        log_event(event::turn_not_stored, {{"request", request.request()},
+                                           {"group", std::uint64_t{group_.number()}},
+                                           {"previous", request.previous()},
+                                           {"missing", result.missing.value}});
+    }
+    return reply;
 }
 
 wire::envelope ledger_replica::apply_open(const wire::open_turn& request)
@@ -216,6 +227,7 @@
                                        {"spent", result.spent},
                                        {"reserved", result.reserved},
                                        {"previous", request.previous()},
+                                       {"missing", result.missing.value},
                                        {"history_bytes", std::uint64_t{body->history().size()}},
                                        {"warm", result.upstream},
                                        {"turns_held", std::uint64_t{state_.turns.size()}}});
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -56,7 +56,7 @@
     void propose(const wire::envelope& request, const reply_function& send_reply);
     wire::envelope apply(const std::string& command);
     wire::envelope apply_open(const wire::open_turn& request);
-    void apply_close(const wire::close_turn& request);
+    wire::envelope apply_close(const wire::close_turn& request);
     replica::content_callbacks make_content_callbacks();
     void remove_unused_contents();
     void handle_leadership_change(bool leads);
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -472,6 +472,7 @@
         }
     }
     const duration time_left = call->deadline - runtime_clock::now();
+    body->set_run_timeout_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(time_left), 1)));
     std::string failure_reason;
     wire::envelope_ptr reply;
     try {
@@ -506,6 +507,7 @@
     const auto service = call->plan->plan.services.find(call->service);
     const bool has_model = service != call->plan->plan.services.end() && service->second.model.has_value();
     const std::uint64_t tokens_per_event = has_model ? service->second.model->tokens_per_event : 1;
+    const duration time_left = call->deadline - runtime_clock::now();
     wire::envelope request;
     wire::close_turn* body = request.mutable_close_turn();
     body->set_organisation(call->organisation != nullptr ? call->organisation->name.value : "");
@@ -519,16 +521,21 @@
         body->set_previous(call->metadata.previous_turn.value);
         body->set_input(call->request.body);
         body->set_output(call->output);
-        body->set_retention_ms(static_cast<std::uint64_t>(to_ms(call->route->retention)));
+        // The retention counts from the end of the response, which arrives by the call's deadline. A call
+        // that continues the turn may wait for as long as the route allows before its turn is opened.
+        const duration wait_allowance = std::max<duration>(time_left, {}) + call->route->timeout;
+        body->set_retention_ms(static_cast<std::uint64_t>(to_ms(call->route->retention + wait_allowance)));
     }
     std::string failure_reason;
     // The caller waits for the ledger to confirm a completed turn. Once the caller has left, nobody needs the
     // turn.
-    const duration time_left = call->deadline - runtime_clock::now();
     const duration timeout = completed ? std::max<duration>(time_left, min_close_timeout) : ledger_timeout;
     try {
         const wire::envelope_ptr reply = co_await call_ledger(call, std::move(request), timeout);
-        co_return reply->has_done();
+        if (reply->has_done()) {
+            co_return true;
+        }
+        failure_reason = "a turn that it continues from has expired";
     }
     catch (const link_error& error) {
         failure_reason = error.what();
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -122,6 +122,8 @@
     event_row{
         event::lines_left_out, "lines_left_out", severity::warning,
         "Log lines of an event were dropped to bound their volume or because standard output was not read."},
+    event_row{event::turn_not_stored, "turn_not_stored", severity::warning,
+              "A turn was not stored, because a turn that it continues from has expired."},
     event_row{event::attempt_started, "attempt_started", severity::debug,
               "A sidecar sent an attempt to its upstream."},
     event_row{event::attempt_finished, "attempt_finished", severity::debug,
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -15,18 +15,17 @@
     return sum;
 }
 
-/// Lists the contents of a chain of turns, oldest first.
-/// @param history receives the places; if nullptr, only checks that no turn is missing.
-/// @return false if a turn is missing.
-bool collect_history(const turn_state& state, const organisation_name& organisation, const request_name& last,
-                     std::vector<content_range>* history)
+/// @return the first turn of a chain that is not stored, searching from its newest one; empty if all are.
+/// @param history receives the contents of the chain, oldest first; may be nullptr.
+request_name find_missing_turn(const turn_state& state, const organisation_name& organisation,
+                               const request_name& last, std::vector<content_range>* history)
 {
     std::vector<content_range> chain;
     request_name current = last;
     while (!current.empty() && chain.size() < max_chain_length) {
         const auto found = state.turns.find({organisation, current});
         if (found == state.turns.end()) {
-            return false;
+            return current;
         }
         chain.push_back(found->second.content);
         current = found->second.previous;
@@ -34,7 +33,7 @@
     if (history != nullptr) {
         history->assign(chain.rbegin(), chain.rend());
     }
-    return true;
+    return {};
 }
 
 /// Extends the retention of a chain of turns, so that a turn is kept as long as any turn that continues from
@@ -62,28 +61,32 @@
         return;
     }
     std::erase_if(state.turns, [&](const auto& entry) { return entry.second.keep_until < state.now; });
-    std::erase_if(state.programs,
-                  [&](const auto& entry) { return entry.second.used_at + account_retention < state.now; });
+    std::erase_if(state.programs, [&](const auto& entry) {
+        const program_account& account = entry.second;
+        return account.used_at + account_retention < state.now && account.keep_until < state.now;
+    });
 }
 
 open_result open_turn(turn_state& state, const open_request& request)
 {
     open_result result;
+    const group_time run_until = state.now + request.run_timeout + retention_slack;
     if (!request.previous.empty()) {
-        const auto previous = state.turns.find({request.organisation, request.previous});
-        if (previous == state.turns.end() ||
-            !collect_history(state, request.organisation, request.previous,
-                             request.has_history ? nullptr : &result.history)) {
+        result.missing = find_missing_turn(state, request.organisation, request.previous,
+                                           request.has_history ? nullptr : &result.history);
+        if (!result.missing.empty()) {
             result.outcome = open_outcome::unknown_turn;
             return result;
         }
-        result.upstream = previous->second.upstream;
+        result.upstream = state.turns.at({request.organisation, request.previous}).upstream;
+        extend_chain(state, request.organisation, request.previous, run_until);
     }
     if (request.program.empty() || request.budget_tokens == 0) {
         return result;
     }
     program_account& account = state.programs[{request.organisation, request.program}];
     account.used_at = state.now;
+    account.keep_until = std::max(account.keep_until, run_until);
     // A new line may run where the program ran last: its prompt begins with that of the line that started it.
     const auto line_upstream = account.upstream_by_line.find(request.line);
     if (line_upstream != account.upstream_by_line.end()) {
@@ -110,14 +113,19 @@
 
 bool stores_content(const turn_state& state, const close_request& request)
 {
-    return request.keep && !state.turns.contains({request.organisation, request.request});
+    return request.keep && !state.turns.contains({request.organisation, request.request}) &&
+           find_missing_turn(state, request.organisation, request.previous, nullptr).empty();
 }
 
-void close_turn(turn_state& state, const close_request& request, const content_range& content)
+close_result close_turn(turn_state& state, const close_request& request, const content_range& content)
 {
+    const group_time keep_until = state.now + request.retention + retention_slack;
     if (!request.program.empty()) {
         program_account& account = state.programs[{request.organisation, request.program}];
         account.used_at = state.now;
+        if (request.keep) { // the program may continue from the turn for as long as it is stored
+            account.keep_until = std::max(account.keep_until, keep_until);
+        }
         if (account.settled.insert(request.request).second) {
             account.spent += request.used_tokens;
         }
@@ -127,15 +135,17 @@
             account.last_upstream = request.upstream;
         }
     }
-    if (!request.keep) {
-        return;
+    const turn_key key{request.organisation, request.request};
+    if (!request.keep || state.turns.contains(key)) {
+        return {};
     }
-    const group_time keep_until = state.now + request.retention + retention_slack;
-    const auto [entry, inserted] = state.turns.try_emplace({request.organisation, request.request});
-    if (inserted) {
-        entry->second = {request.previous, content, request.upstream, keep_until};
-        extend_chain(state, request.organisation, request.previous, keep_until);
+    const request_name missing = find_missing_turn(state, request.organisation, request.previous, nullptr);
+    if (!missing.empty()) {
+        return {false, missing};
     }
+    state.turns[key] = {request.previous, content, request.upstream, keep_until};
+    extend_chain(state, request.organisation, request.previous, keep_until);
+    return {};
 }
 
 } // namespace guavawick::turns
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -25,6 +25,7 @@
         budget->set_program(key.program.value);
         budget->set_spent(account.spent);
         budget->set_used_at_ms(account.used_at.count());
+        budget->set_keep_until_ms(account.keep_until.count());
         for (const auto& [request, max_tokens] : account.reserved) {
             wire::reservation_record* reserved = budget->add_reserved();
             reserved->set_request(request.value);
@@ -62,6 +63,7 @@
             state.programs[{organisation_name{budget.organisation()}, program_name{budget.program()}}];
         account.spent = budget.spent();
         account.used_at = group_time{budget.used_at_ms()};
+        account.keep_until = group_time{budget.keep_until_ms()};
         for (const wire::line_record& line_record : budget.upstreams()) {
             account.upstream_by_line[line_record.line()] = line_record.upstream();
         }
@@ -85,7 +87,9 @@
             message.most_tokens(),
             request_name{message.previous()},
             message.line(),
-            message.has_history()};
+            message.has_history(),
+            message.run_timeout_ms() > 0 ? std::chrono::milliseconds{message.run_timeout_ms()}
+                                         : default_run_timeout};
 }
 
 close_request from_wire(const wire::close_turn& message)
--- a/src/turns/turn_func.hpp
+++ b/src/turns/turn_func.hpp
@@ -17,13 +17,15 @@
 /// Advances the group's time and removes turns and program accounts whose retention has ended.
 void advance_time(turn_state& state, group_time now);
 /// Opens a turn: reserves its tokens in the program's budget and collects the history that it continues from.
-/// A resent request gets the same result. The budget may be exceeded by at most the tokens of one turn.
+/// While the turn may run, its history and its program's account are kept. A resent request gets the same
+/// result. The budget may be exceeded by at most the tokens of one turn.
 open_result open_turn(turn_state& state, const open_request& request);
 /// @return whether close_turn() would store a turn, so that its content must be written first.
 bool stores_content(const turn_state& state, const close_request& request);
-/// Closes a turn: charges its tokens to the program and stores the turn if requested. A resend has no effect.
+/// Closes a turn: charges its tokens to the program and stores the turn if requested. A turn is stored only
+/// if the whole chain that it continues from is. A resend has no effect.
 /// @param content where the turn's content was written. @pre valid if stores_content().
-void close_turn(turn_state& state, const close_request& request, const content_range& content);
+close_result close_turn(turn_state& state, const close_request& request, const content_range& content);
 
 /// @return the serialised state, for snapshots. It names the contents' places on this member's disk.
 std::string encode_state(const turn_state& state);
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -20,6 +20,13 @@
 /// Time of a group: the leader's wall clock, monotonic across changes of the leader.
 using group_time = std::chrono::milliseconds;
 
+constexpr std::chrono::milliseconds account_retention = 120s;  ///< accounts unused for this long are removed
+constexpr std::chrono::milliseconds retention_slack = 5s;      ///< additional retention, as clocks may differ
+constexpr std::chrono::milliseconds default_run_timeout = 30s; ///< of gateways that do not state one
+constexpr std::chrono::milliseconds sweep_interval =
+    1s;                                        ///< interval between removals of old turns and accounts
+constexpr std::size_t max_chain_length = 4096; ///< maximum number of turns in a history
+
 /// Identifies a turn of one organisation. Histories of different organisations are never mixed.
 struct turn_key {
     organisation_name organisation;
@@ -52,6 +59,7 @@
     std::map<std::string, std::string> upstream_by_line; ///< instance that ran the latest turn of each line
     std::string last_upstream;                           ///< instance that ran the latest turn of any line
     group_time used_at{};
+    group_time keep_until{}; ///< the account is not removed before this
 };
 
 /// Turns and program accounts of a ledger group.
@@ -71,6 +79,7 @@
     request_name previous;           ///< turn to continue from; empty if there is none
     std::string line;                ///< sequence of turns within the program that this turn belongs to
     bool has_history = false;        ///< the requesting gateway already has the bytes of the history
+    std::chrono::milliseconds run_timeout = default_run_timeout; ///< time left until the call's deadline
 };
 
 /// Whether a turn may run.
@@ -83,6 +92,7 @@
         history; ///< contents of the earlier turns, oldest first; empty if the gateway has them
     std::string
         upstream; ///< instance that has the prompt of the line, or of its program, cached; empty if unknown
+    request_name missing;       ///< turn of the chain that is not stored, if the outcome is unknown_turn
     std::uint64_t spent = 0;    ///< tokens of closed turns, for logs
     std::uint64_t reserved = 0; ///< tokens reserved for running turns, for logs
 };
@@ -100,10 +110,10 @@
     std::string line;
 };
 
-constexpr std::chrono::milliseconds account_retention = 120s; ///< accounts unused for this long are removed
-constexpr std::chrono::milliseconds retention_slack = 5s;     ///< additional retention, as clocks may differ
-constexpr std::chrono::milliseconds sweep_interval =
-    1s;                                        ///< interval between removals of old turns and accounts
-constexpr std::size_t max_chain_length = 4096; ///< maximum number of turns in a history
+/// Result of closing a turn.
+struct close_result {
+    bool accepted = true; ///< false: the turn was to be stored, but a turn that it continues from is gone
+    request_name missing; ///< that turn
+};
 
 } // namespace guavawick::turns
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -136,6 +136,67 @@
     BOOST_TEST(state.turns.empty());
 }
 
+// Guards against 404 for a turn that was answered whole: its history expired while it ran.
+BOOST_FIXTURE_TEST_CASE(turn_that_runs_past_the_retention_of_its_history_can_be_continued, two_turns_fixture)
+{
+    turns::advance_time(state, 1s + 60s);
+    BOOST_TEST((open_after("t2").outcome == open_outcome::granted));
+    turns::advance_time(state, 1s + 60s + retention_slack + 6s);
+    store_turn("t3", "t2", "x", "y\n");
+    BOOST_TEST(read_history(open_after("t3")) == "hello one\nmore two\nxy\n");
+}
+
+// Guards against stored turns that can't be continued: a turn that ends after its longest run time.
+BOOST_FIXTURE_TEST_CASE(turn_whose_history_has_expired_is_not_stored, two_turns_fixture)
+{
+    turns::advance_time(state, 1s + 60s);
+    BOOST_TEST((open_after("t2").outcome == open_outcome::granted));
+    turns::advance_time(state, 1s + 60s + 10min);
+    store_turn("t3", "t2", "x", "y\n");
+    BOOST_TEST(state.turns.empty());
+    BOOST_TEST(stored == "hello one\nmore two\n");
+}
+
+BOOST_FIXTURE_TEST_CASE(turn_that_never_closes_keeps_its_history_for_a_bounded_time, two_turns_fixture)
+{
+    turns::advance_time(state, 1s + 60s);
+    BOOST_TEST((open_after("t2").outcome == open_outcome::granted));
+    turns::advance_time(state, 1s + 60s + 30s + retention_slack + 2s);
+    BOOST_TEST(state.turns.empty());
+}
+
+// Guards against a budget that starts anew: the account of a program expired before its stored turns.
+BOOST_FIXTURE_TEST_CASE(account_is_kept_as_long_as_the_turns_of_its_program, two_turns_fixture)
+{
+    BOOST_TEST((reserve("a", 100, 100) == open_outcome::granted));
+    close_request closing;
+    closing.organisation = organisation_name{"o"};
+    closing.program = program_name{"p"};
+    closing.request = request_name{"a"};
+    closing.used_tokens = 100;
+    closing.keep = true;
+    closing.retention = 300s;
+    close_turn(state, closing, write("a"));
+    turns::advance_time(state, 1s + 300s);
+    BOOST_TEST((open_after("a").outcome == open_outcome::granted));
+    BOOST_TEST((reserve("b", 100, 100) == open_outcome::budget_spent));
+}
+
+// Guards against a budget that starts anew: the account of a program expired while a turn of it ran.
+BOOST_FIXTURE_TEST_CASE(account_is_kept_while_a_turn_of_its_program_may_run, two_turns_fixture)
+{
+    open_request opening;
+    opening.organisation = organisation_name{"o"};
+    opening.program = program_name{"p"};
+    opening.request = request_name{"a"};
+    opening.budget_tokens = 100;
+    opening.max_tokens = 100;
+    opening.run_timeout = 10min;
+    BOOST_TEST((open_turn(state, opening).outcome == open_outcome::granted));
+    turns::advance_time(state, 1s + 10min);
+    BOOST_TEST((reserve("b", 100, 100) == open_outcome::budget_spent));
+}
+
 BOOST_FIXTURE_TEST_CASE(duplicate_close_keeps_the_first_content, two_turns_fixture)
 {
     store_turn("t2", "t1", "other", "other\n");
