--- a/src/ledger/program_cmd.cpp
+++ b/src/ledger/program_cmd.cpp
@@ -3,6 +3,8 @@
 #include "ledger/ledger_func.hpp"
 #include "ledger/program_func.hpp"
 
+#include <algorithm>
+
 namespace guavawick::ledger {
 namespace {
 
@@ -10,12 +12,23 @@
 /// limit.
 constexpr group_time open_call_grace = std::chrono::hours(2);
 
-group_time compute_expiry(const program_state& program)
+/// @return whether a call of the program or of one of its sub-agents is open.
+bool has_open_calls(const ledger_state& state, const program_state& program)
+{
+    const auto child_has_open_calls = [&](const program_name& child) {
+        const auto found = state.programs.find({program.key.organisation, child});
+        return found != state.programs.end() && !found->second.open_calls.empty();
+    };
+    return !program.open_calls.empty() ||
+           std::any_of(program.children.begin(), program.children.end(), child_has_open_calls);
+}
+
+group_time compute_expiry(const ledger_state& state, const program_state& program)
 {
     const std::uint64_t limit =
         program.budget.idle_seconds != 0 ? program.budget.idle_seconds : default_idle_seconds;
     const group_time idle = std::chrono::seconds(limit);
-    return program.used_at + idle + (program.open_calls.empty() ? group_time{} : open_call_grace);
+    return program.used_at + idle + (has_open_calls(state, program) ? open_call_grace : group_time{});
 }
 
 void erase_expiry(ledger_state& state, const program_state& program)
@@ -106,7 +119,7 @@
         if (found == state.programs.end()) {
             continue;
         }
-        const group_time expiry = compute_expiry(found->second);
+        const group_time expiry = compute_expiry(state, found->second);
         if (expiry > state.now) {
             state.expiries.insert({expiry, key});
             continue;
--- a/tests/unit/ledger_test.cpp
+++ b/tests/unit/ledger_test.cpp
@@ -233,6 +233,22 @@
     BOOST_TEST(state.memory_to_free.size() == 1U);
 }
 
+// Guards against a program that is ended, with its history, while a call of its sub-agent runs.
+BOOST_FIXTURE_TEST_CASE(program_with_a_running_call_of_a_sub_agent_does_not_expire, running_call)
+{
+    const program_key child{demo_program.organisation, program_name{"child"}};
+    open_request opening = make_open(child, "two", 2);
+    opening.parent = demo_program.program;
+    opening.root = demo_program.program;
+    BOOST_REQUIRE((open_call(state, opening).outcome == open_outcome::granted));
+    close_call(state, make_close(demo_program, 1, call_outcome::done));
+    std::vector<dequeued_call> refused;
+    advance_time(state, std::chrono::seconds(default_idle_seconds + 1));
+    expire_programs(state, refused);
+    BOOST_TEST(close_call(state, make_close(child, 2, call_outcome::done)).accepted);
+    BOOST_TEST(state.programs.contains(demo_program));
+}
+
 BOOST_FIXTURE_TEST_CASE(programs_of_a_withdrawn_organisation_end, running_call)
 {
     std::vector<dequeued_call> refused;
