Do not execute an operator's order that another one has followed

What callers saw: a control replica that woke up from a freeze read an old end of an evacuation and executed it.

Cause: an order had neither an age nor an identity. Whatever was read or received was executed as new, also after its sender had given up, repeated it elsewhere and reversed it.

Change: the leader counts committed orders. A replica asks for that count, confirmed by a quorum, and proposes the order with it; if another one was committed since, the command changes nothing. Retirements take the same path.

Why it works: everything up to the question happens within the second for which a sender waits, and everything after it is covered by the count, wherever a message is held up.

--- a/src/base/failure_type.hpp
+++ b/src/base/failure_type.hpp
@@ -82,6 +82,12 @@
     using error::error;
 };
 
+/// An operator's order was not executed: its sender no longer waits for the answer, or a later order may have
+/// reversed it.
+struct stale_order_error : error {
+    using error::error;
+};
+
 /// One row of the failure catalogue.
 struct failure_row {
     failure kind;        ///< the failure
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -19,6 +19,9 @@
 constexpr std::uint64_t snapshot_entries = 400; ///< at most 40 MB of log, as a document may have 100 KB
 constexpr duration command_timeout = 900ms; ///< clients wait 1 s for a reply before they try another replica
 constexpr duration read_timeout = 800ms;    ///< as command_timeout, for reads
+constexpr duration order_base_timeout =
+    500ms; ///< from reading an order to knowing the state that it is based on; with min_stall less than the 1
+           ///< s for which its sender waits
 constexpr duration subscriber_timeout = 3s; ///< 6 times a gateway's subscription interval
 constexpr duration push_retry_delay =
     600ms; ///< a gateway that still lacks the view after this gets it from any replica; plus a subscription
@@ -28,6 +31,16 @@
 constexpr duration bootstrap_delay =
     1500ms; ///< for all stores to report: instances start within a fraction of a second
 
+/// @return an operator's order for the log.
+std::string describe_order(const wire::fleet_command& command)
+{
+    if (command.has_evacuation()) {
+        return (command.evacuation().out() ? "evacuate " : "end the evacuation of ") +
+               command.evacuation().data_centre();
+    }
+    return command.has_retire() ? "retire " + command.retire().name() : "";
+}
+
 /// @return the status of each ledger group in a store's report, by group number.
 std::map<std::uint32_t, ledger_group_status> decode_groups(const wire::store_report& report)
 {
@@ -96,11 +109,14 @@
         add_group_metrics(metrics_, *group_);
         metrics_.add({"guavawick_control_plan_version", "Version of the last applied plan.", false,
                       [this] { return static_cast<double>(view_.load()->document_version); }, ""});
+        metrics_.add({"guavawick_control_evacuated_data_centres", "Data centres that get no new calls.",
+                      false, [this] { return static_cast<double>(evacuated_data_centres().size()); }, ""});
         metrics_server_ =
             std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
                                            http::make_metrics_handler(metrics_));
     }
     pool_.spawn(batch_loop());
+    pool_.spawn(watch_stalls());
 }
 
 void control_process::set_seeds(const std::vector<std::string>& seeds)
@@ -199,7 +215,10 @@
     if (request->has_read()) {
         wire::envelope reply;
         reply.mutable_document()->set_version(state_.document_version);
-        reply.mutable_document()->set_document(state_.document);
+        reply.mutable_document()->set_order_count(state_.order_count);
+        if (!request->read().order_count_only()) {
+            reply.mutable_document()->set_document(state_.document);
+        }
         send_reply(std::move(reply));
         return;
     }
@@ -232,6 +251,13 @@
         log_event(event::link_refused_peer, {{"reason", "a committed command does not decode"}});
         return reply;
     }
+    if (is_superseded(state_, command)) {
+        log_event(event::order_superseded, {{"order", describe_order(command)},
+                                            {"based_on", command.expected_order_count()},
+                                            {"orders", state_.order_count}});
+        reply.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::revision_conflict));
+        return reply;
+    }
     const std::uint64_t previous_version = state_.document_version;
     if (!execute(state_, command)) {
         return reply;
@@ -473,12 +499,67 @@
     co_await call_leader(std::move(command));
 }
 
-asio::awaitable<void> control_process::set_evacuation(std::string data_centre, bool evacuated)
+asio::awaitable<std::optional<std::uint64_t>> control_process::read_order_count()
+{
+    wire::envelope request;
+    request.mutable_read()->set_order_count_only(true);
+    const wire::envelope_ptr reply =
+        co_await client_->call(control_group, std::move(request), order_base_timeout);
+    if (!reply->document().has_order_count()) {
+        co_return std::nullopt; // a leader of version 0.1.0
+    }
+    co_return reply->document().order_count();
+}
+
+asio::awaitable<wire::envelope> control_process::execute_order(wire::envelope command, order_source source)
+{
+    const time_point deadline = source.received_at + command_timeout;
+    while (true) {
+        const std::optional<std::uint64_t> order_count = co_await read_order_count();
+        // The order is based on a state that a quorum confirmed while its sender was still waiting. Whatever
+        // is committed from here on makes it void.
+        const time_point now = runtime_clock::now();
+        bool may_be_old = now - source.received_at > order_base_timeout;
+        {
+            const std::lock_guard lock(mutex_);
+            may_be_old = may_be_old || runtime::may_read_backlog(stalls_, now);
+        }
+        if (may_be_old || (source.is_abandoned && source.is_abandoned())) {
+            throw stale_order_error(may_be_old ? "the order may have waited while the process did not run"
+                                               : "the sender of the order has left");
+        }
+        if (order_count) {
+            command.mutable_fleet()->set_expected_order_count(*order_count);
+        }
+        const wire::envelope_ptr reply = co_await client_->call(control_group, command, deadline - now);
+        if (!reply->has_refused()) {
+            co_return *reply;
+        }
+    }
+}
+
+asio::awaitable<void> control_process::watch_stalls()
+{
+    while (running_.load()) {
+        duration stall{};
+        {
+            const std::lock_guard lock(mutex_);
+            stall = runtime::record_run(stalls_, runtime_clock::now());
+        }
+        if (stall > duration{}) {
+            log_event(event::process_stalled, {{"ms", std::uint64_t(to_ms(stall))}});
+        }
+        co_await runtime::wait_for(runtime::stall_check_interval);
+    }
+}
+
+asio::awaitable<void> control_process::set_evacuation(std::string data_centre, bool evacuated,
+                                                      order_source source)
 {
     wire::envelope command;
     command.mutable_fleet()->mutable_evacuation()->set_data_centre(std::move(data_centre));
     command.mutable_fleet()->mutable_evacuation()->set_out(evacuated);
-    co_await call_leader(std::move(command));
+    co_await execute_order(std::move(command), std::move(source));
 }
 
 asio::awaitable<published_document> control_process::read_document()
@@ -510,11 +591,11 @@
 
 } // namespace
 
-asio::awaitable<retirement_phase> control_process::retire(std::string store)
+asio::awaitable<retirement_phase> control_process::retire(std::string store, order_source source)
 {
     wire::envelope command;
     command.mutable_fleet()->mutable_retire()->set_name(std::move(store));
-    const wire::envelope reply = co_await call_leader(std::move(command));
+    const wire::envelope reply = co_await execute_order(std::move(command), std::move(source));
     co_return decode_phase(reply);
 }
 
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -8,6 +8,7 @@
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
 #include "replica/log_store.hpp"
+#include "runtime/stall_type.hpp"
 #include "runtime/worker_pool.hpp"
 #include "wire/group_client.hpp"
 #include "wire/link_type.hpp"
@@ -26,6 +27,13 @@
     std::string bytes;
 };
 
+/// Where an operator's order came from. An order that its sender has given up is sent again elsewhere and may
+/// have been reversed since, so executing it late would undo a later one.
+struct order_source {
+    time_point received_at = runtime_clock::now(); ///< when it was read
+    std::function<bool()> is_abandoned;            ///< whether its sender has left; empty if it can't leave
+};
+
 /// One control replica. Commands may be sent to any replica, which forwards them to the leader.
 /// Thread safety: commands and announcements may come from any thread; start(), stop() and set_seeds() from
 /// one thread only.
@@ -54,13 +62,20 @@
     /// Publishes a document. @return once it is committed. @throw link_error if no commit is confirmed before
     /// the timeout.
     boost::asio::awaitable<void> publish(published_document document);
-    /// Evacuates a data centre or ends its evacuation. @throw link_error as publish().
-    boost::asio::awaitable<void> set_evacuation(std::string data_centre, bool evacuated);
+    /// Evacuates a data centre or ends its evacuation. @throw link_error as publish(), stale_order_error if
+    /// the order is too old to be executed.
+    boost::asio::awaitable<void> set_evacuation(std::string data_centre, bool evacuated,
+                                                order_source source = {});
+    /// @return the evacuated data centres as of the last command that this replica applied.
+    [[nodiscard]] std::set<std::string> evacuated_data_centres() const
+    {
+        return view_.load()->evacuated_data_centres;
+    }
     /// @return the newest document, confirmed by a quorum. @throw link_error if no quorum confirms it before
     /// the timeout.
     boost::asio::awaitable<published_document> read_document();
-    /// Starts to retire a store. @return its phase after the command. @throw link_error as publish().
-    boost::asio::awaitable<retirement_phase> retire(std::string store);
+    /// Starts to retire a store. @return its phase after the command. @throw as set_evacuation().
+    boost::asio::awaitable<retirement_phase> retire(std::string store, order_source source = {});
     /// @return the phase of a store's retirement. @throw link_error as read_document().
     boost::asio::awaitable<retirement_phase> query_retirement(std::string store);
 
@@ -89,6 +104,9 @@
     wire::envelope make_full_hello(time_point now);
     boost::asio::awaitable<void> send_to_peers(wire::envelope update, bool wait_for_peer);
     boost::asio::awaitable<wire::envelope> call_leader(wire::envelope request);
+    boost::asio::awaitable<wire::envelope> execute_order(wire::envelope command, order_source source);
+    boost::asio::awaitable<std::optional<std::uint64_t>> read_order_count();
+    boost::asio::awaitable<void> watch_stalls();
     boost::asio::awaitable<void> batch_loop();
     void flush_batch();
     [[nodiscard]] std::vector<std::string> peers() const;
@@ -111,6 +129,7 @@
     std::atomic<bool> running_{true};
 
     mutable std::mutex mutex_; ///< guards everything below
+    runtime::stall_record stalls_;
     directory::directory instances_;
     directory::crash_table crashes_;
     std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -66,8 +66,19 @@
 
 } // namespace
 
+bool is_superseded(const fleet_state& state, const wire::fleet_command& command)
+{
+    return command.has_expected_order_count() && command.expected_order_count() != state.order_count;
+}
+
 bool execute(fleet_state& state, const wire::fleet_command& command)
 {
+    if (is_superseded(state, command)) {
+        return false;
+    }
+    if (command.has_evacuation() || command.has_retire()) {
+        ++state.order_count; // also if it changes nothing: an older order must not follow it
+    }
     if (!apply_change(state, command)) {
         return false;
     }
@@ -90,6 +101,7 @@
         store->set_name(name);
         store->set_endpoint(endpoint);
     }
+    encoded.set_order_count(state.order_count);
     return encoded.SerializeAsString();
 }
 
@@ -108,6 +120,7 @@
     for (const wire::retire_store& store : encoded.retiring()) {
         state.retiring_stores[store.name()] = store.endpoint();
     }
+    state.order_count = encoded.order_count();
     return state;
 }
 
--- a/src/core/fleet_state.hpp
+++ b/src/core/fleet_state.hpp
@@ -34,9 +34,15 @@
     std::set<std::string> evacuated_data_centres; ///< data centres that get no new work
     initial_member_lists initial_members;         ///< of the ledger groups; the first list is of group 1
     std::map<std::string, std::string> retiring_stores; ///< endpoints of retiring stores by name
+    std::uint64_t order_count = 0; ///< committed evacuations, ends of evacuations and retirements
 };
 
-/// Applies a committed command. A document whose version is not above the present one changes nothing.
+/// @return whether a command is an order that was based on an older state than the present one: another order
+/// was committed since, which may have reversed it.
+bool is_superseded(const fleet_state& state, const wire::fleet_command& command);
+
+/// Applies a committed command. A document whose version is not above the present one and a superseded order
+/// change nothing.
 /// @return whether the state changed.
 bool execute(fleet_state& state, const wire::fleet_command& command);
 /// @return the encoded state, for snapshots.
--- a/tests/unit/fleet_state_test.cpp
+++ b/tests/unit/fleet_state_test.cpp
@@ -82,6 +82,37 @@
     BOOST_TEST(state.evacuated_data_centres.empty());
 }
 
+// Guards against an acknowledged evacuation that is undone by an older order, delayed on its way to the
+// leader.
+BOOST_FIXTURE_TEST_CASE(order_based_on_a_state_before_the_last_order_changes_nothing, three_stores)
+{
+    wire::fleet_command start;
+    start.mutable_evacuation()->set_data_centre("a");
+    start.mutable_evacuation()->set_out(true);
+    start.set_expected_order_count(0);
+    BOOST_TEST(execute(state, start));
+    wire::fleet_command delayed_finish;
+    delayed_finish.mutable_evacuation()->set_data_centre("a");
+    delayed_finish.set_expected_order_count(1);
+    wire::fleet_command finish = delayed_finish; // the same order, sent to another replica
+    BOOST_TEST(execute(state, finish));
+    start.set_expected_order_count(2);
+    BOOST_TEST(execute(state, start));
+    BOOST_TEST(is_superseded(state, delayed_finish));
+    BOOST_TEST(!execute(state, delayed_finish));
+    BOOST_TEST(state.evacuated_data_centres.contains("a"));
+}
+
+BOOST_FIXTURE_TEST_CASE(order_that_changes_nothing_supersedes_older_ones, three_stores)
+{
+    wire::fleet_command finish;
+    finish.mutable_evacuation()->set_data_centre("a");
+    execute(state, finish);
+    start_retirement("store-1");
+    BOOST_TEST(state.order_count == 2U);
+    BOOST_TEST(decode_fleet_state(encode_state(state)).order_count == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(state_is_unchanged_by_encoding_and_decoding, three_stores)
 {
     execute(state, make_publish_command(7, "seven"));
