Build the metrics' response outside of its co_await expression

What was seen: a new test that polls a gateway's metrics ended with a damaged heap.

Cause: a conditional expression inside a co_await expression, whose temporaries GCC 12 destroys twice.

fleet_test/gateway_whose_metrics_are_read_goes_on; a debugger showed the second destruction in the handler.

--- a/src/http/metrics.cpp
+++ b/src/http/metrics.cpp
@@ -62,10 +62,16 @@
         const bool is_metrics_request = received.target == "/metrics";
         const bool is_health_request = received.target == "/healthz";
         const int status = is_metrics_request || is_health_request ? 200 : 404;
-        co_await responder.send(make_response(status, "text/plain; version=0.0.4",
-                                              is_metrics_request  ? metrics.prometheus_text()
-                                              : is_health_request ? "ok\n"
-                                                                  : "not found\n"));
+        // Built outside of the co_await expression, in which GCC 12 destroys conditional temporaries twice.
+        std::string text = "not found\n";
+        if (is_metrics_request) {
+            text = metrics.prometheus_text();
+        }
+        else if (is_health_request) {
+            text = "ok\n";
+        }
+        response answer = make_response(status, "text/plain; version=0.0.4", std::move(text));
+        co_await responder.send(std::move(answer));
     };
 }
 
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -100,6 +100,15 @@
     }
 }
 
+// Guards against a process that ends because its metrics are read: the response's text was destroyed twice.
+BOOST_FIXTURE_TEST_CASE(gateway_whose_metrics_are_read_goes_on, small_fleet)
+{
+    for (int i = 0; i < 100; ++i) {
+        BOOST_TEST(read_metric("guavawick_gateway_plan_version") == 1);
+    }
+    BOOST_TEST(call("GET", "/safe/x").status == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(document_with_an_older_version_is_acknowledged_and_changes_nothing, small_fleet)
 {
     run(control->publish({5, "5"}));
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -262,6 +262,7 @@
         common_settings.link = "tcp://" + find_free_address();
         common_settings.caller_listen = find_free_address();
         common_settings.readiness_listen = find_free_address();
+        common_settings.metrics_listen = find_free_address();
         gateway_server = std::make_unique<gateway::gateway_process>(common_settings, adapter, pool);
         gateway_server->start();
     }
@@ -287,6 +288,18 @@
         run(control->announce(record));
     }
 
+    /// @return the value of one of the gateway's metrics; 0 if it has none of that name.
+    double read_metric(const std::string& name)
+    {
+        http::request request;
+        request.method = "GET";
+        request.target = "/metrics";
+        const std::string text =
+            run(http::fetch_response("http://" + common_settings.metrics_listen, request, call_timeout)).body;
+        const std::size_t line = text.find("\n" + name + " ");
+        return line == std::string::npos ? 0 : std::stod(text.substr(line + name.size() + 2));
+    }
+
     template <typename Result>
     Result run(asio::awaitable<Result> task)
     {
