Recognise requests that crash upstreams in the middle of their streams

Cause: the check for a crash ran only if there had been no response at all. The table counted ids, so incarnations that came back under their ids counted once.

Change: every exchange that an upstream breaks off starts the check, one for all calls of an incarnation. Incarnations are counted. As more is recorded now, sound requests are kept out of the quarantine: crashes of attempts that ran at the same time count once, a request that ran to its end is cleared, and a kept turn is identified with the turn that it continues from. Reports carry ages and can be merged in any order.

Evidence: hostile_upstream_test/request_that_crashes_upstreams_in_the_middle_of_its_stream_is_refused and directory_test/request_that_crashed_three_incarnations_of_one_instance_is_quarantined fail without their part of the change. directory_test/request_that_crashed_three_instances_is_quarantined gave all crashes the same time, which now means that the attempts overlapped; it gives them one after the other and demands the same.

--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -76,6 +76,26 @@
     return record;
 }
 
+void to_wire(const directory::crash_report& report, time_point now, wire::crash_record* message)
+{
+    message->set_request_hash(report.request_hash);
+    message->set_instance(report.instance.value);
+    message->set_started_ms(report.started_ms);
+    message->set_age_ms(static_cast<std::uint32_t>(to_ms(now - report.crashed_at)));
+    message->set_ran_ms(static_cast<std::uint32_t>(to_ms(report.crashed_at - report.attempt_started_at)));
+}
+
+directory::crash_report from_wire(const wire::crash_record& message, time_point now)
+{
+    directory::crash_report report;
+    report.request_hash = message.request_hash();
+    report.instance = directory::instance_id{message.instance()};
+    report.started_ms = message.started_ms();
+    report.crashed_at = now - std::chrono::milliseconds(message.age_ms());
+    report.attempt_started_at = report.crashed_at - std::chrono::milliseconds(message.ran_ms());
+    return report;
+}
+
 asio::awaitable<void> control_process::send_to_peers(wire::envelope update, bool wait_for_peer)
 {
     std::uint64_t confirm_number = 0;
@@ -184,14 +204,25 @@
             to_wire(instances_.instances.at(record.id), now, batch_.add_instances());
         }
         for (const wire::crash_record& crash : update.crashes()) {
-            if (directory::record_crash(crashes_, crash.request_hash(), crash.instance(), now)) {
+            const directory::crash_report report = from_wire(crash, now);
+            if (directory::record_crash(crashes_, report)) {
                 changed = true;
                 *batch_.add_crashes() = crash;
-                log_event(event::request_quarantined,
-                          {{"body_hash", crash.request_hash()},
-                           {"instance", crash.instance()},
-                           {"refused",
-                            directory::is_quarantined(crashes_, crash.request_hash(), now) ? "yes" : "no"}});
+                log_event(
+                    event::request_quarantined,
+                    {{"body_hash", report.request_hash},
+                     {"instance", report.instance.value},
+                     {"started_ms", report.started_ms},
+                     {"crashes", std::uint64_t{directory::count_crashes(crashes_, report.request_hash)}},
+                     {"refused",
+                      directory::is_quarantined(crashes_, report.request_hash, now) ? "yes" : "no"}});
+            }
+        }
+        for (const std::uint64_t request_hash : update.completed_requests()) {
+            if (directory::clear_suspect(crashes_, request_hash)) {
+                changed = true;
+                batch_.add_completed_requests(request_hash);
+                log_event(event::suspect_cleared, {{"body_hash", request_hash}});
             }
         }
     }
@@ -204,9 +235,11 @@
         return;
     }
     flush_batch();
-    if (update.crashes_size() > 0 && !update.relayed()) {
+    const bool has_news_of_requests = update.crashes_size() > 0 || update.completed_requests_size() > 0;
+    if (has_news_of_requests && !update.relayed()) {
         wire::envelope relay;
         *relay.mutable_directory()->mutable_crashes() = update.crashes();
+        *relay.mutable_directory()->mutable_completed_requests() = update.completed_requests();
         relay.mutable_directory()->set_relayed(true);
         for (const std::string& peer : peers()) {
             links_->send(peer, relay);
@@ -220,7 +253,8 @@
     std::vector<std::string> endpoints;
     {
         const std::lock_guard lock(mutex_);
-        if (batch_.instances_size() == 0 && batch_.crashes_size() == 0) {
+        if (batch_.instances_size() == 0 && batch_.crashes_size() == 0 &&
+            batch_.completed_requests_size() == 0) {
             return;
         }
         message.mutable_directory()->Swap(&batch_);
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -354,10 +354,8 @@
                 to_wire(record, now, directory_message.mutable_directory()->add_instances());
             }
             for (const auto& [hash, suspect] : crashes_.suspects) {
-                for (const std::string& instance : suspect.instances) {
-                    wire::crash_record* crash = directory_message.mutable_directory()->add_crashes();
-                    crash->set_request_hash(hash);
-                    crash->set_instance(instance);
+                for (const auto& [incarnation, report] : suspect) {
+                    to_wire(report, now, directory_message.mutable_directory()->add_crashes());
                 }
             }
         }
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -149,5 +149,9 @@
 void to_wire(const directory::instance_record& record, time_point now, wire::instance_record* message);
 /// @return the decoded record, with `now` as the time at which it was received.
 directory::instance_record from_wire(const wire::instance_record& message, time_point now);
+/// Encodes a crash.
+void to_wire(const directory::crash_report& report, time_point now, wire::crash_record* message);
+/// @return the decoded crash. @param now when it was received.
+directory::crash_report from_wire(const wire::crash_record& message, time_point now);
 
 } // namespace guavawick::core
--- a/src/directory/directory_func.cpp
+++ b/src/directory/directory_func.cpp
@@ -1,6 +1,8 @@
 // Merging of instance announcements, and the quarantine of requests that crash instances.
 #include "directory/directory_func.hpp"
 
+#include <algorithm>
+
 namespace guavawick::directory {
 namespace {
 
@@ -114,24 +116,71 @@
                   [now](const auto& entry) { return now - entry.second.last_seen_at > gone_retention; });
 }
 
-bool record_crash(crash_table& table, std::uint64_t request_hash, const std::string& instance, time_point now)
+bool record_crash(crash_table& table, const crash_report& report)
+{
+    crash_table::crash_suspect& suspect = table.suspects[report.request_hash];
+    if (suspect.size() >= max_reports_per_suspect) {
+        return false;
+    }
+    return suspect.try_emplace({report.instance, report.started_ms}, report).second;
+}
+
+bool clear_suspect(crash_table& table, std::uint64_t request_hash)
+{
+    return table.suspects.erase(request_hash) > 0;
+}
+
+std::size_t count_crashes(const crash_table& table, std::uint64_t request_hash)
+{
+    const auto found = table.suspects.find(request_hash);
+    if (found == table.suspects.end()) {
+        return 0;
+    }
+    std::vector<const crash_report*> reports;
+    for (const auto& [incarnation, report] : found->second) {
+        reports.push_back(&report);
+    }
+    std::sort(reports.begin(), reports.end(), [](const crash_report* left, const crash_report* right) {
+        return left->crashed_at < right->crashed_at;
+    });
+    std::size_t count = 0;
+    time_point counted_crash_at = time_point::min();
+    for (const crash_report* report : reports) {
+        const bool follows =
+            count == 0 || report->attempt_started_at + crash_order_tolerance >= counted_crash_at;
+        if (follows) {
+            ++count;
+            counted_crash_at = report->crashed_at;
+        }
+    }
+    return count;
+}
+
+namespace {
+
+time_point last_crash_at(const crash_table::crash_suspect& suspect)
 {
-    crash_table::crash_suspect& suspect = table.suspects[request_hash];
-    suspect.last_crash_at = now;
-    return suspect.instances.insert(instance).second;
+    time_point last = time_point::min();
+    for (const auto& [incarnation, report] : suspect) {
+        last = std::max(last, report.crashed_at);
+    }
+    return last;
 }
 
+} // namespace
+
 bool is_quarantined(const crash_table& table, std::uint64_t request_hash, time_point now)
 {
     const auto found = table.suspects.find(request_hash);
-    return found != table.suspects.end() && found->second.instances.size() >= crash_limit &&
-           now - found->second.last_crash_at < crash_retention;
+    return found != table.suspects.end() && found->second.size() >= crash_limit &&
+           now - last_crash_at(found->second) < crash_retention &&
+           count_crashes(table, request_hash) >= crash_limit;
 }
 
 void remove_expired(crash_table& table, time_point now)
 {
     std::erase_if(table.suspects,
-                  [now](const auto& entry) { return now - entry.second.last_crash_at > crash_retention; });
+                  [now](const auto& entry) { return now - last_crash_at(entry.second) > crash_retention; });
 }
 
 } // namespace guavawick::directory
--- a/src/directory/directory_func.hpp
+++ b/src/directory/directory_func.hpp
@@ -15,9 +15,14 @@
 /// Removes instances without an announcement for longer than gone_retention.
 void remove_expired(directory& known, time_point now);
 
-/// Records that an instance crashed while it ran a request. @return whether the crash was not yet recorded.
-bool record_crash(crash_table& table, std::uint64_t request_hash, const std::string& instance,
-                  time_point now);
+/// Records a crash. @return whether it was not yet recorded.
+bool record_crash(crash_table& table, const crash_report& report);
+/// Records that an instance ran a request to its end, so that the request did not cause earlier crashes.
+/// @return whether the request was a suspect.
+bool clear_suspect(crash_table& table, std::uint64_t request_hash);
+/// Counts the crashes of a request's successive attempts. Crashes of attempts that ran at the same time count
+/// once, because a failure of many instances ends all their requests.
+std::size_t count_crashes(const crash_table& table, std::uint64_t request_hash);
 /// @return whether a request has crashed so many instances that it must not run again.
 bool is_quarantined(const crash_table& table, std::uint64_t request_hash, time_point now);
 /// Removes suspects whose retention has ended.
--- a/src/directory/directory_type.hpp
+++ b/src/directory/directory_type.hpp
@@ -7,8 +7,8 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace guavawick::directory {
@@ -51,17 +51,26 @@
 /// How long an instance that is gone stays in the directory; longer than any announcement is delayed.
 constexpr duration gone_retention = 120s;
 
-/// Requests that were running when an instance crashed.
+/// Crash of an instance while it ran a request.
+struct crash_report {
+    std::uint64_t request_hash = 0;  ///< of the request that it ran
+    instance_id instance;            ///< the instance that crashed
+    std::uint64_t started_ms = 0;    ///< start of its incarnation, in Unix milliseconds by its own clock
+    time_point attempt_started_at{}; ///< when the request was sent to it
+    time_point crashed_at{};         ///< when its connection broke off
+};
+
+/// Requests that were running when instances crashed. Reports may be merged in any order.
 struct crash_table {
-    struct crash_suspect {
-        std::set<std::string> instances; ///< distinct instances that crashed
-        time_point last_crash_at{};      ///< time of the latest crash
-    };
+    /// Reports of one request, by instance and start of the incarnation.
+    using crash_suspect = std::map<std::pair<instance_id, std::uint64_t>, crash_report>;
     std::map<std::uint64_t, crash_suspect> suspects; ///< by request hash
 };
 
 constexpr std::size_t crash_limit =
     3; ///< crashes after which a request is refused; three rule out a coincidence
+constexpr std::size_t max_reports_per_suspect = 16; ///< further ones are dropped
+constexpr duration crash_order_tolerance = 20ms;    ///< error of times that other processes report
 constexpr duration crash_retention = 120s; ///< time after the last crash at which a suspect is removed
 
 } // namespace guavawick::directory
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -32,7 +32,6 @@
 constexpr duration ledger_poll_interval = 20ms; ///< at which a waiting call checks for the ledger groups
 constexpr duration ledger_retry_after = 300ms;  ///< a ledger group needs about this long for a new leader
 constexpr int misdirected_status = 421;
-constexpr duration crash_probe_delay = 30ms; ///< a crashed process refuses connections after this time
 
 /// @return the headers of an upstream's response that are forwarded to the caller.
 header_list filter_response_headers(const header_list& headers)
@@ -152,35 +151,6 @@
     co_return !call->response.caller_left();
 }
 
-/// Checks whether an upstream crashed, by whether it still accepts connections. If it crashed, the request is
-/// suspected of being the cause; this is recorded and reported to control.
-asio::awaitable<void> probe_for_crash(call_context context, std::uint64_t request_hash, std::string instance,
-                                      std::string address)
-{
-    co_await runtime::wait_for(crash_probe_delay);
-    const connection_ptr connection = co_await connect_upstream(instance, address, connect_timeout);
-    if (connection) {
-        co_return;
-    }
-    gateway_state& state = *context.state;
-    if (!directory::record_crash(state.crashes, request_hash, instance, runtime_clock::now())) {
-        co_return;
-    }
-    log_event(
-        event::request_quarantined,
-        {{"body_hash", request_hash},
-         {"instance", instance},
-         {"refused",
-          directory::is_quarantined(state.crashes, request_hash, runtime_clock::now()) ? "yes" : "no"}});
-    wire::envelope report;
-    wire::crash_record* record = report.mutable_directory()->add_crashes();
-    record->set_request_hash(request_hash);
-    record->set_instance(instance);
-    for (const std::string& endpoint : state.control_endpoints) {
-        context.link->send(endpoint, report);
-    }
-}
-
 /// Updates what is known of an instance's load and error rate from a response.
 void update_load(placing::instance_load& load, int status, const response_metadata& metadata, time_point now)
 {
@@ -340,12 +310,6 @@
                        : state.has_head ? "the answer broke off"
                                         : "no answer",
                        state.has_head ? state.head.status : 0);
-    if (!cancelled && result == exchange_result::no_response) {
-        const auto executor = co_await asio::this_coro::executor;
-        asio::co_spawn(executor,
-                       probe_for_crash(call->context, call->request_hash, target.id.value, target.address),
-                       asio::detached);
-    }
     co_return call->head_sent ? attempt_result::stream_interrupted : attempt_result::maybe_executed;
 }
 
@@ -406,6 +370,7 @@
     ++load.own_running;
     const auto request = std::make_shared<const std::string>(serialise_request(*call, target));
     bool reusable = false;
+    const time_point sent_at = runtime_clock::now();
     const auto executor = co_await asio::this_coro::executor;
     start_silence_timer(executor, call, connection, target.id, state);
     const exchange_result result =
@@ -429,6 +394,16 @@
     else {
         close_connection(*connection);
     }
+    const bool was_rejected = state.has_head && state.head.metadata.not_executed;
+    const bool broke_off =
+        result == exchange_result::no_response || result == exchange_result::truncated_body;
+    if (broke_off && !was_rejected) {
+        const directory::crash_report report{call->request_hash, target.id, target.started_ms, sent_at, now};
+        start_crash_probe(call->context, executor, report, target.address);
+    }
+    if (result == exchange_result::complete && !was_rejected && !state.unusable) {
+        report_completion(call->context, call->request_hash);
+    }
     co_return co_await conclude_attempt(call, state, result, target);
 }
 
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -110,7 +110,10 @@
         call.metadata.program.empty() ? call.metadata.request.value : call.metadata.program.value;
     call.service = plan::pick_service(*call.route, hash_bytes(affinity_key)).service;
     const std::string organisation = call.organisation != nullptr ? call.organisation->name.value : "";
-    call.request_hash = hash_bytes(organisation + "\n" + call.request.target + "\n" + call.request.body);
+    // A turn that the route keeps is run with its history in front of its body.
+    const std::string previous = call.route->keeps_turns ? call.metadata.previous_turn.value : "";
+    call.request_hash = hash_bytes(call.request.body,
+                                   hash_bytes(organisation + "\n" + call.request.target + "\n" + previous));
     if (directory::is_quarantined(state.crashes, call.request_hash, call.started_at)) {
         return {503, "the request was running when several upstreams died", {}};
     }
@@ -295,6 +298,10 @@
             co_return;
         }
         maybe_executed = maybe_executed || result != attempt_result::not_executed;
+        if (directory::is_quarantined(call->context.state->crashes, call->request_hash,
+                                      runtime_clock::now())) {
+            break;
+        }
         const bool may_retry = result == attempt_result::not_executed || call->route->repeatable();
         if (!may_retry || call->cancellation != cancel_reason::none) {
             break;
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -262,7 +262,10 @@
                                             {"sequence", merged.sequence}});
     }
     for (const wire::crash_record& record : update.crashes()) {
-        directory::record_crash(state_->crashes, record.request_hash(), record.instance(), now);
+        directory::record_crash(state_->crashes, core::from_wire(record, now));
+    }
+    for (const std::uint64_t request_hash : update.completed_requests()) {
+        directory::clear_suspect(state_->crashes, request_hash);
     }
     state_->counters.instances.store(state_->instances.instances.size());
 }
@@ -379,6 +382,8 @@
     add("guavawick_gateway_failed_total", "Calls that got no whole answer.", true, counters.failed);
     add("guavawick_gateway_retried_total", "Further attempts of calls.", true, counters.retried);
     add("guavawick_gateway_connects_total", "Connections opened to upstreams.", true, counters.connects);
+    add("guavawick_gateway_crashes_total", "Calls that were running when their upstream crashed.", true,
+        counters.crashes);
     add("guavawick_gateway_plan_version", "Version of the plan in force.", false, counters.plan_version);
     add("guavawick_gateway_instances", "Upstream instances in the directory.", false, counters.instances);
 }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -7,6 +7,7 @@
 #include "entry/rate_gate.hpp"
 #include "gateway/caller_connection.hpp"
 #include "gateway/chain_cache.hpp"
+#include "gateway/crash_probe.hpp"
 #include "gateway/dependency.hpp"
 #include "gateway/dialect_type.hpp"
 #include "gateway/program_memory.hpp"
@@ -38,6 +39,7 @@
     std::atomic<std::uint64_t> failed{0};
     std::atomic<std::uint64_t> retried{0};
     std::atomic<std::uint64_t> connects{0};
+    std::atomic<std::uint64_t> crashes{0}; ///< of upstreams that ran a call of this gateway, by call
     std::atomic<std::uint64_t> plan_version{0};
     std::atomic<std::uint64_t> instances{0};
 };
@@ -53,6 +55,7 @@
     std::set<std::string> evacuated_data_centres;
     directory::directory instances;
     directory::crash_table crashes;
+    crash_probes probes;
     std::map<directory::instance_id, placing::instance_load> loads;
     std::map<std::string, time_point> evacuation_ended_at; ///< by data centre
     connection_pool connections;
--- a/tests/unit/directory_test.cpp
+++ b/tests/unit/directory_test.cpp
@@ -35,6 +35,17 @@
     }
 };
 
+/// Crashes of instances that ran the request with hash 7.
+struct crashes_fixture {
+    crash_table table;
+    time_point start{1h};
+
+    bool crash(const std::string& instance, std::uint64_t started_ms, duration sent, duration crashed)
+    {
+        return record_crash(table, {7, instance_id{instance}, started_ms, start + sent, start + crashed});
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(directory_test)
@@ -98,18 +109,66 @@
     BOOST_TEST((state("i") == instance_state::serving));
 }
 
-BOOST_AUTO_TEST_CASE(request_that_crashed_three_instances_is_quarantined)
+BOOST_FIXTURE_TEST_CASE(request_that_crashed_three_instances_is_quarantined, crashes_fixture)
 {
-    crash_table table;
-    const time_point now{1h};
-    record_crash(table, 7, "a", now);
-    record_crash(table, 7, "a", now);
-    record_crash(table, 7, "b", now);
-    BOOST_TEST(!is_quarantined(table, 7, now));
-    record_crash(table, 7, "c", now);
-    BOOST_TEST(is_quarantined(table, 7, now));
-    BOOST_TEST(!is_quarantined(table, 8, now));
-    BOOST_TEST(!is_quarantined(table, 7, now + crash_retention));
+    crash("a", 1, 0ms, 100ms);
+    BOOST_TEST(!crash("a", 1, 0ms, 100ms)); // reported twice
+    crash("b", 1, 200ms, 300ms);
+    BOOST_TEST(!is_quarantined(table, 7, start + 300ms));
+    crash("c", 1, 400ms, 500ms);
+    BOOST_TEST(is_quarantined(table, 7, start + 500ms));
+    BOOST_TEST(!is_quarantined(table, 8, start + 500ms));
+    BOOST_TEST(!is_quarantined(table, 7, start + 500ms + crash_retention));
+}
+
+// Guards against a request that crashes instances for ever: those that came back under the ids that they had
+// counted once.
+BOOST_FIXTURE_TEST_CASE(request_that_crashed_three_incarnations_of_one_instance_is_quarantined,
+                        crashes_fixture)
+{
+    crash("a", 1, 0ms, 100ms);
+    crash("a", 2, 200ms, 300ms);
+    crash("a", 3, 400ms, 500ms);
+    BOOST_TEST(is_quarantined(table, 7, start + 500ms));
+}
+
+// Guards against refusing a request that many callers send: a failure of several instances ends all of them.
+BOOST_FIXTURE_TEST_CASE(crashes_of_attempts_that_ran_at_the_same_time_count_once, crashes_fixture)
+{
+    crash("a", 1, 0ms, 1000ms);
+    crash("b", 1, 100ms, 1010ms);
+    crash("c", 1, 900ms, 1020ms);
+    BOOST_TEST(count_crashes(table, 7) == 1U);
+    BOOST_TEST(!is_quarantined(table, 7, start + 1020ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(crashes_are_counted_alike_in_any_order_of_arrival, crashes_fixture)
+{
+    crash("c", 1, 400ms, 500ms);
+    crash("a", 1, 0ms, 100ms);
+    crash("d", 1, 50ms, 450ms);
+    crash("b", 1, 200ms, 300ms);
+    BOOST_TEST(count_crashes(table, 7) == 3U);
+}
+
+BOOST_FIXTURE_TEST_CASE(request_that_an_instance_ran_to_its_end_is_no_suspect, crashes_fixture)
+{
+    crash("a", 1, 0ms, 100ms);
+    crash("b", 1, 200ms, 300ms);
+    BOOST_TEST(clear_suspect(table, 7));
+    BOOST_TEST(!clear_suspect(table, 7));
+    crash("c", 1, 400ms, 500ms);
+    BOOST_TEST(!is_quarantined(table, 7, start + 500ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(reports_of_one_request_are_bounded_and_removed_after_their_retention, crashes_fixture)
+{
+    for (int i = 0; i < 100; ++i) {
+        crash("i" + std::to_string(i), 1, i * 10ms, i * 10ms + 5ms);
+    }
+    BOOST_TEST(table.suspects.at(7).size() == max_reports_per_suspect);
+    remove_expired(table, start + crash_retention + 10s);
+    BOOST_TEST(table.suspects.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/hostile_upstream_test.cpp
+++ b/tests/unit/hostile_upstream_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
+#include <array>
 #include <future>
 #include <thread>
 
@@ -114,6 +116,37 @@
     }
 };
 
+constexpr int max_polls = 10000; ///< of a metric that stays as it is
+
+/// A fleet whose upstreams crash in the middle of the first stream that they run.
+struct crashing_upstreams : small_fleet {
+    std::array<raw_upstream, 8> crashing;
+
+    crashing_upstreams()
+    {
+        announce(upstream, "u1", 2, directory::instance_state::gone);
+        for (std::size_t i = 0; i < crashing.size(); ++i) {
+            raw_upstream& next = crashing.at(i);
+            next.serve = [&next](tcp::socket& socket) {
+                read_request(socket);
+                write(socket, "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n12\r\nid: 1\ndata: word\n\n\r\n");
+                boost::system::error_code ignored;
+                next.acceptor.close(ignored);
+                socket.close(ignored);
+            };
+            next.start();
+            announce_address(next.address, "c" + std::to_string(i), 1);
+        }
+    }
+
+    std::size_t count_crashed() const
+    {
+        return static_cast<std::size_t>(std::count_if(crashing.begin(), crashing.end(),
+                                                      [](const auto& each) { return each.accepted.load(); }));
+    }
+};
+
 const std::string filler(64U << 10U, 'x');
 
 } // namespace
@@ -190,6 +223,25 @@
     }
 }
 
+// Guards against a request that crashes one upstream after the other: crashes in the middle of a stream were
+// not counted.
+BOOST_FIXTURE_TEST_CASE(request_that_crashes_upstreams_in_the_middle_of_its_stream_is_refused,
+                        crashing_upstreams)
+{
+    for (std::size_t crash = 1; crash <= directory::crash_limit; ++crash) {
+        while (count_crashed() < crash) { // until the gateway knows the upstreams
+            call("POST", "/turn/x", {}, "poison");
+        }
+        double recorded = 0;
+        for (int polls = 0; recorded < static_cast<double>(crash) && polls < max_polls; ++polls) {
+            recorded = read_metric("guavawick_gateway_crashes_total");
+        }
+        BOOST_TEST_REQUIRE(recorded == static_cast<double>(crash));
+    }
+    BOOST_TEST(call("POST", "/turn/x", {}, "poison").status == 503);
+    BOOST_TEST(count_crashed() == directory::crash_limit);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
