Take large contents of turns one after the other, within a budget

Cause: nothing bounded the bytes of closings. Each was held many times, all at once, sent again after 2 s, and sent to each next leader.

Change: a content above 16 KiB is offered and sent once the leader grants it, once, to that leader only. A turn that could not be closed in time or would not fit on the disk is refused before it runs. Log entries share their bytes; records and large contents are written without further copies.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -42,6 +42,7 @@
     snapshot_query_refused = 2015,
     snapshot_import_ended = 2016,
     store_admission_changed = 2017,
+    content_refused = 2018,
     configuration_published = 3000,
     configuration_refused = 3001,
     configuration_in_force = 3002,
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -6,6 +6,7 @@
 
 #include "base/clock_type.hpp"
 #include "base/id_type.hpp"
+#include "base/shared_bytes.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -31,7 +32,7 @@
     term_number term = 0;               ///< term of the leader that appended it
     log_index index = 0;                ///< position in the log; the first is 1
     entry_kind kind = entry_kind::noop; ///< type of the payload
-    std::string payload;                ///< encoded command or membership
+    shared_bytes payload;               ///< encoded command or membership
 };
 
 /// One member of a group.
--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -26,9 +26,9 @@
 } // namespace
 
 ledger_replica::ledger_replica(std::uint32_t number, const fleet_settings& settings,
-                               consensus::member_id disk_id, wire::link& links)
+                               consensus::member_id disk_id, wire::link& links, content_gate& gate)
     : policy_(consensus::make_membership_policy(settings.tolerated_failures, settings.data_centre_count)),
-      contents_(settings.data_folder + "/group-" + std::to_string(number) + "/contents"),
+      gate_(gate), contents_(settings.data_folder + "/group-" + std::to_string(number) + "/contents"),
       group_(number, make_replica_settings(settings, snapshot_entries), disk_id, {}, links)
 {
     group_.enable_managed_membership(policy_, settings.data_centre);
@@ -49,7 +49,10 @@
     };
     machine.contents = make_content_callbacks();
     machine.leadership_changed = [this](bool leads) { handle_leadership_change(leads); };
-    machine.tick = [this](time_point) { publish_status(); };
+    machine.tick = [this](time_point) {
+        publish_status();
+        gate_.check();
+    };
     group_.start(std::move(machine));
 }
 
@@ -131,41 +134,108 @@
                                            : make_redirect(group_));
         return;
     }
-    const bool overloaded = group_.pending_proposals() > max_pending_proposals;
-    if (request.has_open_turn() && (overloaded || !admits_turns_.load())) {
+    if (request.has_open_turn()) {
         // Further turns would wait until their callers have given up, or their contents would not fit. Turns
         // can still be closed.
-        wire::envelope refusal;
-        refusal.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::overloaded));
-        log_event(event::turn_opened, {{"request", request.open_turn().request()},
-                                       {"group", std::uint64_t{group_.number()}},
-                                       {"outcome", overloaded ? "overloaded" : "store_full"},
-                                       {"waiting", std::uint64_t{group_.pending_proposals()}}});
-        send_reply(std::move(refusal));
-        return;
+        const bool overloaded = group_.pending_proposals() > max_pending_proposals;
+        if (overloaded || !admits_turns_.load()) {
+            refuse(request.open_turn(), overloaded ? "overloaded" : "store_full", send_reply);
+            return;
+        }
+        propose_open(request.open_turn(), send_reply);
+    }
+    else if (request.has_content_offer()) {
+        handle_offer(request.content_offer(), send_reply);
     }
-    if (request.has_open_turn() || request.has_close_turn()) {
-        propose(request, send_reply);
+    else if (request.has_close_turn()) {
+        propose_close(request.close_turn(), send_reply);
     }
 }
 
-void ledger_replica::propose(const wire::envelope& request, const reply_function& send_reply)
+void ledger_replica::refuse(const wire::open_turn& request, const char* outcome,
+                            const reply_function& send_reply)
 {
-    const std::int64_t now_ms = clock_.at(runtime_clock::now()).count();
-    wire::turn_command command;
-    if (request.has_open_turn()) {
-        *command.mutable_open() = request.open_turn();
-        command.mutable_open()->set_now_ms(now_ms);
+    wire::envelope refusal;
+    refusal.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::overloaded));
+    log_event(event::turn_opened, {{"request", request.request()},
+                                   {"group", std::uint64_t{group_.number()}},
+                                   {"outcome", outcome},
+                                   {"waiting", std::uint64_t{group_.pending_proposals()}}});
+    send_reply(std::move(refusal));
+}
+
+void ledger_replica::handle_offer(const wire::content_offer& request, const reply_function& send_reply)
+{
+    const turns::turn_key turn{organisation_name{request.organisation()}, request_name{request.request()}};
+    if (state_.turns.contains(turn)) {
+        send_reply(make_offer_reply(offer_outcome::stored));
+        return;
     }
-    else {
-        *command.mutable_close() = request.close_turn();
-        command.mutable_close()->set_now_ms(now_ms);
+    const time_point deadline = runtime_clock::now() + std::chrono::milliseconds(request.timeout_ms());
+    gate_.offer({{group_.number(), turn}, request.bytes(), deadline}, send_reply);
+}
+
+void ledger_replica::propose_open(const wire::open_turn& request, const reply_function& send_reply)
+{
+    const content_key key{group_.number(),
+                          {organisation_name{request.organisation()}, request_name{request.request()}}};
+    if (request.content_bytes() > 0 &&
+        !gate_.reserve(key, request.content_bytes(), std::chrono::milliseconds(request.run_timeout_ms()))) {
+        refuse(request, "no_room_for_content", send_reply);
+        return;
     }
-    group_.propose(command.SerializeAsString(), [this, send_reply](const wire::envelope* result) {
+    wire::turn_command command;
+    *command.mutable_open() = request;
+    command.mutable_open()->set_now_ms(clock_.at(runtime_clock::now()).count());
+    group_.propose(command.SerializeAsString(), [this, key, send_reply](const wire::envelope* result) {
+        const bool granted =
+            result != nullptr &&
+            result->turn_opened().outcome() == static_cast<std::uint32_t>(turns::open_outcome::granted);
+        if (!granted) {
+            gate_.release(key);
+        }
         send_reply(result == nullptr ? make_redirect(group_) : *result);
     });
 }
 
+void ledger_replica::propose_close(const wire::close_turn& request, const reply_function& send_reply)
+{
+    const turns::turn_key turn{organisation_name{request.organisation()}, request_name{request.request()}};
+    const content_key key{group_.number(), turn};
+    const std::uint64_t bytes = request.input().size() + request.output().size();
+    const bool is_large = bytes > max_inline_content;
+    if (const auto found = closings_.find(turn); is_large && found != closings_.end()) {
+        found->second.push_back(send_reply); // sent again before it was committed
+        return;
+    }
+    if (is_large && !gate_.begin(key, bytes)) {
+        wire::envelope refusal;
+        refusal.mutable_refused()->set_failure(static_cast<std::uint32_t>(failure::overloaded));
+        send_reply(std::move(refusal));
+        return;
+    }
+    if (is_large) {
+        closings_[turn] = {};
+    }
+    wire::turn_command command;
+    *command.mutable_close() = request;
+    command.mutable_close()->set_now_ms(clock_.at(runtime_clock::now()).count());
+    group_.propose(command.SerializeAsString(),
+                   [this, key, is_large, send_reply](const wire::envelope* result) {
+                       const wire::envelope reply = result == nullptr ? make_redirect(group_) : *result;
+                       gate_.release(key);
+                       send_reply(reply);
+                       if (!is_large) {
+                           return;
+                       }
+                       for (const reply_function& send_again : closings_[key.turn]) {
+                           send_again(reply);
+                       }
+                       closings_.erase(key.turn);
+                       gate_.end(key, result != nullptr);
+                   });
+}
+
 wire::envelope ledger_replica::apply(const std::string& bytes)
 {
     wire::turn_command command;
@@ -177,16 +247,17 @@
     if (command.has_open()) {
         return apply_open(command.open());
     }
-    return apply_close(command.close());
+    return apply_close(*command.mutable_close());
 }
 
-wire::envelope ledger_replica::apply_close(const wire::close_turn& request)
+wire::envelope ledger_replica::apply_close(wire::close_turn& request)
 {
     turns::advance_time(state_, turns::group_time{request.now_ms()});
     const turns::close_request closing = turns::from_wire(request);
     content_range content;
     if (turns::stores_content(state_, closing)) {
-        content = contents_.append(request.input() + request.output());
+        request.mutable_input()->append(request.output());
+        content = contents_.append(request.input());
     }
     const turns::close_result result = turns::close_turn(state_, closing, content);
     wire::envelope reply;
@@ -219,6 +290,7 @@
     body->set_upstream(result.upstream);
     body->set_spent(result.spent);
     body->set_reserved(result.reserved);
+    body->set_takes_offers(true);
     if (group_.leads()) {
         log_event(event::turn_opened, {{"request", request.request()},
                                        {"group", std::uint64_t{group_.number()}},
@@ -240,7 +312,9 @@
     if (leads) {
         clock_ = {state_.now, runtime_clock::now()};
         rate_owner_.take_over(runtime_clock::now());
+        return;
     }
+    gate_.drop_group(group_.number());
 }
 
 void ledger_replica::publish_status()
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -1,6 +1,7 @@
 // One replica of a ledger group: turns, budgets and rate buckets of the organisations that the group holds.
 #pragma once
 
+#include "core/content_gate.hpp"
 #include "core/fleet_settings.hpp"
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
@@ -30,8 +31,9 @@
 class ledger_replica {
 public:
     /// @param number of the group, from 1. @param disk_id becomes the replica's member ID.
+    /// @param gate of the store; outlives the replica.
     ledger_replica(std::uint32_t number, const fleet_settings& settings, consensus::member_id disk_id,
-                   wire::link& links);
+                   wire::link& links, content_gate& gate);
     /// Starts to take part in the group. @throw storage_error.
     void start();
     /// Transfers leadership, then stops.
@@ -53,16 +55,22 @@
 
 private:
     void process_request(const wire::envelope& request, const reply_function& send_reply);
-    void propose(const wire::envelope& request, const reply_function& send_reply);
+    void refuse(const wire::open_turn& request, const char* outcome, const reply_function& send_reply);
+    void handle_offer(const wire::content_offer& request, const reply_function& send_reply);
+    void propose_open(const wire::open_turn& request, const reply_function& send_reply);
+    void propose_close(const wire::close_turn& request, const reply_function& send_reply);
     wire::envelope apply(const std::string& command);
     wire::envelope apply_open(const wire::open_turn& request);
-    wire::envelope apply_close(const wire::close_turn& request);
+    wire::envelope apply_close(wire::close_turn& request);
     replica::content_callbacks make_content_callbacks();
     void remove_unused_contents();
     void handle_leadership_change(bool leads);
     void publish_status();
 
     consensus::membership_policy policy_;
+    content_gate& gate_;
+    std::map<turns::turn_key, std::vector<reply_function>>
+        closings_; ///< receivers of the reply, by turn whose large content is being committed
     turns::turn_state state_;
     replica::segment_store contents_; ///< inputs and outputs of the turns in `state_`
     turn_import import_;
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -34,7 +34,7 @@
 
 store_process::store_process(const fleet_settings& settings, runtime::worker_pool& pool)
     : settings_(settings), pool_(pool), disk_(replica::open_identity(settings.data_folder)),
-      control_endpoints_(settings.seeds)
+      gate_(settings.memory_limit), control_endpoints_(settings.seeds)
 {
     if (disk_.blank) {
         log_event(event::disk_blank, {{"replica", settings_.node}, {"disk", to_hex(disk_.id.value)}});
@@ -71,7 +71,7 @@
 
 ledger_replica& store_process::open_replica(std::uint32_t group)
 {
-    auto replica = std::make_unique<ledger_replica>(group, settings_, disk_.id, *links_);
+    auto replica = std::make_unique<ledger_replica>(group, settings_, disk_.id, *links_, gate_);
     replica->start();
     add_group_metrics(metrics_, replica->group());
     metrics_.add({"guavawick_replica_content_bytes", "Contents of turns on disk.", false,
@@ -123,7 +123,8 @@
     if (replica != nullptr && replica->receive(*message)) {
         return;
     }
-    const bool is_request = message->has_open_turn() || message->has_close_turn() || message->has_borrow();
+    const bool is_request = message->has_open_turn() || message->has_close_turn() || message->has_borrow() ||
+                            message->has_content_offer();
     if (!is_request) {
         return; // a consensus message of a group that no hello has named yet; its sender repeats it
     }
@@ -219,6 +220,10 @@
     for (const auto& [group, replica] : replicas_) {
         usage.disk += replica->status()->content_bytes + replica->group().counters().log_bytes.load();
     }
+    if (usage.disk_limit > 0) {
+        const auto usable = static_cast<std::uint64_t>(static_cast<double>(usage.disk_limit) * refusal_share);
+        gate_.set_disk_room(usable > usage.disk ? usable - usage.disk : 1);
+    }
     const store_pressure previous = pressure_;
     pressure_ = next_pressure(usage, previous);
     if (pressure_ > previous) {
--- a/src/core/store_process.hpp
+++ b/src/core/store_process.hpp
@@ -48,6 +48,7 @@
     replica::disk_identity disk_;
     std::unique_ptr<wire::link> links_;
     std::atomic<bool> running_{true};
+    content_gate gate_;
     store_pressure pressure_ = store_pressure::none; ///< used by the report loop only
     std::unique_ptr<http::server> metrics_server_;
     http::metric_set metrics_;
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -1,10 +1,7 @@
-// One attempt of a call at an upstream instance, and the requests to the ledger that open and close turns.
+// One attempt of a call at an upstream instance.
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
-#include "core/fleet_state.hpp"
 #include "gateway/call_run.hpp"
-#include "turns/turn_type.hpp"
-#include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -21,16 +18,12 @@
 
 constexpr duration connect_timeout =
     400ms; ///< far above a handshake; an unreachable instance costs this once
-constexpr duration ledger_timeout = 2500ms;   ///< a new leader of a ledger group is elected within 2 s
-constexpr duration min_close_timeout = 500ms; ///< for a stream that ends just before the call's deadline
 constexpr duration default_idle_timeout = 5s; ///< for upstreams that send no idle timeout
 constexpr duration non_repeatable_idle_timeout =
     2s; ///< of a connection reused for a call that can't be repeated
 constexpr std::size_t max_buffered_bytes =
     8U << 20U; ///< of a response that is not a stream, and of the events of a turn that is kept
-constexpr int min_error_status = 500;           ///< from here on, statuses report errors of the upstream
-constexpr duration ledger_poll_interval = 20ms; ///< at which a waiting call checks for the ledger groups
-constexpr duration ledger_retry_after = 300ms;  ///< a ledger group needs about this long for a new leader
+constexpr int min_error_status = 500; ///< from here on, statuses report errors of the upstream
 constexpr int misdirected_status = 421;
 
 /// @return the headers of an upstream's response that are forwarded to the caller.
@@ -236,11 +229,6 @@
                                         std::min(connect_timeout, time_left));
 }
 
-std::string history_key(const active_call& call, const request_name& turn)
-{
-    return make_history_key(call.organisation != nullptr ? call.organisation->name.value : "", turn.value);
-}
-
 /// Completes the response to the caller after the last event was forwarded. A turn that the route keeps is
 /// first stored in the ledger; if that fails, the response is aborted.
 asio::awaitable<attempt_result> finish_stream(std::shared_ptr<active_call> call, attempt_state& state)
@@ -313,36 +301,6 @@
     co_return call->head_sent ? attempt_result::stream_interrupted : attempt_result::maybe_executed;
 }
 
-/// Sends a request to the ledger group of the call's organisation. Shortly after the gateway's start it first
-/// waits until the groups are known from control.
-/// @throw link_error if the groups stayed unknown or no leader replied within the timeout.
-asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call, wire::envelope request,
-                                                duration timeout)
-{
-    const gateway_state& state = *call->context.state;
-    const organisation_name organisation =
-        call->organisation != nullptr ? call->organisation->name : organisation_name{};
-    const time_point deadline = runtime_clock::now() + timeout;
-    const bool groups_known = co_await await_ledger_groups(call, deadline);
-    const std::optional<std::uint32_t> group = core::ledger_group_of(organisation, state.ledger_group_count);
-    if (!groups_known || !group) {
-        throw link_error("the ledger groups are not known from control yet");
-    }
-    dependency& ledger_group = call->context.state->ledger_dependencies
-                                   .try_emplace(*group, dependency{"ledger group " + std::to_string(*group)})
-                                   .first->second;
-    try {
-        wire::envelope_ptr reply = co_await call->context.ledger_client->call(
-            *group, std::move(request), deadline - runtime_clock::now());
-        record_reply(ledger_group, runtime_clock::now());
-        co_return reply;
-    }
-    catch (const link_error& error) {
-        record_outage(ledger_group, error.what(), runtime_clock::now());
-        throw;
-    }
-}
-
 } // namespace
 
 asio::awaitable<attempt_result> run_attempt(std::shared_ptr<active_call> call,
@@ -418,107 +376,4 @@
                                  std::move(response.body));
 }
 
-asio::awaitable<bool> await_ledger_groups(std::shared_ptr<active_call> call, time_point deadline)
-{
-    const gateway_state& state = *call->context.state;
-    while (state.ledger_group_count == 0 && runtime_clock::now() < deadline) {
-        co_await runtime::wait_for(ledger_poll_interval);
-    }
-    co_return state.ledger_group_count > 0;
-}
-
-asio::awaitable<refusal> open_turn(std::shared_ptr<active_call> call)
-{
-    wire::envelope request;
-    wire::open_turn* body = request.mutable_open_turn();
-    body->set_organisation(call->organisation != nullptr ? call->organisation->name.value : "");
-    body->set_request(call->metadata.request.value);
-    body->set_program(call->metadata.program.value);
-    body->set_budget_tokens(call->metadata.budget_tokens);
-    body->set_most_tokens(call->metadata.max_tokens);
-    body->set_line(call->metadata.line);
-    std::string cached_history;
-    if (call->route->keeps_turns) {
-        body->set_previous(call->metadata.previous_turn.value);
-        if (const std::string* cached = find_history(call->context.state->histories,
-                                                     history_key(*call, call->metadata.previous_turn))) {
-            cached_history = *cached;
-            body->set_has_history(true);
-        }
-    }
-    const duration time_left = call->deadline - runtime_clock::now();
-    body->set_run_timeout_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(time_left), 1)));
-    std::string failure_reason;
-    wire::envelope_ptr reply;
-    try {
-        reply =
-            co_await call_ledger(call, std::move(request), std::min<duration>(time_left / 2, ledger_timeout));
-    }
-    catch (const link_error& error) {
-        failure_reason = error.what();
-    }
-    if (!reply || !reply->has_turn_opened()) {
-        std::vector<event_field> fields = call_fields(*call);
-        const bool overloaded = reply && reply->has_refused();
-        fields.push_back({"reason", overloaded ? "the ledger is overloaded" : failure_reason});
-        log_event(event::attempt_failed, fields);
-        co_return refusal{503, "the ledger does not answer", ledger_retry_after};
-    }
-    const wire::open_turn_reply& opened = reply->turn_opened();
-    const auto outcome = static_cast<turns::open_outcome>(opened.outcome());
-    if (outcome == turns::open_outcome::budget_spent) {
-        co_return refusal{402, "the program's budget is spent", {}};
-    }
-    if (outcome == turns::open_outcome::unknown_turn) {
-        co_return refusal{404, "no such turn", {}};
-    }
-    call->history = opened.history().empty() ? cached_history : opened.history();
-    call->warm_instance = opened.upstream();
-    co_return refusal{0, "", {}};
-}
-
-asio::awaitable<bool> close_turn(std::shared_ptr<active_call> call, bool completed)
-{
-    const auto service = call->plan->plan.services.find(call->service);
-    const bool has_model = service != call->plan->plan.services.end() && service->second.model.has_value();
-    const std::uint64_t tokens_per_event = has_model ? service->second.model->tokens_per_event : 1;
-    const duration time_left = call->deadline - runtime_clock::now();
-    wire::envelope request;
-    wire::close_turn* body = request.mutable_close_turn();
-    body->set_organisation(call->organisation != nullptr ? call->organisation->name.value : "");
-    body->set_request(call->metadata.request.value);
-    body->set_program(call->metadata.budget_tokens > 0 ? call->metadata.program.value : "");
-    body->set_used_tokens(call->event_count * tokens_per_event);
-    body->set_upstream(call->serving_instance);
-    body->set_line(call->metadata.line);
-    if (completed) {
-        body->set_keep(true);
-        body->set_previous(call->metadata.previous_turn.value);
-        body->set_input(call->request.body);
-        body->set_output(call->output);
-        // The retention counts from the end of the response, which arrives by the call's deadline. A call
-        // that continues the turn may wait for as long as the route allows before its turn is opened.
-        const duration wait_allowance = std::max<duration>(time_left, {}) + call->route->timeout;
-        body->set_retention_ms(static_cast<std::uint64_t>(to_ms(call->route->retention + wait_allowance)));
-    }
-    std::string failure_reason;
-    // The caller waits for the ledger to confirm a completed turn. Once the caller has left, nobody needs the
-    // turn.
-    const duration timeout = completed ? std::max<duration>(time_left, min_close_timeout) : ledger_timeout;
-    try {
-        const wire::envelope_ptr reply = co_await call_ledger(call, std::move(request), timeout);
-        if (reply->has_done()) {
-            co_return true;
-        }
-        failure_reason = "a turn that it continues from has expired";
-    }
-    catch (const link_error& error) {
-        failure_reason = error.what();
-    }
-    std::vector<event_field> fields = call_fields(*call);
-    fields.push_back({"reason", failure_reason});
-    log_event(event::turn_closed, fields);
-    co_return false;
-}
-
 } // namespace guavawick::gateway
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -41,10 +41,11 @@
     plan::service_name service;
     time_point started_at{};
     time_point deadline{};
-    std::uint64_t request_hash = 0; ///< of organisation, target and body
-    bool is_turn = false;           ///< the ledger keeps account of the call
-    std::string history;            ///< bytes of the previous turns, sent in front of the body
-    std::string warm_instance;      ///< instance that ran the previous turn; empty if unknown
+    std::uint64_t request_hash = 0;   ///< of organisation, target and body
+    bool is_turn = false;             ///< the ledger keeps account of the call
+    std::string history;              ///< bytes of the previous turns, sent in front of the body
+    bool ledger_takes_offers = false; ///< a large content is offered before it is sent
+    std::string warm_instance;        ///< instance that ran the previous turn; empty if unknown
 
     std::uint32_t attempts = 0; ///< attempts that an upstream may have executed
     std::set<std::string> tried_instances;
@@ -82,6 +83,8 @@
 /// Closes the call's turn in the ledger. @param completed keeps the turn, so that another can continue it.
 /// @return whether the ledger committed it.
 boost::asio::awaitable<bool> close_turn(std::shared_ptr<active_call> call, bool completed);
+/// @return the key of one of the organisation's turns in the cache of histories.
+std::string history_key(const active_call& call, const request_name& turn);
 /// @return the event fields that identify a call and its progress in log lines.
 std::vector<event_field> call_fields(const active_call& call);
 
--- a/src/replica/consensus_codec.cpp
+++ b/src/replica/consensus_codec.cpp
@@ -11,7 +11,7 @@
     into->set_term(from.term);
     into->set_index(from.index);
     into->set_kind(static_cast<std::uint32_t>(from.kind));
-    into->set_payload(from.payload);
+    into->set_payload(from.payload.str());
 }
 
 consensus::log_entry from_wire(wire::log_record&& from)
--- a/src/replica/log_store.cpp
+++ b/src/replica/log_store.cpp
@@ -54,26 +54,40 @@
     return into.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
 }
 
-std::string encode_hard_state(consensus::term_number term, consensus::member_id voted_for)
+/// Appends a framed record, without a copy of its bytes.
+void append_record(std::string& into, const wire::log_file_record& record)
+{
+    const std::size_t begin = into.size();
+    append_u32(into, 0); // replaced once the record is encoded
+    append_u32(into, 0);
+    record.AppendToString(&into);
+    const std::string_view encoded = std::string_view(into).substr(begin + frame_header_size);
+    std::string header;
+    append_u32(header, static_cast<std::uint32_t>(encoded.size()));
+    append_u32(header, crc32c(encoded));
+    into.replace(begin, frame_header_size, header);
+}
+
+void append_hard_state(std::string& into, consensus::term_number term, consensus::member_id voted_for)
 {
     wire::log_file_record record;
     record.mutable_hard_state()->set_term(term);
     record.mutable_hard_state()->set_voted_for(voted_for.value);
-    return frame_record(record.SerializeAsString());
+    append_record(into, record);
 }
 
-std::string encode_entry(const consensus::log_entry& entry)
+void append_entry(std::string& into, const consensus::log_entry& entry)
 {
     wire::log_file_record record;
     to_wire(entry, record.mutable_entry());
-    return frame_record(record.SerializeAsString());
+    append_record(into, record);
 }
 
-std::string encode_truncation(consensus::log_index after)
+void append_truncation(std::string& into, consensus::log_index after)
 {
     wire::log_file_record record;
     record.set_truncate_after(after);
-    return frame_record(record.SerializeAsString());
+    append_record(into, record);
 }
 
 void load_record(wire::log_file_record& record, consensus::persisted_state& into)
@@ -218,13 +232,13 @@
     }
     std::string bytes;
     if (effects.truncate_after) {
-        bytes += encode_truncation(*effects.truncate_after);
+        append_truncation(bytes, *effects.truncate_after);
     }
     for (const consensus::log_entry& entry : effects.appended) {
-        bytes += encode_entry(entry);
+        append_entry(bytes, entry);
     }
     if (effects.hard_state_changed) {
-        bytes += encode_hard_state(state.term, state.voted_for);
+        append_hard_state(bytes, state.term, state.voted_for);
     }
     if (bytes.empty()) {
         return;
@@ -243,9 +257,10 @@
 
 void log_store::rewrite_log(const consensus::group_state& state)
 {
-    std::string bytes = encode_hard_state(state.term, state.voted_for);
+    std::string bytes;
+    append_hard_state(bytes, state.term, state.voted_for);
     for (const consensus::log_entry& entry : state.entries) {
-        bytes += encode_entry(entry);
+        append_entry(bytes, entry);
     }
     replace_file(folder_, "log", bytes);
     ::close(log_fd_);
--- a/src/replica/segment_store.cpp
+++ b/src/replica/segment_store.cpp
@@ -94,10 +94,15 @@
     segment& opened = segments_.at(open_segment_);
     const content_range range{open_segment_, static_cast<std::uint32_t>(opened.size),
                               static_cast<std::uint32_t>(bytes.size()), crc32c(bytes)};
-    buffer_ += bytes;
     opened.size += bytes.size();
     opened.synced = false;
     size_ += bytes.size();
+    if (bytes.size() >= limits_.buffer_bytes) {
+        flush();
+        write_all(opened.fd, bytes, path_of(open_segment_));
+        return range;
+    }
+    buffer_ += bytes;
     if (buffer_.size() >= limits_.buffer_bytes) {
         flush();
     }
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -73,6 +73,8 @@
               "The copying of a snapshot ended early; the leader offers another one."},
     event_row{event::store_admission_changed, "store_admission_changed", severity::warning,
               "A store began or ceased to refuse new turns for lack of disk or memory."},
+    event_row{event::content_refused, "content_refused", severity::info,
+              "A turn with a large content may not run, as its content could not be stored in time."},
     event_row{event::configuration_published, "configuration_published", severity::info,
               "A new revision of the configuration was accepted."},
     event_row{event::configuration_refused, "configuration_refused", severity::warning,
--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -69,11 +69,12 @@
 
 /// Sends a request to one replica. @return nullptr if the replica is silent or its reply is overdue.
 boost::asio::awaitable<envelope_ptr> group_client::call_replica(std::string endpoint, envelope request,
-                                                                duration timeout, duration hold_time)
+                                                                duration timeout, duration hold_time,
+                                                                bool resends)
 {
     const time_point reply_deadline = runtime_clock::now() + hold_time + max_reply_delay;
     const std::unique_ptr<reply_stream> stream =
-        links_.open_stream(endpoint, std::move(request), timeout, liveness_check_interval);
+        links_.open_stream(endpoint, std::move(request), timeout, liveness_check_interval, resends);
     while (true) {
         envelope_ptr reply = co_await stream->next();
         const bool is_tick = reply && reply->body_case() == envelope::BODY_NOT_SET;
@@ -86,6 +87,31 @@
     }
 }
 
+bool group_client::follow_redirect(std::uint32_t group, const std::string& endpoint,
+                                   const envelope_ptr& reply)
+{
+    const std::string leader = reply ? reply->redirect().leader_endpoint() : "";
+    if (!leader.empty() && leader != endpoint && links_.active_within(leader, peer_timeout)) {
+        record_leader(group, leader);
+        return true;
+    }
+    select_next_replica(group, endpoint);
+    return false;
+}
+
+boost::asio::awaitable<envelope_ptr> group_client::call_once(std::uint32_t group, envelope request,
+                                                             duration timeout)
+{
+    request.set_group(group);
+    const std::string endpoint = presumed_leader(group);
+    envelope_ptr reply = co_await call_replica(endpoint, std::move(request), timeout, timeout, false);
+    if (reply && !reply->has_redirect()) {
+        co_return reply;
+    }
+    follow_redirect(group, endpoint, reply);
+    throw link_error("the leader of group " + std::to_string(group) + " changed or did not answer in time");
+}
+
 boost::asio::awaitable<envelope_ptr> group_client::call(std::uint32_t group, envelope request,
                                                         duration timeout, duration hold_time)
 {
@@ -99,21 +125,12 @@
         }
         const envelope_ptr reply =
             co_await call_replica(endpoint, request, deadline - runtime_clock::now(), hold_time);
-        if (!reply) {
-            select_next_replica(group, endpoint);
-            co_await runtime::wait_for(retry_delay);
-            continue;
-        }
-        if (!reply->has_redirect()) {
+        if (reply && !reply->has_redirect()) {
             co_return reply;
         }
-        const std::string& leader = reply->redirect().leader_endpoint();
-        if (!leader.empty() && leader != endpoint && links_.active_within(leader, peer_timeout)) {
-            record_leader(group, leader);
-            continue;
+        if (!follow_redirect(group, endpoint, reply)) {
+            co_await runtime::wait_for(retry_delay);
         }
-        select_next_replica(group, endpoint);
-        co_await runtime::wait_for(retry_delay);
     }
     throw link_error("no leader of group " + std::to_string(group) + " answered in time");
 }
--- a/src/wire/group_client.hpp
+++ b/src/wire/group_client.hpp
@@ -24,12 +24,20 @@
     boost::asio::awaitable<envelope_ptr> call(std::uint32_t group, envelope request, duration timeout,
                                               duration hold_time = {});
 
+    /// Sends a large request once, to the presumed leader of a group.
+    /// @throw link_error if that is no longer the leader or does not answer within `timeout`.
+    boost::asio::awaitable<envelope_ptr> call_once(std::uint32_t group, envelope request, duration timeout);
+
 private:
     [[nodiscard]] std::string presumed_leader(std::uint32_t group);
     void record_leader(std::uint32_t group, const std::string& endpoint);
     void select_next_replica(std::uint32_t group, const std::string& failed);
+    /// Selects the replica to ask next, after one was silent (`reply` is null) or redirected.
+    /// @return whether the redirect named another leader that is alive.
+    bool follow_redirect(std::uint32_t group, const std::string& endpoint, const envelope_ptr& reply);
     boost::asio::awaitable<envelope_ptr> call_replica(std::string endpoint, envelope request,
-                                                      duration timeout, duration hold_time);
+                                                      duration timeout, duration hold_time,
+                                                      bool resends = true);
 
     link& links_;
     std::vector<replica_address> replicas_;
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -53,6 +53,7 @@
     time_point deadline{};
     time_point resend_at{};
     duration resend_delay = initial_resend_delay;
+    bool resends = true;
     duration tick_interval{}; ///< zero: no ticks
     time_point next_tick{};
     reply_channel replies;
@@ -203,7 +204,9 @@
             return;
         }
         if (command.call) {
-            command.call->resend_at = now + command.call->resend_delay;
+            if (command.call->resends) {
+                command.call->resend_at = now + command.call->resend_delay;
+            }
             send_to(command.endpoint, command.call->bytes, now);
             record_call(command.endpoint, now);
             return;
@@ -277,7 +280,7 @@
         {
             const std::lock_guard lock(mutex);
             for (const auto& [id, call] : calls) {
-                if (call->endpoint == endpoint) {
+                if (call->endpoint == endpoint && call->resends) {
                     waiting.push_back(call);
                 }
             }
@@ -608,12 +611,13 @@
 }
 
 std::unique_ptr<reply_stream> link::open_stream(const std::string& endpoint, envelope message,
-                                                duration timeout, duration tick_interval)
+                                                duration timeout, duration tick_interval, bool resends)
 {
     auto call = std::make_shared<pending_call>(core_->pool);
     call->id = core_->next_call_id.fetch_add(1);
     call->endpoint = endpoint;
     call->deadline = runtime_clock::now() + timeout;
+    call->resends = resends;
     call->tick_interval = tick_interval;
     call->next_tick = runtime_clock::now() + tick_interval;
     message.set_call(call->id);
--- a/src/wire/link_type.hpp
+++ b/src/wire/link_type.hpp
@@ -71,8 +71,9 @@
     /// Like call(), for requests that have several replies.
     /// @param tick_interval if not zero, next() also returns an envelope without a body about this often, so
     /// that its caller can check other conditions while it waits.
+    /// @param resends false for a large request, of which the peer must not get several copies.
     std::unique_ptr<reply_stream> open_stream(const std::string& endpoint, envelope message, duration timeout,
-                                              duration tick_interval = {});
+                                              duration tick_interval = {}, bool resends = true);
     /// Replies to a received envelope. @pre the message's body is set.
     void reply(const reply_target& target, envelope message);
     /// @return the incarnation of this process.
--- a/tests/unit/ledger_replica_test.cpp
+++ b/tests/unit/ledger_replica_test.cpp
@@ -34,6 +34,7 @@
     fleet_settings settings;
     consensus::member_id disk;
     std::unique_ptr<wire::link> links;
+    std::unique_ptr<content_gate> gate;
     std::unique_ptr<ledger_replica> replica;
 };
 
@@ -70,7 +71,9 @@
     {
         store.links =
             std::make_unique<wire::link>(pool.executor(), make_link_settings(), incarnation_id{random_id()});
-        store.replica = std::make_unique<ledger_replica>(1, store.settings, store.disk, *store.links);
+        store.gate = std::make_unique<content_gate>(store.settings.memory_limit);
+        store.replica =
+            std::make_unique<ledger_replica>(1, store.settings, store.disk, *store.links, *store.gate);
         store.links->listen(store.settings.link,
                             [&store](const wire::reply_target&, const wire::envelope_ptr& message) {
                                 store.replica->receive(*message);
@@ -227,6 +230,63 @@
     check_history(249);
 }
 
+// Guards against stores that are killed for their memory, one leader after the other: 24 turns of the largest
+// size were closed at the same time.
+BOOST_FIXTURE_TEST_CASE(largest_turns_closed_at_the_same_time_fit_into_the_memory, three_stores)
+{
+    constexpr int turn_count = 24;
+    constexpr std::size_t turn_bytes = 4U << 20U;
+    constexpr std::uint64_t memory_limit = 260'000'000; // of a store
+    for (test_store& store : stores) {
+        store.settings.memory_limit = memory_limit;
+    }
+    start(stores[0]);
+    start(stores[1]);
+    store_turns(1); // a leader is elected
+    while (!stores[0].replica->group().counters().leads.load() &&
+           !stores[1].replica->group().counters().leads.load()) {
+        std::this_thread::yield();
+    }
+    test_store& leader = stores[stores[0].replica->group().counters().leads.load() ? 0 : 1];
+    const std::size_t initial_heap = heap_in_use();
+    std::atomic<std::size_t> peak_heap{0};
+    std::atomic<int> closed{0};
+    std::promise<void> all_closed;
+    std::function<void(int)> offer = [&](int turn) {
+        wire::envelope request;
+        request.mutable_content_offer()->set_organisation("o");
+        request.mutable_content_offer()->set_request("large" + std::to_string(turn));
+        request.mutable_content_offer()->set_bytes(turn_bytes);
+        request.mutable_content_offer()->set_timeout_ms(600'000);
+        const auto receive = [&, turn](const wire::envelope& reply) {
+            BOOST_TEST_REQUIRE(reply.has_content_offered());
+            BOOST_TEST_REQUIRE(reply.content_offered().outcome() ==
+                               static_cast<std::uint32_t>(offer_outcome::granted));
+            auto close_request = std::make_shared<wire::envelope>();
+            wire::close_turn* closing = close_request->mutable_close_turn();
+            closing->set_organisation("o");
+            closing->set_request("large" + std::to_string(turn));
+            closing->set_keep(true);
+            closing->set_input(std::string(turn_bytes, 'x'));
+            closing->set_retention_ms(600'000);
+            leader.replica->handle_request(close_request, [&](const wire::envelope& result) {
+                BOOST_TEST_REQUIRE(result.has_done());
+                peak_heap.store(std::max(peak_heap.load(), heap_in_use()));
+                if (closed.fetch_add(1) + 1 == turn_count) {
+                    all_closed.set_value();
+                }
+            });
+            peak_heap.store(std::max(peak_heap.load(), heap_in_use()));
+        };
+        leader.replica->handle_request(std::make_shared<const wire::envelope>(request), receive);
+    };
+    for (int turn = 0; turn < turn_count; ++turn) {
+        offer(turn);
+    }
+    all_closed.get_future().wait();
+    BOOST_TEST(peak_heap.load() - std::min(peak_heap.load(), initial_heap) <= memory_limit * 8 / 10);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
--- a/tests/unit/log_store_test.cpp
+++ b/tests/unit/log_store_test.cpp
@@ -58,7 +58,7 @@
     }
     const log_store reopened(group());
     BOOST_TEST(reopened.loaded().entries.size() == 3U);
-    BOOST_TEST(reopened.loaded().entries.back().payload == "payload 3");
+    BOOST_TEST(reopened.loaded().entries.back().payload.str() == "payload 3");
     BOOST_TEST(reopened.loaded().term == 1U);
     BOOST_TEST(reopened.loaded().voted_for.value == 9U);
 }
