Fetch long histories in parts

A gateway now queries what is beyond 256 KiB in parts, one after the other, under the same budget.

fleet_test/history_of_large_turns_reaches_the_upstream_whole, turns_test/history_in_parts_is_the_whole_history.

--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -7,7 +7,9 @@
 namespace guavawick::core {
 namespace {
 
-constexpr std::uint64_t snapshot_entries = 20000;  ///< a snapshot is due earlier by the bytes of the log
+constexpr std::uint64_t snapshot_entries = 20000; ///< a snapshot is due earlier by the bytes of the log
+constexpr std::uint64_t max_history_part =
+    256U << 10U; ///< bytes of a history in one message, unless a single content is larger
 constexpr std::size_t max_pending_proposals = 200; ///< a store commits some hundreds of proposals a second
 
 const char* to_string(turns::open_outcome outcome)
@@ -147,6 +149,9 @@
     else if (request.has_content_offer()) {
         handle_offer(request.content_offer(), send_reply);
     }
+    else if (request.has_history_query()) {
+        handle_history_query(request.history_query(), send_reply);
+    }
     else if (request.has_close_turn()) {
         propose_close(request.close_turn(), send_reply);
     }
@@ -175,6 +180,30 @@
     gate_.offer({{group_.number(), turn}, request.bytes(), deadline}, send_reply);
 }
 
+void ledger_replica::handle_history_query(const wire::history_query& request,
+                                          const reply_function& send_reply)
+{
+    const turns::turn_key last{organisation_name{request.organisation()}, request_name{request.last()}};
+    const std::vector<content_range> part =
+        turns::select_part(turns::find_history(state_, last), request.first(), max_history_part);
+    std::uint64_t bytes = 0;
+    for (const content_range& content : part) {
+        bytes += content.size;
+    }
+    wire::envelope reply;
+    wire::history_part* body = reply.mutable_history_part();
+    if (bytes > max_inline_content && !gate_.begin_timed({group_.number(), last}, bytes)) {
+        body->set_busy(true);
+        send_reply(std::move(reply));
+        return;
+    }
+    for (const content_range& content : part) {
+        contents_.read(content, *body->mutable_bytes());
+    }
+    body->set_contents(static_cast<std::uint32_t>(part.size()));
+    send_reply(std::move(reply));
+}
+
 void ledger_replica::propose_open(const wire::open_turn& request, const reply_function& send_reply)
 {
     const content_key key{group_.number(),
@@ -283,9 +312,18 @@
     wire::open_turn_reply* body = reply.mutable_turn_opened();
     body->set_outcome(static_cast<std::uint32_t>(result.outcome));
     if (group_.leads()) { // the other members' replies go nowhere
-        for (const content_range& content : result.history) {
+        std::vector<content_range> sent = result.history;
+        if (request.accepts_history_parts()) {
+            sent = turns::select_part(result.history, 0, max_history_part);
+            if (!sent.empty() && sent.front().size > max_history_part) {
+                sent.clear(); // queried when there is room for it
+            }
+        }
+        for (const content_range& content : sent) {
             contents_.read(content, *body->mutable_history());
         }
+        body->set_history_contents(static_cast<std::uint32_t>(result.history.size()));
+        body->set_history_sent(static_cast<std::uint32_t>(sent.size()));
     }
     body->set_upstream(result.upstream);
     body->set_spent(result.spent);
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -57,6 +57,7 @@
     void process_request(const wire::envelope& request, const reply_function& send_reply);
     void refuse(const wire::open_turn& request, const char* outcome, const reply_function& send_reply);
     void handle_offer(const wire::content_offer& request, const reply_function& send_reply);
+    void handle_history_query(const wire::history_query& request, const reply_function& send_reply);
     void propose_open(const wire::open_turn& request, const reply_function& send_reply);
     void propose_close(const wire::close_turn& request, const reply_function& send_reply);
     wire::envelope apply(const std::string& command);
--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -63,6 +63,33 @@
     }
 }
 
+/// Appends the contents of a long history that are missing in the reply to the opening.
+/// @param first index of the first missing content. @param total number of contents.
+/// @throw link_error if the ledger did not send them before the call's deadline.
+asio::awaitable<void> fetch_history(std::shared_ptr<active_call> call, std::uint32_t first,
+                                    std::uint32_t total)
+{
+    while (first < total) {
+        wire::envelope request;
+        wire::history_query* query = request.mutable_history_query();
+        query->set_organisation(call->organisation != nullptr ? call->organisation->name.value : "");
+        query->set_last(call->metadata.previous_turn.value);
+        query->set_first(first);
+        const duration time_left = call->deadline - runtime_clock::now();
+        const wire::envelope_ptr reply = co_await call_ledger(call, std::move(request), time_left);
+        const wire::history_part& part = reply->history_part();
+        if (part.busy()) {
+            co_await runtime::wait_for(ledger_poll_interval);
+            continue;
+        }
+        if (part.contents() == 0) {
+            throw link_error("the ledger no longer has the history");
+        }
+        call->history += part.bytes();
+        first += part.contents();
+    }
+}
+
 } // namespace
 
 std::string history_key(const active_call& call, const request_name& turn)
@@ -100,6 +127,7 @@
             cached_history = *cached;
             body->set_has_history(true);
         }
+        body->set_accepts_history_parts(true);
     }
     const duration time_left = call->deadline - runtime_clock::now();
     body->set_run_timeout_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(time_left), 1)));
@@ -128,6 +156,20 @@
         co_return refusal{404, "no such turn", {}};
     }
     call->history = opened.history().empty() ? cached_history : opened.history();
+    if (opened.history_contents() > opened.history_sent()) {
+        try {
+            co_await fetch_history(call, opened.history_sent(), opened.history_contents());
+        }
+        catch (const link_error& error) {
+            failure_reason = error.what();
+        }
+        if (!failure_reason.empty()) {
+            std::vector<event_field> fields = call_fields(*call);
+            fields.push_back({"reason", failure_reason});
+            log_event(event::attempt_failed, fields);
+            co_return refusal{503, "the ledger does not answer", ledger_retry_after};
+        }
+    }
     call->warm_instance = opened.upstream();
     call->ledger_takes_offers = opened.takes_offers();
     co_return refusal{0, "", {}};
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -111,6 +111,28 @@
     return result;
 }
 
+std::vector<content_range> find_history(const turn_state& state, const turn_key& last)
+{
+    std::vector<content_range> history;
+    find_missing_turn(state, last.organisation, last.request, &history);
+    return history;
+}
+
+std::vector<content_range> select_part(const std::vector<content_range>& history, std::size_t first,
+                                       std::uint64_t max_bytes)
+{
+    std::vector<content_range> part;
+    std::uint64_t bytes = 0;
+    for (std::size_t i = first; i < history.size(); ++i) {
+        bytes += history[i].size;
+        if (!part.empty() && bytes > max_bytes) {
+            break;
+        }
+        part.push_back(history[i]);
+    }
+    return part;
+}
+
 bool stores_content(const turn_state& state, const close_request& request)
 {
     return request.keep && !state.turns.contains({request.organisation, request.request}) &&
--- a/src/turns/turn_func.hpp
+++ b/src/turns/turn_func.hpp
@@ -20,6 +20,12 @@
 /// While the turn may run, its history and its program's account are kept. A resent request gets the same
 /// result. The budget may be exceeded by at most the tokens of one turn.
 open_result open_turn(turn_state& state, const open_request& request);
+/// @return the contents of a turn and of those that it continues from, oldest first; empty if one is missing.
+std::vector<content_range> find_history(const turn_state& state, const turn_key& last);
+/// Selects a part of a history: whole contents, at least one if any is left.
+/// @param first index of the first content. @param max_bytes of the part, unless a single content is larger.
+std::vector<content_range> select_part(const std::vector<content_range>& history, std::size_t first,
+                                       std::uint64_t max_bytes);
 /// @return whether close_turn() would store a turn, so that its content must be written first.
 bool stores_content(const turn_state& state, const close_request& request);
 /// Closes a turn: charges its tokens to the program and stores the turn if requested. A turn is stored only
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -31,6 +31,27 @@
     BOOST_TEST(call("POST", "/turn/x", {{"Previous", "t9"}}, "x").status == 404);
 }
 
+// A history that is too large for the gateway's cache comes from the ledger in parts.
+BOOST_FIXTURE_TEST_CASE(history_of_large_turns_reaches_the_upstream_whole, small_fleet)
+{
+    upstream.respond = respond_with_events;
+    std::string expected;
+    std::string previous;
+    for (int i = 1; i <= 4; ++i) {
+        const std::string id = "t" + std::to_string(i);
+        const std::string input(3U << 20U, static_cast<char>('a' + i));
+        std::map<std::string, std::string> headers{{"Call", id}};
+        if (!previous.empty()) {
+            headers["Previous"] = previous;
+        }
+        BOOST_TEST_REQUIRE(call("POST", "/turn/x", headers, input).status == 200);
+        expected += input + "one\ntwo\n";
+        previous = id;
+    }
+    BOOST_TEST(call("POST", "/turn/x", {{"Previous", previous}}, "end").status == 200);
+    BOOST_TEST((upstream.last_body == expected + "end"));
+}
+
 BOOST_FIXTURE_TEST_CASE(program_with_a_spent_budget_is_refused_and_does_not_run, small_fleet)
 {
     upstream.respond = respond_with_events; // a turn uses 2 events of 2 tokens; the budget is 10 tokens
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -223,8 +223,10 @@
     {
         scripted.respond = respond_ok;
         scripted.address = find_free_address();
+        http::server_limits limits;
+        limits.max_body_bytes = 64U << 20U; // a history and a new input
         scripted.server =
-            std::make_unique<http::server>(pool.executor(), scripted.address, http::server_limits{},
+            std::make_unique<http::server>(pool.executor(), scripted.address, limits,
                                            [&scripted](http::request& request, http::responder& responder) {
                                                return scripted.handle(request, responder);
                                            });
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -197,6 +197,26 @@
     BOOST_TEST((reserve("b", 100, 100) == open_outcome::budget_spent));
 }
 
+BOOST_FIXTURE_TEST_CASE(history_in_parts_is_the_whole_history, two_turns_fixture)
+{
+    store_turn("t3", "t2", std::string(100, 'x'), "y\n");
+    const std::vector<content_range> history =
+        find_history(state, {organisation_name{"o"}, request_name{"t3"}});
+    std::string collected;
+    for (std::size_t first = 0; first < history.size();) {
+        const std::vector<content_range> part = select_part(history, first, 25);
+        BOOST_REQUIRE(!part.empty());
+        for (const content_range& content : part) {
+            collected += stored.substr(content.offset, content.size);
+        }
+        first += part.size();
+    }
+    BOOST_TEST(collected == stored);
+    BOOST_TEST(select_part(history, 0, 25).size() == 2U);
+    BOOST_TEST(select_part(history, 3, 25).empty());
+    BOOST_TEST(find_history(state, {organisation_name{"o"}, request_name{"t9"}}).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(duplicate_close_keeps_the_first_content, two_turns_fixture)
 {
     store_turn("t2", "t1", "other", "other\n");
