Treat a stream that ends inside an event as broken off

A gateway passed the bytes of the partial event on and kept the turn as whole. Now such a stream is resumed where the route allows, else aborted; nothing of the partial event is passed on or kept, and the check for a crash starts. Comments and empty lines belong to no event. Line ends of both kinds may be mixed.

hostile_upstream_test/stream_that_ends_with_its_connection_inside_an_event_is_broken_off and stream_with_chunks_that_ends_inside_an_event_is_broken_off fail without the change; a property test cuts a stream at every byte. Answers that end with a FIN or a reset, plain, failed and streamed, have a test each.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -234,7 +234,7 @@
 asio::awaitable<attempt_result> finish_stream(std::shared_ptr<active_call> call, attempt_state& state)
 {
     if (!state.splitter.pending.empty()) {
-        // Bytes after the last complete event belong to the body.
+        // Comments and empty lines after the last event belong to the body.
         std::string remainder = std::move(state.splitter.pending);
         co_await call->response.write(std::move(remainder));
     }
@@ -331,10 +331,14 @@
     const time_point sent_at = runtime_clock::now();
     const auto executor = co_await asio::this_coro::executor;
     start_silence_timer(executor, call, connection, target.id, state);
-    const exchange_result result =
+    exchange_result result =
         co_await exchange(connection, request, call->metadata.request.value, call->request.method == "HEAD",
                           gateway.adapter, sink, reusable);
     state.silence_timer.reset();
+    if (result == exchange_result::complete && state.streaming && is_inside_event(state.splitter)) {
+        result = exchange_result::truncated_body; // whatever its framing says
+        reusable = false;
+    }
     --load.own_running;
     call->current_connection = nullptr;
     const time_point now = runtime_clock::now();
@@ -359,7 +363,9 @@
         const directory::crash_report report{call->request_hash, target.id, target.started_ms, sent_at, now};
         start_crash_probe(call->context, executor, report, target.address);
     }
-    if (result == exchange_result::complete && !was_rejected && !state.unusable) {
+    // An instance that crashes may close its connections in order, so that its answer seems to be whole.
+    const bool ran_to_its_end = result == exchange_result::complete && !state.head.ends_with_connection;
+    if (ran_to_its_end && !was_rejected && !state.unusable) {
         report_completion(call->context, call->request_hash);
     }
     co_return co_await conclude_attempt(call, state, result, target);
--- a/src/gateway/event_stream.cpp
+++ b/src/gateway/event_stream.cpp
@@ -53,7 +53,7 @@
     return result;
 }
 
-constexpr std::size_t max_separator_bytes = 4; ///< of the empty line that ends an event
+constexpr std::size_t max_separator_bytes = 3; ///< from the last line feed of an event to its end
 
 /// @param searched bytes at the beginning in which no event ends.
 /// @return the length of the first complete event, 0 if there is none.
@@ -61,18 +61,33 @@
 {
     const std::size_t begin = searched - std::min(searched, max_separator_bytes - 1);
     const std::size_t line_feeds = bytes.find("\n\n", begin);
-    const std::size_t carriage_returns = bytes.find("\r\n\r\n", begin);
+    const std::size_t carriage_returns = bytes.find("\n\r\n", begin);
     if (line_feeds == std::string::npos && carriage_returns == std::string::npos) {
         return 0;
     }
     if (carriage_returns == std::string::npos || line_feeds < carriage_returns) {
         return line_feeds + 2;
     }
-    return carriage_returns + 4;
+    return carriage_returns + max_separator_bytes;
 }
 
 } // namespace
 
+bool is_inside_event(const event_splitter& splitter)
+{
+    const std::string_view pending = splitter.pending;
+    std::size_t position = 0;
+    while (position < pending.size()) {
+        const std::size_t end = std::min(pending.find_first_of("\r\n", position), pending.size());
+        const std::string_view line = pending.substr(position, end - position);
+        if (!line.empty() && line.front() != ':') {
+            return true;
+        }
+        position = end + 1;
+    }
+    return splitter.overflowed;
+}
+
 std::vector<stream_event> split_events(event_splitter& splitter, const std::string& bytes)
 {
     splitter.pending += bytes;
--- a/src/gateway/event_stream.hpp
+++ b/src/gateway/event_stream.hpp
@@ -25,6 +25,9 @@
     bool overflowed = false;  ///< an event was longer than max_event_bytes; its bytes were dropped
 };
 
+/// @return whether a stream that ends now ends inside an event, so that it was broken off. Comments and empty
+/// lines belong to no event.
+bool is_inside_event(const event_splitter& splitter);
 /// Appends received bytes to the pending ones. @return the events that are now complete, in order.
 std::vector<stream_event> split_events(event_splitter& splitter, const std::string& bytes);
 
--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -25,6 +25,39 @@
     }
 }
 
+// Guards against streams that were broken off and passed on as whole.
+BOOST_AUTO_TEST_CASE(stream_that_ends_at_any_byte_of_an_event_ends_inside_it)
+{
+    for (const std::string line_end : {"\n", "\r\n"}) {
+        const std::string event = "id: 1" + line_end + "data: a" + line_end + line_end;
+        for (std::size_t length = 0; length <= 2 * event.size(); ++length) {
+            event_splitter splitter;
+            split_events(splitter, (event + event).substr(0, length));
+            const bool at_boundary = length % event.size() == 0;
+            BOOST_TEST(is_inside_event(splitter) == !at_boundary, "at byte " << length);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(line_ends_of_both_kinds_may_be_mixed)
+{
+    event_splitter splitter;
+    BOOST_TEST(split_events(splitter, "data: a\n\r\ndata: b\r\n\ndata: c\r\n\r\ndata: d\n\n").size() == 4U);
+    BOOST_TEST(splitter.pending.empty());
+}
+
+BOOST_AUTO_TEST_CASE(stream_that_ends_after_a_comment_or_an_empty_line_ends_outside_of_events)
+{
+    for (const char* end : {"\n", "\r\n", "\r", ": ping\n", ": ping\r\n\n", ":"}) {
+        event_splitter splitter;
+        split_events(splitter, std::string("data: a\n\n") + end);
+        BOOST_TEST(!is_inside_event(splitter), end);
+    }
+    event_splitter splitter;
+    split_events(splitter, ": ping\ndata: a\n");
+    BOOST_TEST(is_inside_event(splitter));
+}
+
 BOOST_AUTO_TEST_CASE(event_whose_id_is_not_a_number_has_no_id)
 {
     event_splitter splitter;
--- a/tests/unit/hostile_upstream_test.cpp
+++ b/tests/unit/hostile_upstream_test.cpp
@@ -1,90 +1,17 @@
 // Upstreams that misbehave byte by byte: answers without end, and second copies of answers.
+#include "raw_upstream.hpp"
 #include "small_fleet.hpp"
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-
 #include <algorithm>
 #include <array>
-#include <future>
-#include <thread>
 
 namespace guavawick::tests {
 
 namespace {
 
-using tcp = asio::ip::tcp;
-
 /// What a gateway may take of an answer without end: its own limits and the buffers of two sockets.
 constexpr std::size_t max_taken_bytes = 32U << 20U;
 
-/// An upstream that runs a function on each connection, on a thread of its own.
-struct raw_upstream {
-    asio::io_context context;
-    tcp::acceptor acceptor{context};
-    tcp::socket connection{context};
-    std::atomic<bool> accepted{false}; ///< a call has reached this upstream
-    std::string address = find_free_address();
-    std::thread thread;
-    std::function<void(tcp::socket&)> serve;
-
-    raw_upstream()
-    {
-        const std::size_t colon = address.rfind(':');
-        const tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
-                                     static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
-        acceptor.open(endpoint.protocol());
-        acceptor.set_option(tcp::acceptor::reuse_address(true));
-        acceptor.bind(endpoint);
-        acceptor.listen();
-    }
-
-    ~raw_upstream()
-    {
-        ::shutdown(acceptor.native_handle(), SHUT_RDWR); // ends the thread's accept, or its read
-        ::shutdown(connection.native_handle(), SHUT_RDWR);
-        if (thread.joinable()) {
-            thread.join();
-        }
-    }
-
-    raw_upstream(const raw_upstream&) = delete;
-    raw_upstream& operator=(const raw_upstream&) = delete;
-
-    /// Serves one connection.
-    void start()
-    {
-        thread = std::thread([this] {
-            boost::system::error_code error;
-            acceptor.accept(connection, error);
-            if (!error) {
-                accepted.store(true);
-                serve(connection);
-            }
-        });
-    }
-};
-
-/// Reads a request without a body. @return the value of its "Call" header; empty if the connection ended.
-std::string read_request(tcp::socket& socket)
-{
-    std::string received;
-    boost::system::error_code error;
-    asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", error);
-    const std::size_t begin = received.find("Call: ");
-    if (error || begin == std::string::npos) {
-        return {};
-    }
-    const std::size_t value = begin + std::string("Call: ").size();
-    return received.substr(value, received.find("\r\n", value) - value);
-}
-
-void write(tcp::socket& socket, const std::string& bytes)
-{
-    boost::system::error_code ignored; // the gateway may have closed the connection
-    asio::write(socket, asio::buffer(bytes), ignored);
-}
-
 /// A fleet with an upstream that begins an answer and then sends the same bytes until the gateway closes the
 /// connection.
 struct endless_answer : small_fleet {
@@ -116,6 +43,49 @@
     }
 };
 
+/// A fleet with an upstream whose next answer is given byte by byte and ends with its connection.
+struct answer_without_length : small_fleet {
+    raw_upstream raw;
+    bool resets = false; ///< the connection ends with a reset
+    std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
+
+    /// Makes the raw upstream the only one and calls until the call reaches it.
+    http::response call_raw(const std::string& target, const std::string& answer,
+                            std::map<std::string, std::string> headers = {})
+    {
+        raw.serve = [this, answer](tcp::socket& socket) {
+            read_request(socket);
+            write(socket, answer);
+            boost::system::error_code ignored;
+            if (resets) {
+                socket.set_option(tcp::socket::linger(true, 0), ignored);
+            }
+            else {
+                socket.shutdown(tcp::socket::shutdown_send, ignored);
+            }
+            socket.close(ignored);
+        };
+        announce(upstream, "u1", 2, directory::instance_state::gone);
+        announce_address(raw.address, "u2", 1);
+        raw.start();
+        http::response response;
+        while (!raw.accepted.load()) {
+            response = call("POST", target, headers, "x");
+        }
+        raw.thread.join();
+        boost::system::error_code ignored;
+        raw.acceptor.close(ignored); // no further call reaches it
+        return response;
+    }
+
+    std::string events(const std::string& body) const
+    {
+        return head + "Content-Type: text/event-stream\r\n\r\n" + body;
+    }
+};
+
+const std::string two_events = "id: 1\ndata: one\n\nid: 2\ndata: two\n\n";
+
 constexpr int max_polls = 10000; ///< of a metric that stays as it is
 
 /// A fleet whose upstreams crash in the middle of the first stream that they run.
@@ -223,6 +193,64 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(plain_answer_that_ends_with_its_connection_is_whole, answer_without_length)
+{
+    const http::response response = call_raw("/once/x", head + "\r\nwhole");
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == "whole");
+}
+
+BOOST_FIXTURE_TEST_CASE(error_that_ends_with_its_connection_is_whole, answer_without_length)
+{
+    const http::response response = call_raw("/once/x", "HTTP/1.0 500 Failed\r\n\r\nwhole");
+    BOOST_TEST(response.status == 500);
+    BOOST_TEST(response.body == "whole");
+}
+
+BOOST_FIXTURE_TEST_CASE(plain_answer_that_ends_with_a_reset_is_not_passed_on, answer_without_length)
+{
+    resets = true;
+    BOOST_TEST(call_raw("/once/x", head + "\r\nhalf").status == 502);
+}
+
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_its_connection_after_an_event_is_whole, answer_without_length)
+{
+    const http::response response = call_raw("/turn/x", events(two_events), {{"Call", "t1"}});
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == two_events);
+    upstream.respond = respond_with_events;
+    announce(upstream, "u3", 1);
+    int status = 503;
+    while (status == 503) {
+        status = call("POST", "/turn/x", {{"Previous", "t1"}}, "y").status;
+    }
+    BOOST_TEST(status == 200);
+    BOOST_TEST(upstream.last_body == "xone\ntwo\ny"); // the turn was kept
+}
+
+// Guards against streams that were broken off and passed on, and kept, as whole.
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_its_connection_inside_an_event_is_broken_off,
+                        answer_without_length)
+{
+    const http::response response =
+        call_raw("/turn/x", events(two_events + "id: 3\ndata: thr"), {{"Call", "t1"}});
+    BOOST_TEST(response.status == 0);                                             // the response was aborted
+    BOOST_TEST(call("POST", "/turn/x", {{"Previous", "t1"}}, "y").status == 404); // nothing was kept
+}
+
+BOOST_FIXTURE_TEST_CASE(stream_with_chunks_that_ends_inside_an_event_is_broken_off, answer_without_length)
+{
+    const std::string chunked =
+        head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    BOOST_TEST(call_raw("/turn/x", chunked + "10\r\nid: 1\ndata: one\n\r\n0\r\n\r\n").status == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_a_reset_is_broken_off, answer_without_length)
+{
+    resets = true;
+    BOOST_TEST(call_raw("/turn/x", events(two_events)).status != 200);
+}
+
 // Guards against a request that crashes one upstream after the other: crashes in the middle of a stream were
 // not counted.
 BOOST_FIXTURE_TEST_CASE(request_that_crashes_upstreams_in_the_middle_of_its_stream_is_refused,
