--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 
 test: build
 	cd $(BUILD) && ctest --output-on-failure -LE red
-	@cd $(BUILD) && { ctest -j 3 -L red || echo "known red, passed over: see KNOWN-RED.txt"; }
+	@cd $(BUILD) && if ! ctest -N -L red | grep -q 'Total Tests: 0'; then \
+	ctest -j 3 -L red || echo "known red, passed over: see KNOWN-RED.txt"; fi
 
 demo: build
 	$(BUILD)/tests/scenario_runner --bin=$(BUILD) --verbose examples/demo.scenario
