Send no new calls to an upstream whose answer says that it leaves

The gateway marks the incarnation at the head of such an answer, and reports it to control, which tells the other gateways. The mark outlives what is announced later about the incarnation and ends with it. Only answers with the id of a request that was sent on the connection count; a 421 marks the instance that the directory knows at the address.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -55,6 +55,7 @@
     instance_ignored = 3105,
     instance_suspected = 3106,
     suspect_cleared = 3107,
+    instance_leaving = 3108,
     data_centre_changed = 3200,
     order_answered = 3201,
     order_superseded = 3202,
--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -203,6 +203,16 @@
             log_instance_change(instances_.instances.at(record.id), update.endpoint().c_str());
             to_wire(instances_.instances.at(record.id), now, batch_.add_instances());
         }
+        for (const wire::leaving_record& leaving : update.leaving()) {
+            const directory::instance_id id{leaving.id()};
+            if (directory::mark_leaving(leaving_, id, leaving.started_ms())) {
+                changed = true;
+                *batch_.add_leaving() = leaving;
+                log_event(event::instance_leaving, {{"instance", id.value},
+                                                    {"started_ms", leaving.started_ms()},
+                                                    {"told_by", update.endpoint()}});
+            }
+        }
         for (const wire::crash_record& crash : update.crashes()) {
             const directory::crash_report report = from_wire(crash, now);
             if (directory::record_crash(crashes_, report)) {
@@ -235,11 +245,13 @@
         return;
     }
     flush_batch();
-    const bool has_news_of_requests = update.crashes_size() > 0 || update.completed_requests_size() > 0;
-    if (has_news_of_requests && !update.relayed()) {
+    const bool is_report_of_gateway =
+        update.crashes_size() > 0 || update.completed_requests_size() > 0 || update.leaving_size() > 0;
+    if (is_report_of_gateway && !update.relayed()) {
         wire::envelope relay;
         *relay.mutable_directory()->mutable_crashes() = update.crashes();
         *relay.mutable_directory()->mutable_completed_requests() = update.completed_requests();
+        *relay.mutable_directory()->mutable_leaving() = update.leaving();
         relay.mutable_directory()->set_relayed(true);
         for (const std::string& peer : peers()) {
             links_->send(peer, relay);
@@ -254,7 +266,7 @@
     {
         const std::lock_guard lock(mutex_);
         if (batch_.instances_size() == 0 && batch_.crashes_size() == 0 &&
-            batch_.completed_requests_size() == 0) {
+            batch_.completed_requests_size() == 0 && batch_.leaving_size() == 0) {
             return;
         }
         message.mutable_directory()->Swap(&batch_);
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -353,6 +353,11 @@
             for (const auto& [id, record] : instances_.instances) {
                 to_wire(record, now, directory_message.mutable_directory()->add_instances());
             }
+            for (const auto& [id, started_ms] : leaving_) {
+                wire::leaving_record* leaving = directory_message.mutable_directory()->add_leaving();
+                leaving->set_id(id.value);
+                leaving->set_started_ms(started_ms);
+            }
             for (const auto& [hash, suspect] : crashes_.suspects) {
                 for (const auto& [incarnation, report] : suspect) {
                     to_wire(report, now, directory_message.mutable_directory()->add_crashes());
@@ -439,6 +444,7 @@
         });
         directory::remove_expired(instances_, now);
         directory::remove_expired(crashes_, now);
+        directory::remove_obsolete(leaving_, instances_);
     }
     replicas.reserve(contacts.size());
     for (const std::string& endpoint : contacts) {
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -5,6 +5,7 @@
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
 #include "directory/directory_func.hpp"
+#include "directory/leaving_marks.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
 #include "replica/log_store.hpp"
@@ -131,6 +132,7 @@
     mutable std::mutex mutex_; ///< guards everything below
     runtime::stall_record stalls_;
     directory::directory instances_;
+    directory::leaving_marks leaving_;
     directory::crash_table crashes_;
     std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
     std::map<std::string, store_status> stores_;    ///< by endpoint
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -2,12 +2,15 @@
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "gateway/call_run.hpp"
+#include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core/string.hpp>
 
+#include <algorithm>
+
 namespace guavawick::gateway {
 
 namespace asio = boost::asio;
@@ -197,6 +200,44 @@
     });
 }
 
+/// Marks the instance that sent an answer as leaving, if the answer says so, and reports that to control.
+/// Only answers with the id of a request that was sent to the instance count: other bytes may come from
+/// anywhere.
+void note_leaving(const call_context& context, const directory::instance_record& target,
+                  const response_head& head)
+{
+    if (!head.metadata.leaving) {
+        return;
+    }
+    gateway_state& state = *context.state;
+    directory::instance_record sender = target;
+    if (head.status == misdirected_status) {
+        // Another instance has the address now.
+        const auto found = std::find_if(
+            state.instances.instances.begin(), state.instances.instances.end(), [&target](const auto& entry) {
+                return entry.second.address == target.address && entry.second.id != target.id &&
+                       entry.second.state == directory::instance_state::serving;
+            });
+        if (found == state.instances.instances.end()) {
+            return;
+        }
+        sender = found->second;
+    }
+    if (!directory::mark_leaving(state.leaving, sender.id, sender.started_ms)) {
+        return;
+    }
+    state.counters.leaving_instances.fetch_add(1);
+    log_event(event::instance_leaving, {{"instance", sender.id.value},
+                                        {"address", sender.address},
+                                        {"started_ms", sender.started_ms},
+                                        {"status", std::uint64_t(head.status)}});
+    wire::envelope report;
+    wire::leaving_record* record = report.mutable_directory()->add_leaving();
+    record->set_id(sender.id.value);
+    record->set_started_ms(sender.started_ms);
+    send_to_control(context, report);
+}
+
 /// @param status of the response, 0 if there was none.
 void log_failed_attempt(const active_call& call, const directory::instance_record& target, const char* reason,
                         int status)
@@ -320,6 +361,9 @@
     }
     attempt_state state;
     response_sink sink;
+    sink.on_authentic_head = [call, target](const response_head& head) {
+        note_leaving(call->context, target, head);
+    };
     sink.on_head = [call, &state](const response_head& head) { return receive_head(call, state, head); };
     sink.on_body = [call, &state](std::string part) { return receive_body(call, state, std::move(part)); };
     ++call->attempts;
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -192,6 +192,10 @@
         if (!usable) {
             continue;
         }
+        if (directory::is_leaving(state.leaving, record)) {
+            state.counters.leaving_avoided.fetch_add(1);
+            continue;
+        }
         // Upstreams in a data centre whose evacuation ended may have become cold without announcing it.
         const auto evacuation_end = state.evacuation_ended_at.find(record.data_centre.value);
         if (evacuation_end != state.evacuation_ended_at.end() && service.cold_rate > 0) {
@@ -443,6 +447,13 @@
             {"ms", std::uint64_t(to_ms(runtime_clock::now() - call.started_at))}};
 }
 
+void send_to_control(const call_context& context, const wire::envelope& report)
+{
+    for (const std::string& endpoint : context.state->control_endpoints) {
+        context.link->send(endpoint, report);
+    }
+}
+
 call_handler make_call_handler(call_context context)
 {
     return [context = std::move(context)](raw_request& request, responder& response) {
--- a/src/gateway/call_flow.hpp
+++ b/src/gateway/call_flow.hpp
@@ -12,6 +12,8 @@
     wire::link* link = nullptr;
 };
 
+/// Sends a report to all known control replicas.
+void send_to_control(const call_context& context, const wire::envelope& report);
 /// @return the handler of callers' requests.
 call_handler make_call_handler(call_context context);
 
--- a/src/gateway/crash_probe.cpp
+++ b/src/gateway/crash_probe.cpp
@@ -20,13 +20,6 @@
 constexpr duration crash_probe_delay = 30ms;    ///< a crashed process refuses connections after this time
 constexpr duration crash_probe_timeout = 400ms; ///< far above a handshake
 
-void send_to_control(const call_context& context, const wire::envelope& report)
-{
-    for (const std::string& endpoint : context.state->control_endpoints) {
-        context.link->send(endpoint, report);
-    }
-}
-
 void record_crashes(const call_context& context, const std::vector<directory::crash_report>& reports)
 {
     gateway_state& state = *context.state;
--- a/src/gateway/dialect_type.hpp
+++ b/src/gateway/dialect_type.hpp
@@ -66,6 +66,7 @@
     bool signed_by_upstream = false; ///< has the upstream's signature header
     std::string request;             ///< id of the request that it answers; empty if the header is absent
     bool not_executed = false;       ///< the upstream did not execute the call
+    bool leaving = false;            ///< the upstream takes no new calls; it is about to stop
     bool has_load = false;           ///< `running` and `waiting` are set
     std::uint32_t running = 0;       ///< calls that the upstream executes
     std::uint32_t waiting = 0;       ///< calls queued at the upstream
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -264,6 +264,9 @@
     for (const wire::crash_record& record : update.crashes()) {
         directory::record_crash(state_->crashes, core::from_wire(record, now));
     }
+    for (const wire::leaving_record& record : update.leaving()) {
+        directory::mark_leaving(state_->leaving, directory::instance_id{record.id()}, record.started_ms());
+    }
     for (const std::uint64_t request_hash : update.completed_requests()) {
         directory::clear_suspect(state_->crashes, request_hash);
     }
@@ -361,6 +364,7 @@
                                                           : directory_request::none);
         const time_point now = runtime_clock::now();
         directory::remove_expired(state_->crashes, now);
+        directory::remove_obsolete(state_->leaving, state_->instances);
         if (now - std::max(state_->control_dependency.last_reply_at, started_at_) > control_timeout) {
             record_outage(state_->control_dependency, "no control replica answers the subscriptions", now);
         }
@@ -384,6 +388,10 @@
     add("guavawick_gateway_connects_total", "Connections opened to upstreams.", true, counters.connects);
     add("guavawick_gateway_crashes_total", "Calls that were running when their upstream crashed.", true,
         counters.crashes);
+    add("guavawick_gateway_leaving_instances_total", "Upstream instances whose answers said that they leave.",
+        true, counters.leaving_instances);
+    add("guavawick_gateway_leaving_avoided_total", "Placements kept away from an instance that leaves.", true,
+        counters.leaving_avoided);
     add("guavawick_gateway_plan_version", "Version of the plan in force.", false, counters.plan_version);
     add("guavawick_gateway_instances", "Upstream instances in the directory.", false, counters.instances);
 }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -4,6 +4,7 @@
 
 #include "core/fleet_settings.hpp"
 #include "directory/directory_func.hpp"
+#include "directory/leaving_marks.hpp"
 #include "entry/rate_gate.hpp"
 #include "gateway/caller_connection.hpp"
 #include "gateway/chain_cache.hpp"
@@ -40,6 +41,8 @@
     std::atomic<std::uint64_t> retried{0};
     std::atomic<std::uint64_t> connects{0};
     std::atomic<std::uint64_t> crashes{0}; ///< of upstreams that ran a call of this gateway, by call
+    std::atomic<std::uint64_t> leaving_instances{0}; ///< marked by their answers
+    std::atomic<std::uint64_t> leaving_avoided{0};   ///< placements that a mark kept away from an instance
     std::atomic<std::uint64_t> plan_version{0};
     std::atomic<std::uint64_t> instances{0};
 };
@@ -54,6 +57,7 @@
     time_point plan_confirmed_at{}; ///< when a control replica last sent its view
     std::set<std::string> evacuated_data_centres;
     directory::directory instances;
+    directory::leaving_marks leaving;
     directory::crash_table crashes;
     crash_probes probes;
     std::map<directory::instance_id, placing::instance_load> loads;
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <netinet/tcp.h>
 
 namespace guavawick::gateway {
@@ -31,6 +32,7 @@
     1500; ///< half of the shortest deadline, so that an unreachable upstream is detected in time
 constexpr std::size_t read_buffer_bytes = 16U << 10U;
 constexpr std::uint32_t max_head_bytes = 64U << 10U; ///< of a response
+constexpr std::size_t max_remembered_requests = 8;   ///< of a connection, to recognise their late responses
 constexpr int max_foreign_responses = 3;             ///< late responses to other requests that are discarded
 
 using response_parser = beast::http::response_parser<beast::http::buffer_body>;
@@ -59,6 +61,20 @@
     state->failed = static_cast<bool>(error);
 }
 
+void remember_request(upstream_connection& connection, const std::string& request_id)
+{
+    if (connection.request_ids.size() >= max_remembered_requests) {
+        connection.request_ids.erase(connection.request_ids.begin());
+    }
+    connection.request_ids.push_back(request_id);
+}
+
+bool was_sent_on(const upstream_connection& connection, const std::string& request_id)
+{
+    return !request_id.empty() && std::find(connection.request_ids.begin(), connection.request_ids.end(),
+                                            request_id) != connection.request_ids.end();
+}
+
 response_head read_head(const response_parser& parser, const platform_adapter& adapter)
 {
     const auto& message = parser.get();
@@ -170,6 +186,7 @@
                                           response_sink& sink, bool& reusable)
 {
     reusable = false;
+    remember_request(*connection, request_id);
     const auto executor = co_await asio::this_coro::executor;
     auto sending = std::make_shared<send_state>();
     asio::co_spawn(executor, send_request(connection, request, sending), asio::detached);
@@ -187,6 +204,9 @@
                                                    : exchange_result::cancelled;
         }
         const response_head head = read_head(parser, adapter);
+        if (was_sent_on(*connection, head.metadata.request)) {
+            sink.on_authentic_head(head);
+        }
         const bool own = head.metadata.request.empty() || head.metadata.request == request_id;
         if (own && !co_await sink.on_head(head)) {
             co_return exchange_result::cancelled;
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -24,7 +24,8 @@
     boost::asio::ip::tcp::socket socket;
     boost::beast::flat_buffer buffer{http::max_unparsed_bytes};
     std::string instance;
-    bool fresh = true; ///< not reused from the pool
+    bool fresh = true;                    ///< not reused from the pool
+    std::vector<std::string> request_ids; ///< of the last requests that were sent on it, newest last
     time_point idle_since{};
     duration idle_timeout{}; ///< idle time after which it is not reused
 };
@@ -72,6 +73,9 @@
 
 /// Callbacks for the parts of a response. @return false to cancel the exchange.
 struct response_sink {
+    /// Called with the head of each response that bears the id of a request sent on the connection, also if
+    /// that is an earlier one.
+    std::function<void(const response_head&)> on_authentic_head;
     std::function<boost::asio::awaitable<bool>(const response_head&)> on_head;
     std::function<boost::asio::awaitable<bool>(std::string part)> on_body;
 };
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -99,6 +99,8 @@
               "An upstream instance does not answer and is avoided for a while."},
     event_row{event::suspect_cleared, "suspect_cleared", severity::info,
               "A request that was running when upstreams were lost ran to its end and is suspected no more."},
+    event_row{event::instance_leaving, "instance_leaving", severity::info,
+              "An answer of an upstream instance said that it leaves; it gets no new calls."},
     event_row{event::data_centre_changed, "data_centre_changed", severity::info,
               "A data centre was taken out of service or put back."},
     event_row{event::order_answered, "order_answered", severity::info,
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -49,6 +49,7 @@
     metadata.signed_by_upstream = !gateway::find_header(headers, "Signature").empty();
     metadata.not_executed = !gateway::find_header(headers, "Not-Run").empty();
     metadata.request = gateway::find_header(headers, "Call");
+    metadata.leaving = !gateway::find_header(headers, "Leaving").empty();
     return metadata;
 }
 
