--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -22,6 +22,8 @@
 
 namespace guavawick::core {
 
+constexpr std::uint32_t control_group = 0; ///< number of the control group; ledger groups follow it
+
 /// A version of the plan document, uncompressed.
 struct published_document {
     std::uint64_t version = 0; ///< 0 if no document has been published
