--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -10,6 +10,19 @@
 
 namespace guavawick::core {
 
+/// Behaviour that only some deployments enable.
+struct fleet_features {
+    bool rollouts = false;   ///< operators may order rollouts of upstream versions
+    bool load_aware = false; ///< placement by learned speed and caches; calls wait in order of urgency
+};
+
+/// Limits on what a rollout may expose callers to.
+struct rollout_limits {
+    double exposed_share = 0.1;     ///< of the calls of a service that an unproven version may get
+    double exposed_calls = 50;      ///< further calls
+    duration rollback_timeout = 5s; ///< after the last tolerated bad response until the version gets none
+};
+
 /// Settings of one process of the fleet.
 struct fleet_settings {
     std::string node;                   ///< name of this instance
@@ -30,6 +43,8 @@
     std::uint64_t memory_limit = 0; ///< bytes of memory that this process may use; 0 if unknown
     std::uint64_t disk_limit = 0;   ///< bytes that the data folder may hold; 0 if unknown
     duration stop_grace = 8s;       ///< from the stop signal until the process is killed
+    fleet_features features;
+    rollout_limits rollout;
 };
 
 constexpr duration fleet_election_timeout = 600ms; ///< 5 heartbeats; callers wait this long for a new leader
