Answer turns of a spent budget without a rate token and without the ledger

Cause: programs that loop without end keep sending turns after their budget is spent. Each held a rate token, or waited for one, until the ledger refused it. Change: a gateway remembers what the ledger reported as spent and answers 402 at once. Spent tokens never decrease, so the answer stays true.

--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -117,6 +117,9 @@
     if (directory::is_quarantined(state.crashes, call.request_hash, call.started_at)) {
         return {503, "the request was running when several upstreams died", {}};
     }
+    if (is_budget_known_spent(call)) {
+        return {402, "the program's budget is spent", {}};
+    }
     return {0, "", {}};
 }
 
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -77,6 +77,10 @@
 /// Waits until the number of ledger groups is known from control.
 /// @return false if the deadline passed first.
 boost::asio::awaitable<bool> await_ledger_groups(std::shared_ptr<active_call> call, time_point deadline);
+/// @return whether the ledger has already reported to this gateway that the program's budget is spent. Such a
+/// turn needs neither a rate token nor the ledger; a program that loops would otherwise hold tokens that
+/// other programs of its organisation wait for.
+bool is_budget_known_spent(const active_call& call);
 /// Opens the call's turn in the ledger, which checks the program's budget and finds the previous turn.
 /// @return a refusal with status 0 if the call may proceed.
 boost::asio::awaitable<refusal> open_turn(std::shared_ptr<active_call> call);
--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -1,6 +1,7 @@
 // Requests of a call to the ledger, which open and close its turn.
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
+#include "base/hash_func.hpp"
 #include "core/content_gate.hpp"
 #include "core/fleet_state.hpp"
 #include "gateway/call_run.hpp"
@@ -63,6 +64,13 @@
     }
 }
 
+/// @return a hash of the call's program and its organisation.
+std::uint64_t hash_program(const active_call& call)
+{
+    const std::string organisation = call.organisation != nullptr ? call.organisation->name.value : "";
+    return hash_bytes(organisation + "\n" + call.metadata.program.value);
+}
+
 /// Appends the contents of a long history that are missing in the reply to the opening.
 /// @param first index of the first missing content. @param total number of contents.
 /// @throw link_error if the ledger did not send them before the call's deadline.
@@ -97,6 +105,12 @@
     return make_history_key(call.organisation != nullptr ? call.organisation->name.value : "", turn.value);
 }
 
+bool is_budget_known_spent(const active_call& call)
+{
+    return call.metadata.budget_tokens > 0 && call.route->kind == plan::call_kind::streaming &&
+           known_spent_tokens(call.context.state->budgets, hash_program(call)) >= call.metadata.budget_tokens;
+}
+
 asio::awaitable<bool> await_ledger_groups(std::shared_ptr<active_call> call, time_point deadline)
 {
     const gateway_state& state = *call->context.state;
@@ -150,6 +164,8 @@
     const wire::open_turn_reply& opened = reply->turn_opened();
     const auto outcome = static_cast<turns::open_outcome>(opened.outcome());
     if (outcome == turns::open_outcome::budget_spent) {
+        record_spent_tokens(call->context.state->budgets, hash_program(*call), opened.spent(),
+                            runtime_clock::now());
         co_return refusal{402, "the program's budget is spent", {}};
     }
     if (outcome == turns::open_outcome::unknown_turn) {
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -74,6 +74,7 @@
     gateway_counters counters;
     history_cache histories;
     recent_programs programs;
+    spent_budgets budgets;
 };
 
 /// A gateway. Thread safety: start(), stop() and set_seeds() by one thread, the rest is internal.
