Let the fake upstream send responses without a length and chunks

Cause: the fake upstream used the product's server, which frames every response, so no scenario and no load run read responses that end with their connection.

--- a/tests/fakes/fake_upstream.cpp
+++ b/tests/fakes/fake_upstream.cpp
@@ -2,12 +2,14 @@
 // to a run log, from which tests check what ran.
 //
 // Markers in a request's text select its behaviour: [crash] ends the process, [hang] never responds, [slow:N]
-// generates N tokens or, for a service, responds after N milliseconds, [cut] aborts the stream after half of
-// its tokens, [fail] responds with status 500.
+// generates N tokens or, for a service, responds after N milliseconds, [cut] ends the stream's connection
+// after half of its tokens, [reset] resets it there, [fail] responds with status 500. [unframed] sends a
+// response that has neither a length nor chunks and ends with its connection; --unframed_share does so for a
+// share of the responses, chosen by --seed. With [cut], such a response ends inside an event.
 #include "base/event_type.hpp"
 #include "base/hash_func.hpp"
 #include "fakes/engine_model.hpp"
-#include "http/http_type.hpp"
+#include "fakes/fake_server.hpp"
 #include "runtime/worker_pool.hpp"
 
 #include <absl/flags/flag.h>
@@ -18,6 +20,7 @@
 #include <fstream>
 #include <iostream>
 #include <mutex>
+#include <random>
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:9000", "address and port to listen on");
 ABSL_FLAG(std::string, kind, "model", "what to imitate: model or service");
@@ -29,6 +32,8 @@
 ABSL_FLAG(int32_t, answer_tokens, 12, "tokens of an answer if the request has no [slow:N] marker");
 ABSL_FLAG(double, cold_seconds, 0, "extra delay before the first token of the cold answers, in seconds");
 ABSL_FLAG(int32_t, cold_answers, 0, "how many answers after a start get the cold delay");
+ABSL_FLAG(double, unframed_share, 0, "share of responses that have neither a length nor chunks");
+ABSL_FLAG(uint64_t, seed, 1, "selects the responses that have neither a length nor chunks");
 ABSL_FLAG(bool, honour_fencing, true, "refuse orders whose fencing number is lower than an earlier one");
 
 namespace guavawick::fakes {
@@ -46,6 +51,7 @@
     std::ofstream log;
     std::uint64_t run_count = 0;
     std::uint64_t max_fencing_number = 0;
+    std::mt19937_64 random;
 };
 
 void write_log(upstream_state& state, const char* event, const http::request& request,
@@ -78,6 +84,17 @@
     return text.find(std::string("[") + name + "]") != std::string::npos;
 }
 
+/// Selects what marks the end of the response to a call.
+void choose_end(upstream_state& state, const std::string& text, fake_responder& responder)
+{
+    std::uniform_real_distribution<double> share(0, 1);
+    const std::lock_guard lock(state.mutex);
+    const bool chosen = share(state.random) < absl::GetFlag(FLAGS_unframed_share);
+    if (chosen || has_marker(text, "unframed")) {
+        responder.set_end(body_end::connection);
+    }
+}
+
 http::response make_json(int status, std::string body)
 {
     http::response response;
@@ -86,7 +103,7 @@
     return response;
 }
 
-asio::awaitable<void> wait_for_disconnect(http::responder& responder)
+asio::awaitable<void> wait_for_disconnect(fake_responder& responder)
 {
     while (!responder.caller_left()) {
         co_await runtime::wait_for(std::chrono::milliseconds(50));
@@ -127,7 +144,7 @@
            "\n\n";
 }
 
-asio::awaitable<void> handle_chat(upstream_state& state, http::request& request, http::responder& responder)
+asio::awaitable<void> handle_chat(upstream_state& state, http::request& request, fake_responder& responder)
 {
     const json::value body = json::parse(request.body);
     const json::array& messages = body.at("messages").as_array();
@@ -135,6 +152,7 @@
     const std::string text =
         content != nullptr && content->is_string() ? std::string(content->as_string()) : "";
     write_log(state, "start", request, text);
+    choose_end(state, text, responder);
     if (has_marker(text, "crash")) {
         std::_Exit(9);
     }
@@ -176,7 +194,8 @@
             token_interval = token_seconds(state.engine);
         }
         co_await runtime::wait_for(from_seconds(token_interval));
-        if (has_marker(text, "cut") && sent_tokens > token_count / 2) {
+        const bool breaks_off = has_marker(text, "cut") || has_marker(text, "reset");
+        if (breaks_off && sent_tokens > token_count / 2) {
             break;
         }
         const std::string chunk =
@@ -190,6 +209,15 @@
     }
     if (sent_tokens < token_count) {
         write_log(state, "broken", request, text);
+        if (has_marker(text, "reset")) {
+            responder.reset();
+            co_return;
+        }
+        if (responder.end() == body_end::connection) {
+            // At the end of an event nothing would tell the response from a complete one.
+            std::string part = "data: {";
+            co_await responder.write(std::move(part));
+        }
         responder.abort();
         co_return;
     }
@@ -201,9 +229,10 @@
 }
 
 asio::awaitable<void> handle_service_call(upstream_state& state, http::request& request,
-                                          http::responder& responder)
+                                          fake_responder& responder)
 {
     write_log(state, "start", request, request.body);
+    choose_end(state, request.body, responder);
     if (has_marker(request.body, "crash")) {
         std::_Exit(9);
     }
@@ -223,7 +252,7 @@
     co_await responder.send(make_json(200, response_body));
 }
 
-asio::awaitable<void> handle_order(upstream_state& state, http::request& request, http::responder& responder)
+asio::awaitable<void> handle_order(upstream_state& state, http::request& request, fake_responder& responder)
 {
     const json::value body = json::parse(request.body);
     const auto fencing_number = static_cast<std::uint64_t>(body.at("fencing").to_number<std::int64_t>());
@@ -260,8 +289,7 @@
     state.engine.total_cached_tokens = 0;
 }
 
-asio::awaitable<void> handle_request(upstream_state& state, http::request& request,
-                                     http::responder& responder)
+asio::awaitable<void> handle_request(upstream_state& state, http::request& request, fake_responder& responder)
 {
     const bool is_model = absl::GetFlag(FLAGS_kind) == "model";
     if (request.target == "/load" && is_model) {
@@ -302,11 +330,12 @@
     state.engine.options.cold_answers = static_cast<std::uint32_t>(absl::GetFlag(FLAGS_cold_answers));
     const std::string log_path = absl::GetFlag(FLAGS_run_log);
     state.log.open(log_path.empty() ? "/dev/null" : log_path, std::ios::app);
+    state.random.seed(absl::GetFlag(FLAGS_seed));
     runtime::worker_pool pool(2);
-    http::server server(pool.executor(), absl::GetFlag(FLAGS_listen), {},
-                        [&state](http::request& request, http::responder& responder) {
-                            return handle_request(state, request, responder);
-                        });
+    start_fake_server(pool.executor(), absl::GetFlag(FLAGS_listen),
+                      [&state](http::request& request, fake_responder& responder) {
+                          return handle_request(state, request, responder);
+                      });
     runtime::wait_for_stop_signal();
     pool.stop();
     return 0;
