Test that no cut of any stream changes its events

Cause: the splitter was tested with two fixed streams only. Change: a property test generates streams of events, comments and empty lines with both line ends, cuts each at every byte into two pieces and into single bytes, and compares events, the bytes left and the state at the end.

--- a/tests/unit/event_stream_test.cpp
+++ b/tests/unit/event_stream_test.cpp
@@ -2,11 +2,54 @@
 #include "gateway/event_stream.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck/boost_test.h>
 
 namespace guavawick::tests {
 
 using namespace gateway;
 
+namespace {
+
+/// @return a stream of events, comments and empty lines with line ends of both kinds; it may end in a part.
+std::string make_stream()
+{
+    std::string stream;
+    const std::vector<std::string> line_ends{"\n", "\r\n"};
+    const auto lines = *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>(
+        "id: 1", "id:2", "id: x", "data: a", "data:", "data: b b", "event: e", ": ping", ":", "", ""));
+    for (const std::string& line : lines) {
+        stream += line + *rc::gen::elementOf(line_ends);
+    }
+    return stream + *rc::gen::element<std::string>("", "", "id: 3", "data: half", ": half", "\r");
+}
+
+/// What a gateway does with a stream: the events and the state in which the stream ends.
+struct split_stream {
+    std::vector<stream_event> events;
+    event_splitter splitter;
+
+    void receive(const std::string& part)
+    {
+        for (stream_event& next : split_events(splitter, part)) {
+            events.push_back(std::move(next));
+        }
+    }
+};
+
+void check_equal(const split_stream& left, const split_stream& right)
+{
+    RC_ASSERT(left.events.size() == right.events.size());
+    for (std::size_t i = 0; i < left.events.size(); ++i) {
+        RC_ASSERT(left.events[i].bytes == right.events[i].bytes);
+        RC_ASSERT(left.events[i].id == right.events[i].id);
+        RC_ASSERT(left.events[i].data == right.events[i].data);
+    }
+    RC_ASSERT(left.splitter.pending == right.splitter.pending);
+    RC_ASSERT(is_inside_event(left.splitter) == is_inside_event(right.splitter));
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(event_stream_test)
 
 BOOST_AUTO_TEST_CASE(stream_cut_at_any_byte_gives_the_same_complete_events)
@@ -25,6 +68,28 @@
     }
 }
 
+// Guards against events that depend on where the network divides the stream.
+RC_BOOST_PROP(any_stream_cut_at_every_byte_gives_the_same_events_and_end, ())
+{
+    const std::string stream = make_stream();
+    split_stream whole;
+    whole.receive(stream);
+    std::string bytes;
+    for (const stream_event& event : whole.events) {
+        bytes += event.bytes;
+    }
+    RC_ASSERT(bytes + whole.splitter.pending == stream); // no byte is lost or added
+    split_stream byte_by_byte;
+    for (std::size_t cut = 0; cut < stream.size(); ++cut) {
+        split_stream pieces;
+        pieces.receive(stream.substr(0, cut));
+        pieces.receive(stream.substr(cut));
+        check_equal(pieces, whole);
+        byte_by_byte.receive(stream.substr(cut, 1));
+    }
+    check_equal(byte_by_byte, whole);
+}
+
 // Guards against streams that were broken off and passed on as whole.
 BOOST_AUTO_TEST_CASE(stream_that_ends_at_any_byte_of_an_event_ends_inside_it)
 {
