--- a/bench/slope_bench.cpp
+++ b/bench/slope_bench.cpp
@@ -326,6 +326,24 @@
 }
 BENCHMARK(bytes_of_a_ping);
 
+/// A gateway's report that one upstream leaves, and the directory update by which a replica passes on the
+/// marks of one interval. Ids have the length of those that the users' instances have.
+void bytes_of_a_leaving_report(benchmark::State& benchmark_state)
+{
+    wire::envelope message;
+    message.set_sender(~0ULL);
+    for (int i = 0; i < benchmark_state.range(0); ++i) {
+        wire::leaving_record* record = message.mutable_directory()->add_leaving();
+        record->set_id(numbered_name("instance-", 100000 + i));
+        record->set_started_ms(1'796'540'907'551ULL);
+    }
+    for (auto iteration : benchmark_state) {
+        benchmark::DoNotOptimize(message.SerializeAsString());
+    }
+    benchmark_state.counters["bytes"] = static_cast<double>(message.ByteSizeLong());
+}
+BENCHMARK(bytes_of_a_leaving_report)->Arg(1)->Arg(209);
+
 void bytes_of_a_load_answer(benchmark::State& benchmark_state)
 {
     wire::envelope message;
