Place prompts with the same shared prefix at few engines

Cause: first turns are placed by a hash of their program, so every engine reads every shared prefix and evicts it again; a quarter of all prompt tokens read in the deployment band are such prefixes.

Change, with features.load_aware: each prefix has a set of engines in each data centre, chosen by rendezvous hashing and sized by the prefix's share of the gateway's recent calls. Each gateway also remembers which engine got which prompt, for as long as the engine needs to overwrite its memory. Placement charges each engine the prompt tokens that it is believed not to have cached, and spreads new lines by load more strongly than later turns, which follow their line. With the switch off the costs are the same as before.

--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -3,6 +3,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "gateway/call_run.hpp"
+#include "gateway/prompt_placement.hpp"
 #include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -239,7 +240,11 @@
     }
     const time_point now = runtime_clock::now();
     std::vector<placing::candidate> candidates = find_candidates(call, service->second, now);
-    const placing::placement_request request = make_placement_request(call, service->second);
+    placing::placement_request request = make_placement_request(call, service->second);
+    prompt_placement prompt;
+    if (state.settings.features.load_aware) {
+        prompt = find_cached_prefixes(call, service->second, candidates, request, now);
+    }
     const int chosen = placing::choose_instance(candidates, request, placing::placement_costs{}, now);
     if (chosen < 0) {
         std::vector<event_field> fields = call_fields(call);
@@ -250,6 +255,7 @@
         return {};
     }
     const placing::candidate& best = candidates[static_cast<std::size_t>(chosen)];
+    record_prompt(state.prefixes, prompt, best.record->id, now);
     log_event(event::attempt_sent, {{"request", call.metadata.request.value},
                                     {"to", best.record->id.value},
                                     {"address", best.record->address},
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -16,6 +16,7 @@
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
 #include "placing/placing_func.hpp"
+#include "placing/prefix_func.hpp"
 #include "plan/plan_func.hpp"
 #include "runtime/worker_pool.hpp"
 #include "wire/group_client.hpp"
@@ -74,6 +75,7 @@
     gateway_counters counters;
     history_cache histories;
     recent_programs programs;
+    placing::prefix_memory prefixes; ///< used with features.load_aware
 };
 
 /// A gateway. Thread safety: start(), stop() and set_seeds() by one thread, the rest is internal.
--- a/src/placing/placing_func.cpp
+++ b/src/placing/placing_func.cpp
@@ -55,10 +55,22 @@
     return request.affinity_key.empty() && request.warm_instance.empty() ? -1 : best_index;
 }
 
+/// @return prompt tokens that a candidate has to read.
+std::uint64_t count_uncached_tokens(const placement_request& request, std::size_t index, bool is_preferred)
+{
+    if (!request.cached_tokens.empty()) {
+        return request.prompt_tokens - std::min(request.prompt_tokens, request.cached_tokens[index]);
+    }
+    // The history of the line needs a new prefill on every instance that does not have it cached.
+    return is_preferred
+               ? 0
+               : request.prompt_tokens - std::min(request.prompt_tokens, request.shared_prefix_tokens);
+}
+
 } // namespace
 
 double estimate_cost(const candidate& instance, const placement_request& request,
-                     const placement_costs& costs, bool is_preferred, time_point now)
+                     const placement_costs& costs, std::uint64_t uncached_tokens, time_point now)
 {
     const instance_load& load = *instance.load;
     double running = load.own_running;
@@ -68,12 +80,12 @@
         waiting = load.reported_waiting;
     }
     waiting += std::max(0.0, running - std::max(1U, instance.record->slots));
-    double cost = request.model ? running * costs.model_running_ms + waiting * costs.model_waiting_ms
+    const bool is_new_line = request.warm_instance.empty() && !request.cached_tokens.empty();
+    const double model_running_ms = is_new_line ? costs.model_new_line_running_ms : costs.model_running_ms;
+    double cost = request.model ? running * model_running_ms + waiting * costs.model_waiting_ms
                                 : running * costs.service_running_ms + waiting * costs.service_waiting_ms;
-    if (request.model && !is_preferred && request.prompt_tokens > request.shared_prefix_tokens) {
-        // The history of the line needs a new prefill on every instance that does not have it cached.
-        cost += static_cast<double>(request.prompt_tokens - request.shared_prefix_tokens) /
-                costs.prefill_tokens_per_ms;
+    if (request.model) {
+        cost += static_cast<double>(uncached_tokens) / costs.prefill_tokens_per_ms;
     }
     if (instance.record->data_centre != request.own_data_centre) {
         cost += request.model ? costs.model_other_data_centre_ms : costs.service_other_data_centre_ms;
@@ -88,7 +100,8 @@
 int choose_instance(std::vector<candidate>& candidates, const placement_request& request,
                     const placement_costs& costs, time_point now)
 {
-    const int preferred_index = request.model ? find_preferred(candidates, request) : -1;
+    const int preferred_index =
+        request.model && request.cached_tokens.empty() ? find_preferred(candidates, request) : -1;
     int best_index = -1;
     double best_cost = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -96,7 +109,9 @@
         if (request.tried_instances.contains(instance.record->id.value)) {
             continue;
         }
-        double cost = estimate_cost(instance, request, costs, static_cast<int>(i) == preferred_index, now);
+        const std::uint64_t uncached_tokens =
+            count_uncached_tokens(request, i, static_cast<int>(i) == preferred_index);
+        double cost = estimate_cost(instance, request, costs, uncached_tokens, now);
         if (is_cold(instance, now) && request.cold_rate_share > 0) {
             refill_cold(instance, request.cold_rate_share, now);
             if (instance.load->cold_tokens < 1.0) {
--- a/src/placing/placing_func.hpp
+++ b/src/placing/placing_func.hpp
@@ -7,15 +7,15 @@
 namespace guavawick::placing {
 
 /// Chooses the instance with the lowest estimated cost. Choosing a cold instance consumes one of its cold
-/// tokens.
+/// tokens. @pre request.cached_tokens is empty or has an element for each candidate.
 /// @return an index into the candidates, or -1 if no candidate may take the call.
 int choose_instance(std::vector<candidate>& candidates, const placement_request& request,
                     const placement_costs& costs, time_point now);
 /// Estimates the cost of running a call at an instance: its expected delay in milliseconds, without the parts
 /// that are the same at every instance.
-/// @param is_preferred whether the instance is expected to have the call's prompt in its cache.
+/// @param uncached_tokens prompt tokens that the instance has to read.
 double estimate_cost(const candidate& instance, const placement_request& request,
-                     const placement_costs& costs, bool is_preferred, time_point now);
+                     const placement_costs& costs, std::uint64_t uncached_tokens, time_point now);
 /// Records that an instance did not respond. The instance is suspected for longer with each consecutive
 /// failure.
 void record_failure(instance_load& load, time_point now);
--- a/src/placing/placing_type.hpp
+++ b/src/placing/placing_type.hpp
@@ -45,13 +45,19 @@
     data_centre_name own_data_centre;
     std::set<std::string> tried_instances; ///< instances that this call was already sent to
     double cold_rate_share = 0;            ///< calls a second that this gateway may send to a cold instance
+    /// For each candidate the prompt tokens that it is believed to have cached. Empty: the warm or preferred
+    /// instance is believed to have all of them, and the others the shared prefix.
+    std::vector<std::uint64_t> cached_tokens;
 };
 
 /// Weights of the placement cost. Costs are delays in milliseconds.
 struct placement_costs {
     double prefill_tokens_per_ms =
-        30;                         ///< prefill speed; the deployed engines reach 30.9 tokens a millisecond
-    double model_running_ms = 3;    ///< one more call in the batch: 33 tokens x 0.03 ms and its prefill
+        30;                      ///< prefill speed; the deployed engines reach 30.9 tokens a millisecond
+    double model_running_ms = 3; ///< one more call in the batch: 33 tokens x 0.03 ms and its prefill
+    /// The same for a call whose line is not cached anywhere, if cached tokens are estimated: the line's
+    /// later turns will follow it to the same engine.
+    double model_new_line_running_ms = 9;
     double model_waiting_ms = 60;   ///< one call that waits for a slot of an engine
     double service_running_ms = 20; ///< one more call at an instance with free slots
     double service_waiting_ms =
