--- a/bench/slope_bench.cpp
+++ b/bench/slope_bench.cpp
@@ -9,6 +9,8 @@
 #include "ledger/ledger_codec.hpp"
 #include "ledger/ledger_func.hpp"
 #include "limit/bucket_func.hpp"
+#include "placing/placing_func.hpp"
+#include "placing/prefix_func.hpp"
 #include "routing/routing_func.hpp"
 #include "scheduling/queue_func.hpp"
 #include "wire.pb.h"
@@ -175,6 +177,53 @@
 }
 BENCHMARK(take_one_directory_change);
 
+/// Places one prompt as a gateway with features.load_aware does; finding the candidates is not measured.
+void place_one_prompt(benchmark::State& benchmark_state)
+{
+    constexpr int engine_count = 41;
+    constexpr int prompt_parts = 14; // of a middle turn
+    constexpr int shared_prefixes = 16;
+    const placing::prefix_settings settings;
+    std::vector<directory::instance_record> records(engine_count);
+    std::vector<placing::instance_load> loads(engine_count);
+    std::vector<placing::candidate> candidates;
+    for (int i = 0; i < engine_count; ++i) {
+        directory::instance_record& record = records[static_cast<std::size_t>(i)];
+        record.id = directory::instance_id{numbered_name("engine-", i)};
+        record.data_centre = data_centre_name{numbered_name("data-centre-", i % 3)};
+        record.slots = 48;
+        candidates.push_back({&record, &loads[static_cast<std::size_t>(i)]});
+    }
+    placing::prefix_memory memory;
+    time_point now{std::chrono::hours(1)};
+    int call = 0;
+    for (auto iteration : benchmark_state) {
+        ++call;
+        now += std::chrono::milliseconds(33);
+        placing::placement_request request;
+        request.model = true;
+        request.affinity_key = numbered_name("program-", call);
+        request.warm_instance = call % 7 == 0 ? "" : records[static_cast<std::size_t>(call % 41)].id.value;
+        request.own_data_centre = data_centre_name{"data-centre-1"};
+        std::vector<placing::prompt_prefix> prompt;
+        placing::append_prefix(prompt, 1, numbered_name("shared-prefix-", call % shared_prefixes), 2560);
+        for (int i = 1; i < prompt_parts; ++i) {
+            placing::append_prefix(prompt, 1, request.affinity_key + numbered_name("-part-", i), 514);
+        }
+        request.prompt_tokens = prompt.back().tokens;
+        placing::count_prefix(memory, 1, prompt.front().key, settings, now);
+        const double share = placing::prefix_share(memory, 1, prompt.front().key, settings, now);
+        const std::vector<bool> prefix_set =
+            placing::select_prefix_set(candidates, prompt.front().key, share, settings);
+        request.cached_tokens = placing::estimate_cached_tokens(memory, candidates, prompt, prefix_set,
+                                                                request, settings.default_retention, now);
+        const int chosen = placing::choose_instance(candidates, request, placing::placement_costs{}, now);
+        placing::record_holder(memory, prompt, hash_bytes(records[static_cast<std::size_t>(chosen)].id.value),
+                               settings.default_retention, settings, now);
+    }
+}
+BENCHMARK(place_one_prompt);
+
 void queue_push_and_pop(benchmark::State& benchmark_state)
 {
     scheduling::call_queue queue;
@@ -413,6 +462,8 @@
                       "bytes");
     check_upper_bound("routing with 3,500 upstreams known",
                       reporter.seconds["route_one_call"] * microseconds_per_second, 20, "us");
+    check_upper_bound("placement of a prompt among 41 engines",
+                      reporter.seconds["place_one_prompt"] * microseconds_per_second, 50, "us");
     check_upper_bound("queue push and pop, 7,000 organisations, 10,000 waiting",
                       reporter.seconds["queue_push_and_pop"] * microseconds_per_second / 2, 5, "us");
     check_upper_bound("configuration of 7,000 organisations, 20,000 keys checked",
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -256,11 +256,14 @@
     }
     const placing::candidate& best = candidates[static_cast<std::size_t>(chosen)];
     record_prompt(state.prefixes, prompt, best.record->id, now);
+    const std::uint64_t cached_tokens =
+        request.cached_tokens.empty() ? 0 : request.cached_tokens[static_cast<std::size_t>(chosen)];
     log_event(event::attempt_sent, {{"request", call.metadata.request.value},
                                     {"to", best.record->id.value},
                                     {"address", best.record->address},
                                     {"data_centre", best.record->data_centre.value},
                                     {"warm", call.warm_instance},
+                                    {"cached_tokens", cached_tokens},
                                     {"candidates", std::uint64_t{candidates.size()}},
                                     {"own_running", std::uint64_t{best.load->own_running}},
                                     {"reported_running", std::uint64_t{best.load->reported_running}},
