Tell engines the urgency of calls

Cause: while the band deployment is overloaded, first turns take the time of programs that could still end in time; the engines admit in order of arrival. Change: with load_aware on, calls to a service with engines carry X-Guavawick-Request-Priority: turns of running programs 0 to 2, first turns 3 to 5, programs whose objective has passed 6 to 8, by the priority of the organisation or route within each class. Not measured on a full system.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -62,7 +62,13 @@
     upstream_metadata metadata;
     metadata.instance = target.id.value;
     metadata.organisation = call.organisation != nullptr ? call.organisation->name.value : "";
-    metadata.time_left = call.deadline - runtime_clock::now();
+    const time_point now = runtime_clock::now();
+    metadata.time_left = call.deadline - now;
+    const auto service = call.plan->plan.services.find(call.service);
+    const bool has_engine = service != call.plan->plan.services.end() && service->second.model.has_value();
+    if (call.context.state->settings.features.load_aware && has_engine) {
+        metadata.priority = queueing::engine_priority(make_urgency(call, now));
+    }
     metadata.resume_after = call.head_sent ? call.last_event_id : std::nullopt;
     metadata.body_bytes = call.history.size() + call.request.body.size();
     const bool has_body =
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -122,14 +122,12 @@
 
 /// A call starts a program if it has no previous turn and this gateway has not admitted a call of the program
 /// recently.
-limit::demand_kind classify_demand(const active_call& call)
+bool starts_program(const active_call& call)
 {
     const bool first_turn = !call.metadata.program.empty() && call.metadata.previous_turn.empty() &&
                             call.metadata.budget_tokens > 0 && call.route->kind == plan::call_kind::streaming;
     return first_turn &&
-                   !is_recent_program(call.context.state->programs, hash_bytes(call.metadata.program.value))
-               ? limit::demand_kind::new_program
-               : limit::demand_kind::running_program;
+           !is_recent_program(call.context.state->programs, hash_bytes(call.metadata.program.value));
 }
 
 /// Waits for a rate token of the call's organisation, if it has a rate limit.
@@ -148,7 +146,8 @@
     limits.rate = allowed.rate;
     limits.burst = allowed.burst;
     const std::uint64_t version = call->plan->plan.version.value;
-    const limit::demand_kind kind = classify_demand(*call);
+    const limit::demand_kind kind =
+        call->starts_program ? limit::demand_kind::new_program : limit::demand_kind::running_program;
     const duration max_wait = kind == limit::demand_kind::new_program ? max_start_wait : max_rate_wait;
     const duration wait_timeout = (call->deadline - call->started_at) / 3;
     std::uint32_t retry_ms = 0;
@@ -385,6 +384,7 @@
     }
     refusal cause = admit(*call);
     if (cause.status == 0) {
+        call->starts_program = starts_program(*call);
         cause = co_await acquire_rate_token(call);
     }
     if (cause.status != 0) {
@@ -447,6 +447,19 @@
             {"ms", std::uint64_t(to_ms(runtime_clock::now() - call.started_at))}};
 }
 
+queueing::urgency_inputs make_urgency(const active_call& call, time_point now)
+{
+    queueing::urgency_inputs inputs;
+    inputs.starts_program = call.starts_program;
+    inputs.priority = call.organisation != nullptr && call.organisation->priority
+                          ? *call.organisation->priority
+                          : call.route->priority;
+    if (call.metadata.finish_in) {
+        inputs.finish_in = *call.metadata.finish_in - (now - call.started_at);
+    }
+    return inputs;
+}
+
 void send_to_control(const call_context& context, const wire::envelope& report)
 {
     for (const std::string& endpoint : context.state->control_endpoints) {
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/call_flow.hpp"
 #include "gateway/event_stream.hpp"
+#include "queueing/urgency_func.hpp"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 
@@ -42,6 +43,7 @@
     time_point started_at{};
     time_point deadline{};
     std::uint64_t request_hash = 0;   ///< of organisation, target and body
+    bool starts_program = false;      ///< the first turn of a program, as far as this gateway knows
     bool is_turn = false;             ///< the ledger keeps account of the call
     std::string history;              ///< bytes of the previous turns, sent in front of the body
     bool ledger_takes_offers = false; ///< a large content is offered before it is sent
@@ -69,6 +71,8 @@
     stream_interrupted ///< failed after events were forwarded to the caller
 };
 
+/// @return what decides about the urgency of an admitted call at this time.
+queueing::urgency_inputs make_urgency(const active_call& call, time_point now);
 /// Runs one attempt of a call. @param instance where the attempt is sent.
 boost::asio::awaitable<attempt_result> run_attempt(std::shared_ptr<active_call> call,
                                                    const directory::instance_record& instance);
--- a/src/gateway/dialect_type.hpp
+++ b/src/gateway/dialect_type.hpp
@@ -48,6 +48,7 @@
     std::uint64_t max_tokens = 0;    ///< upper limit of tokens that this turn may generate
     std::vector<prompt_part> prompt; ///< in prompt order
     request_name previous_turn;
+    std::optional<duration> finish_in;         ///< until the caller wants the whole program to be finished
     std::optional<std::uint64_t> resume_after; ///< id of the last event that the caller has received
 };
 
@@ -57,7 +58,7 @@
     std::string organisation;                  ///< owner of the API key; empty on routes that need no key
     duration time_left{};                      ///< until the call's deadline
     std::optional<std::uint64_t> resume_after; ///< id of the last event that was forwarded to the caller
-    std::uint32_t priority = 5;
+    std::optional<std::uint32_t> priority; ///< at the engine, 0 (first) to 9; none leaves it to the engine
     std::size_t body_bytes = 0;
 };
 
