Test resumable streams that break off

Cause: only routes whose streams can't be resumed had tests for upstreams that break off. Change: two upstreams share a script: the first attempt of a call ends by a FIN or a reset at every byte of a stream, or is silent until the deadline or before its head; the second sends what the caller lacks. A FIN at the end of an event is the end of the stream; every other end is resumed, silence until the deadline is not. A resumed turn is kept whole.

--- /dev/null
+++ b/tests/unit/resumable_test.cpp
@@ -0,0 +1,263 @@
+// Resumable streams whose upstream breaks off: by a FIN or a reset at every byte, or by silence.
+#include "small_fleet.hpp"
+
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <thread>
+
+namespace guavawick::tests {
+
+namespace {
+
+using tcp = asio::ip::tcp;
+
+/// How an upstream ends its part of a stream.
+enum class stream_end : std::uint8_t { fin, reset, silence };
+
+const std::array<std::string, 3> whole_events{"id: 1\ndata: one\n\n", "id: 2\r\ndata: two\r\n\r\n",
+                                              "id: 3\ndata: three\n\n"};
+const std::string whole_stream = whole_events[0] + whole_events[1] + whole_events[2];
+const std::string stream_head = "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// @return whether an event ends at this byte of the whole stream, or none has begun.
+bool is_boundary(std::size_t length)
+{
+    std::size_t end = 0;
+    for (const std::string& event : whole_events) {
+        if (length == end) {
+            return true;
+        }
+        end += event.size();
+    }
+    return length == end;
+}
+
+/// What upstreams do with the attempts of a call: the first one breaks off, the others are completed.
+struct attempt_script {
+    std::mutex mutex;                    ///< guards the other members
+    std::string beginning;               ///< the bytes of the first attempt's response
+    stream_end ending = stream_end::fin; ///< how they end
+    int attempts = 0;
+};
+
+/// An upstream whose responses have neither a length nor chunks.
+struct breaking_upstream {
+    asio::io_context context{1};
+    tcp::acceptor acceptor{context};
+    std::string address = find_free_address();
+    attempt_script& script;
+    std::thread thread;
+
+    explicit breaking_upstream(attempt_script& shared_script) : script(shared_script)
+    {
+        const std::size_t colon = address.rfind(':');
+        const tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
+                                     static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1))));
+        acceptor.open(endpoint.protocol());
+        acceptor.set_option(tcp::acceptor::reuse_address(true));
+        acceptor.bind(endpoint);
+        acceptor.listen();
+        asio::co_spawn(context, accept_connections(), asio::detached);
+        thread = std::thread([this] { context.run(); });
+    }
+
+    ~breaking_upstream()
+    {
+        context.stop();
+        thread.join();
+    }
+
+    breaking_upstream(const breaking_upstream&) = delete;
+    breaking_upstream& operator=(const breaking_upstream&) = delete;
+
+    asio::awaitable<void> accept_connections()
+    {
+        boost::system::error_code error;
+        while (!error) {
+            tcp::socket socket =
+                co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            asio::co_spawn(context, serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    /// @return the events that the caller of a request lacks.
+    static std::string events_after(const std::string& request)
+    {
+        const std::string name = "Last-Event: ";
+        const std::size_t header = request.find(name);
+        std::string events;
+        for (std::size_t i = header == std::string::npos ? 0
+                                                         : std::stoul(request.substr(header + name.size()));
+             i < whole_events.size(); ++i) {
+            events += whole_events.at(i);
+        }
+        return events;
+    }
+
+    asio::awaitable<void> serve(tcp::socket socket)
+    {
+        std::string received;
+        boost::system::error_code error;
+        auto buffer = asio::dynamic_buffer(received);
+        co_await asio::async_read_until(socket, buffer, "\r\n\r\n",
+                                        asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            co_return; // a probe
+        }
+        std::string bytes;
+        stream_end end = stream_end::fin;
+        {
+            const std::lock_guard lock(script.mutex);
+            if (script.attempts++ == 0) {
+                bytes = script.beginning;
+                end = script.ending;
+            }
+            else {
+                bytes = stream_head + events_after(received);
+            }
+        }
+        co_await asio::async_write(socket, asio::buffer(bytes),
+                                   asio::redirect_error(asio::use_awaitable, error));
+        if (end == stream_end::reset) {
+            socket.set_option(tcp::socket::linger(true, 0), error);
+            socket.close(error);
+            co_return;
+        }
+        if (end == stream_end::fin) {
+            socket.shutdown(tcp::socket::shutdown_send, error);
+        }
+        // Closing a socket with unread bytes would reset the connection.
+        std::array<char, 256> ignored{};
+        while (!error) {
+            co_await socket.async_read_some(asio::buffer(ignored),
+                                            asio::redirect_error(asio::use_awaitable, error));
+        }
+    }
+};
+
+/// A fleet with two upstreams, of which the one that a call reaches first breaks off.
+struct broken_stream : small_fleet {
+    attempt_script script;
+    breaking_upstream first{script};
+    breaking_upstream second{script};
+
+    broken_stream()
+    {
+        announce(upstream, "u1", 2, directory::instance_state::gone);
+        announce_address(first.address, "b1", 1);
+        announce_address(second.address, "b2", 1);
+        int status = 0; // until the gateway knows both
+        while (status != 200) {
+            status = call_broken("/resumed/x", whole_events[0] + "id", stream_end::fin).status;
+        }
+    }
+
+    /// Calls until the call is not refused.
+    http::response call_broken(const std::string& target, const std::string& part, stream_end end,
+                               const std::map<std::string, std::string>& headers = {},
+                               const std::string& head = stream_head)
+    {
+        http::response response;
+        response.status = 503;
+        while (response.status == 503) {
+            {
+                const std::lock_guard lock(script.mutex);
+                script.beginning = head + part;
+                script.ending = end;
+                script.attempts = 0;
+            }
+            response = call("POST", target, headers, "x");
+        }
+        return response;
+    }
+
+    int count_attempts()
+    {
+        const std::lock_guard lock(script.mutex);
+        return script.attempts;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(resumable_test)
+
+// Guards against streams that lose, repeat or garble an event where one upstream takes over from another.
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_a_fin_at_any_byte_is_whole_or_resumed, broken_stream)
+{
+    for (std::size_t length = 0; length <= whole_stream.size(); ++length) {
+        const std::string part = whole_stream.substr(0, length);
+        const http::response response = call_broken("/resumed/x", part, stream_end::fin);
+        BOOST_TEST_CONTEXT("FIN after byte " << length)
+        {
+            // At the end of an event nothing tells a stream that broke off from one that is complete.
+            BOOST_TEST(response.status == 200);
+            BOOST_TEST(response.body == (is_boundary(length) ? part : whole_stream));
+            BOOST_TEST(count_attempts() == (is_boundary(length) ? 1 : 2));
+        }
+    }
+}
+
+// Guards against a reset at the end of an event that is taken for the end of the stream.
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_a_reset_at_any_byte_is_resumed, broken_stream)
+{
+    for (std::size_t length = 0; length <= whole_stream.size(); ++length) {
+        const http::response response =
+            call_broken("/resumed/x", whole_stream.substr(0, length), stream_end::reset);
+        BOOST_TEST_CONTEXT("reset after byte " << length)
+        {
+            BOOST_TEST(response.status == 200);
+            BOOST_TEST(response.body == whole_stream);
+            BOOST_TEST(count_attempts() == 2);
+        }
+    }
+}
+
+// Guards against a retained turn that lacks the events of one of the upstreams that ran it.
+BOOST_FIXTURE_TEST_CASE(turn_that_was_resumed_is_kept_whole, broken_stream)
+{
+    const http::response response =
+        call_broken("/kept/x", whole_events[0] + "id: 2\ndata: tw", stream_end::fin, {{"Call", "t1"}});
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == whole_stream);
+    BOOST_TEST(count_attempts() == 2);
+    second_upstream.respond = respond_with_events;
+    announce_address(first.address, "b1", 2, directory::instance_state::gone);
+    announce_address(second.address, "b2", 2, directory::instance_state::gone);
+    announce(second_upstream, "u2", 1);
+    int status = 0;
+    while (second_upstream.calls.load() == 0) { // until the gateway knows it
+        status = call("POST", "/kept/x", {{"Previous", "t1"}}, "y").status;
+    }
+    BOOST_TEST(status == 200);
+    BOOST_TEST(second_upstream.last_body == "xone\ntwo\nthree\ny");
+}
+
+// Guards against a stream that is run again after its deadline, or that is passed on as whole.
+BOOST_FIXTURE_TEST_CASE(stream_that_is_silent_until_the_deadline_is_broken_off, broken_stream)
+{
+    for (const std::string& part : {whole_events[0], whole_events[0] + "id: 2\nda"}) {
+        const http::response response =
+            call_broken("/resumed/x", part, stream_end::silence, {{"Deadline", "1500"}});
+        BOOST_TEST(response.status == 0); // the response was aborted
+        BOOST_TEST(count_attempts() == 1);
+    }
+}
+
+// Guards against a repeatable call that waits for a silent upstream until its deadline.
+BOOST_FIXTURE_TEST_CASE(stream_whose_upstream_never_responds_runs_at_another, broken_stream)
+{
+    const http::response response = call_broken("/resumed/x", "", stream_end::silence, {}, "");
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == whole_stream);
+    BOOST_TEST(count_attempts() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -34,13 +34,22 @@
     metadata.budget_tokens = metadata.program.empty() ? 0 : 10;
     metadata.max_tokens = 4;
     metadata.previous_turn = request_name{gateway::find_header(request.headers, "Previous")};
+    const std::string deadline_ms = gateway::find_header(request.headers, "Deadline");
+    if (!deadline_ms.empty()) {
+        metadata.timeout = std::chrono::milliseconds(std::stoul(deadline_ms));
+    }
     return metadata;
 }
 
 inline gateway::header_list make_headers(const gateway::header_list& received,
                                          const gateway::upstream_metadata& metadata)
 {
-    return {{"Organisation", metadata.organisation}, {"Call", gateway::find_header(received, "Call")}};
+    gateway::header_list headers{{"Organisation", metadata.organisation},
+                                 {"Call", gateway::find_header(received, "Call")}};
+    if (metadata.resume_after) {
+        headers.emplace_back("Last-Event", std::to_string(*metadata.resume_after));
+    }
+    return headers;
 }
 
 inline gateway::response_metadata read_response(int status, const gateway::header_list& headers)
@@ -74,6 +83,12 @@
                       make_route("turn", plan::call_kind::streaming)};
     decoded.routes.back().keeps_turns = true;
     decoded.routes.back().retention = 60s;
+    for (const char* name : {"resumed", "kept"}) {
+        decoded.routes.push_back(make_route(name, plan::call_kind::streaming));
+        decoded.routes.back().resumable = true;
+    }
+    decoded.routes.back().keeps_turns = true;
+    decoded.routes.back().retention = 60s;
     decoded.services[plan::service_name{"s"}].name = plan::service_name{"s"};
     decoded.services[plan::service_name{"s"}].model = plan::engine{4, 1000, 2};
     decoded.organisations.push_back({organisation_name{"o"}, {sha256_hex("key")}, {}, 0, 0});
