--- a/src/base/clock_func.cpp
+++ b/src/base/clock_func.cpp
@@ -1,5 +1,6 @@
 // Implements the steady clock on CLOCK_BOOTTIME.
 #include "base/clock_type.hpp"
+#include "base/unix_time_step.hpp"
 
 #include <atomic>
 #include <ctime>
@@ -8,6 +9,7 @@
 namespace {
 
 std::atomic<std::int64_t> clock_offset{0}; ///< nanoseconds added to CLOCK_BOOTTIME
+std::atomic<std::int64_t> unix_offset{0};  ///< milliseconds added to the wall clock
 std::atomic<std::int64_t> paused_at{-1};   ///< nanoseconds at which the clock is paused; -1 while it runs
 
 std::int64_t steady_now() noexcept
@@ -56,7 +58,12 @@
 std::int64_t runtime_clock::unix_ms() noexcept
 {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count() + unix_offset.load();
+}
+
+void step_unix_time(std::chrono::milliseconds step) noexcept
+{
+    unix_offset.fetch_add(step.count());
 }
 
 } // namespace guavawick
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -17,7 +17,7 @@
 
 using namespace std::chrono_literals;
 
-/// Time of a group: the leader's wall clock, monotonic across changes of the leader.
+/// Time of a group: counted by the leader's steady clock from the group time at which it became leader.
 using group_time = std::chrono::milliseconds;
 
 constexpr std::chrono::milliseconds account_retention = 120s;  ///< accounts unused for this long are removed
