--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -6,6 +6,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "core/group_metrics.hpp"
+#include "http/request_guard.hpp"
 
 #include <algorithm>
 
@@ -97,17 +98,24 @@
                    [this](const wire::reply_target& from, const wire::envelope_ptr& message) {
                        receive(from, message);
                    });
+    const auto memory = std::make_shared<http::memory_budget>(make_byte_limits(settings_));
+    http::server_limits operator_limits;
+    operator_limits.guard = std::make_shared<http::request_guard>(memory, make_connection_limits(settings_));
+    http::log_limits(*operator_limits.guard);
     operator_server_ = std::make_unique<http::server>(pool_.executor(), settings_.operator_listen,
-                                                      http::server_limits{}, std::move(operator_handler));
+                                                      operator_limits, std::move(operator_handler));
     if (!settings_.metrics_listen.empty()) {
+        http::server_limits metrics_limits;
+        metrics_limits.guard = std::make_shared<http::request_guard>(
+            memory, http::derive_reserved_limits(settings_.max_descriptors));
+        http::add_guard_metrics(metrics_, operator_limits.guard);
         add_group_metrics(metrics_, *group_);
         metrics_.add({"guavawick_control_plan_version", "Version of the last applied plan.", false,
                       [this] { return static_cast<double>(view_.load()->document_version); }, ""});
         metrics_.add({"guavawick_control_evacuated_data_centres", "Data centres that get no new calls.",
                       false, [this] { return static_cast<double>(evacuated_data_centres().size()); }, ""});
-        metrics_server_ =
-            std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
-                                           http::make_metrics_handler(metrics_));
+        metrics_server_ = std::make_unique<http::server>(
+            pool_.executor(), settings_.metrics_listen, metrics_limits, http::make_metrics_handler(metrics_));
     }
     pool_.spawn(batch_loop());
     pool_.spawn(watch_stalls());
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -3,6 +3,8 @@
 
 #include "base/clock_type.hpp"
 #include "base/settings_type.hpp"
+#include "http/byte_budget.hpp"
+#include "http/connection_table.hpp"
 #include "limit/bucket_func.hpp"
 
 #include <string>
@@ -40,9 +42,12 @@
     std::size_t tolerated_failures = 1; ///< instances with a disk that may fail at the same time
     duration instance_heartbeat_interval = 1200ms; ///< between two heartbeats of an upstream instance
     limit::tolerance rate_tolerance;               ///< by how much organisations may exceed rate and burst
-    std::uint64_t memory_limit = 0; ///< bytes of memory that this process may use; 0 if unknown
-    std::uint64_t disk_limit = 0;   ///< bytes that the data folder may hold; 0 if unknown
-    duration stop_grace = 8s;       ///< from the stop signal until the process is killed
+    std::uint64_t memory_limit = 0;    ///< bytes of memory that this process may use; 0 if unknown
+    std::uint64_t max_descriptors = 0; ///< descriptors that this process may open; 0 if unknown
+    std::uint64_t request_memory = 0;  ///< bytes that requests and responses may hold; 0: from `memory_limit`
+    std::uint64_t max_connections = 0; ///< of clients; 0: from `memory_limit` and `max_descriptors`
+    std::uint64_t disk_limit = 0;      ///< bytes that the data folder may hold; 0 if unknown
+    duration stop_grace = 8s;          ///< from the stop signal until the process is killed
     fleet_features features;
     rollout_limits rollout;
 };
@@ -75,6 +80,29 @@
     return settings.link_listen.empty() ? settings.link : settings.link_listen;
 }
 
+/// @return limits of the bytes that clients' requests and responses may hold in a process.
+inline http::byte_limits make_byte_limits(const fleet_settings& settings)
+{
+    http::byte_limits limits = http::derive_byte_limits(settings.memory_limit);
+    if (settings.request_memory > 0) {
+        limits.total = settings.request_memory;
+        limits.per_address = limits.total / 2;
+    }
+    return limits;
+}
+
+/// @return limits of the connections of callers, or of operators and upstreams.
+inline http::connection_limits make_connection_limits(const fleet_settings& settings)
+{
+    http::connection_limits limits =
+        http::derive_connection_limits(settings.memory_limit, settings.max_descriptors);
+    if (settings.max_connections > 0) {
+        limits.total = settings.max_connections;
+        limits.per_address = limits.total - limits.total / 4;
+    }
+    return limits;
+}
+
 /// @return settings of the links of a process of the fleet.
 inline link_settings make_link_settings()
 {
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -5,6 +5,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "core/group_metrics.hpp"
+#include "http/request_guard.hpp"
 #include "runtime/memory_func.hpp"
 
 #include <boost/asio/post.hpp>
@@ -55,9 +56,12 @@
                        receive(from, message);
                    });
     if (!settings_.metrics_listen.empty()) {
-        metrics_server_ =
-            std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
-                                           http::make_metrics_handler(metrics_));
+        http::server_limits metrics_limits;
+        metrics_limits.guard = std::make_shared<http::request_guard>(
+            std::make_shared<http::memory_budget>(make_byte_limits(settings_)),
+            http::derive_reserved_limits(settings_.max_descriptors));
+        metrics_server_ = std::make_unique<http::server>(
+            pool_.executor(), settings_.metrics_listen, metrics_limits, http::make_metrics_handler(metrics_));
     }
     pool_.spawn(report_loop());
 }
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,6 +5,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "caller/problem.hpp"
+#include "http/request_guard.hpp"
 #include "ledger/ledger_func.hpp"
 #include "wire.pb.h"
 
@@ -29,6 +30,13 @@
     limits.max_body_bytes = entry.max_body_bytes;
     limits.max_connections = entry.max_connections;
     limits.idle_timeout = entry.idle_limit;
+    http::connection_limits connections;
+    connections.total = entry.max_connections;
+    connections.per_address = entry.max_connections - entry.max_connections / 4;
+    // The memory of an entry's machine is not in its settings.
+    limits.guard = std::make_shared<http::request_guard>(
+        std::make_shared<http::memory_budget>(http::derive_byte_limits(0)), connections);
+    http::log_limits(*limits.guard);
     return limits;
 }
 
@@ -136,6 +144,8 @@
                           handle_message(from, message);
                       });
     }
+    const http::server_limits limits = make_limits(settings_.entry);
+    http::add_guard_metrics(metrics_, limits.guard);
     add_metrics();
     pool_.spawn(poll_loop());
     pool_.spawn(load_poll_loop());
@@ -144,7 +154,7 @@
         pool_.spawn(session_loop(shard));
     }
     caller_server_ =
-        std::make_unique<http::server>(pool_.executor(), settings_.entry.listen, make_limits(settings_.entry),
+        std::make_unique<http::server>(pool_.executor(), settings_.entry.listen, limits,
                                        [this](http::request& http_request, http::responder& out) {
                                            return handle_request(http_request, out);
                                        });
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -2,7 +2,7 @@
 #include "gateway/caller_connection.hpp"
 
 #include "base/event_type.hpp"
-#include "http/buffer_limit.hpp"
+#include "http/request_reader.hpp"
 #include "runtime/worker_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +15,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <netinet/tcp.h>
 #include <set>
 
@@ -26,13 +27,15 @@
 
 namespace {
 
-constexpr std::chrono::seconds write_timeout{10};        ///< of one write to a slow caller
-constexpr std::chrono::seconds body_timeout{30};         ///< for a request body to arrive
-constexpr std::chrono::milliseconds drain_timeout{1000}; ///< for a caller to read the last response and close
+constexpr std::chrono::seconds write_timeout{10}; ///< of one write to a slow caller
+constexpr std::chrono::seconds body_timeout{30};  ///< for a request body to arrive
 constexpr unsigned unacknowledged_timeout_ms =
     5000; ///< a caller that acknowledges no data for this long is disconnected
+constexpr std::size_t max_unleased_response = 16U << 10U; ///< part of what a connection may cost
+constexpr std::size_t response_piece_bytes = 64U << 10U;  ///< of a large response, whose progress is measured
+constexpr std::uint64_t pipelined_bytes = 64U << 10U;     ///< that the kernel holds unread while a call runs
 
-using request_parser = beast::http::request_parser<beast::http::string_body>;
+using http::request_parser;
 
 /// @return the headers of a response that the gateway generates itself.
 header_list plain_text()
@@ -79,8 +82,10 @@
 
 /// Sets `caller_left_` and calls `on_caller_left` if the caller closes the connection while its request is in
 /// progress.
+/// @param pipelined holds the bytes that the caller sends meanwhile; the connection is reset if they may not
+/// be held.
 asio::awaitable<void> watch_caller(beast::tcp_stream& stream, responder& response,
-                                   std::shared_ptr<caller_watch> watch)
+                                   std::shared_ptr<caller_watch> watch, http::memory_lease& pipelined)
 {
     boost::system::error_code error;
     co_await stream.socket().async_wait(tcp::socket::wait_read,
@@ -89,7 +94,12 @@
         char byte = 0;
         const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool closed = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        if (closed) {
+        const bool refused = !closed && pipelined.resize(pipelined_bytes) != http::byte_answer::granted;
+        pipelined.set_in_transfer(false);
+        if (refused) {
+            response.abort();
+        }
+        if (closed || refused) {
             response.caller_left_ = true;
             if (response.on_caller_left) {
                 response.on_caller_left();
@@ -117,84 +127,87 @@
     }
 }
 
-/// Reads a request.
-/// @return 0 if it was read, the HTTP status of the refusal if it is invalid, -1 if the connection ended.
-asio::awaitable<int> read_request(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-                                  request_parser& parser, caller_server& server)
+/// Reads a request. @param lease holds its bytes.
+asio::awaitable<http::read_outcome> read_request(caller_server& server, http::guarded_connection& connection,
+                                                 beast::flat_buffer& buffer, request_parser& parser,
+                                                 http::memory_lease& lease)
 {
-    boost::system::error_code error;
-    stream.expires_after(server.limits.idle_timeout);
-    co_await beast::http::async_read_header(stream, buffer, parser,
-                                            asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::http::error::header_limit) {
-        co_return 431;
-    }
-    if (error == beast::http::error::body_limit) {
-        co_return 413;
-    }
-    if (error) {
-        const bool malformed =
-            error.category() == beast::http::make_error_code(beast::http::error::bad_method).category() &&
-            error != beast::http::error::end_of_stream && error != beast::http::error::partial_message;
-        co_return malformed ? 400 : -1;
+    http::read_limits limits;
+    limits.max_header_bytes = server.limits.max_header_bytes;
+    limits.idle_timeout = server.limits.idle_timeout;
+    limits.header_timeout = server.limits.header_timeout;
+    limits.body_timeout = body_timeout;
+    connection.mark_waiting();
+    const http::read_outcome header = co_await http::read_header(connection, buffer, parser, limits, lease);
+    if (header != http::read_outcome::complete) {
+        co_return header;
     }
     if (!is_framing_unambiguous(parser)) {
-        co_return 400;
+        co_return http::read_outcome::malformed;
     }
-    if (beast::iequals(parser.get()[beast::http::field::expect], "100-continue")) {
-        const std::string continue_response = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(stream, asio::buffer(continue_response),
-                                   asio::redirect_error(asio::use_awaitable, error));
-    }
-    stream.expires_after(body_timeout);
-    co_await beast::http::async_read(stream, buffer, parser,
-                                     asio::redirect_error(asio::use_awaitable, error));
-    if (error == beast::http::error::body_limit) {
-        co_return 413;
-    }
-    if (error) {
-        const bool malformed =
-            error.category() == beast::http::make_error_code(beast::http::error::bad_method).category() &&
-            error != beast::http::error::partial_message;
-        co_return malformed ? 400 : -1;
+    co_return co_await http::read_body(connection, buffer, parser, limits, lease);
+}
+
+/// Responds to a request that was not read, so that nothing was sent to an upstream.
+asio::awaitable<void> refuse_unread(http::guarded_connection& connection, responder& response,
+                                    http::read_outcome outcome)
+{
+    const int status = http::refusal_status(outcome);
+    http::record_refusal(connection, outcome);
+    log_event(event::call_refused,
+              {{"reason", "the request can't be read"}, {"status", std::uint64_t(status)}});
+    header_list headers = plain_text();
+    if (http::is_worth_retrying(outcome)) {
+        headers.emplace_back("Retry-After", http::make_retry_after());
     }
-    co_return 0;
+    co_await response.send(status, "Refused", std::move(headers), "");
 }
 
 /// Serves one request of a connection.
 /// @param idle set to true while waiting for the request, false afterwards.
 /// @return whether another request may follow.
-asio::awaitable<bool> serve_request(caller_server& server, beast::tcp_stream& stream,
+asio::awaitable<bool> serve_request(caller_server& server, http::guarded_connection& connection,
                                     beast::flat_buffer& buffer, bool& idle)
 {
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(server.limits.max_header_bytes));
-    parser.body_limit(server.limits.max_body_bytes);
+    beast::tcp_stream& stream = connection.stream();
+    http::memory_lease lease(connection.guard().budget(), connection.address(), connection.shared());
+    auto parser = std::make_unique<request_parser>();
+    parser->header_limit(static_cast<std::uint32_t>(server.limits.max_header_bytes));
+    parser->body_limit(server.limits.max_body_bytes);
     idle = true;
-    const int error_status = co_await read_request(stream, buffer, parser, server);
+    const http::read_outcome outcome = co_await read_request(server, connection, buffer, *parser, lease);
     idle = false;
-    if (error_status < 0) {
+    if (outcome == http::read_outcome::closed) {
         co_return false;
     }
-    const bool supports_chunked = parser.get().version() >= 11;
-    responder response(stream, error_status == 0 && parser.get().keep_alive() && !server.draining,
-                       supports_chunked);
-    if (error_status > 0) {
-        log_event(event::call_refused,
-                  {{"reason", "the request can't be read"}, {"status", std::uint64_t(error_status)}});
-        co_await response.send(error_status, "Refused", plain_text(), "");
+    const bool supports_chunked = parser->get().version() >= 11;
+    responder response(
+        connection, outcome == http::read_outcome::complete && parser->get().keep_alive() && !server.draining,
+        supports_chunked);
+    if (outcome != http::read_outcome::complete) {
+        parser.reset(); // its bytes belong to others now
+        co_await refuse_unread(connection, response, outcome);
         co_return false;
     }
-    response.head_only = parser.get().method() == beast::http::verb::head;
-    raw_request request = make_request(parser);
+    response.head_only = parser->get().method() == beast::http::verb::head;
+    raw_request request = make_request(*parser);
+    parser.reset();
     stream.expires_never();
+    connection.mark_busy();
     const auto executor = co_await asio::this_coro::executor;
     auto watch = std::make_shared<caller_watch>();
+    http::memory_lease pipelined(connection.guard().budget(), connection.address(), connection.shared());
     if (buffer.size() == 0) {
-        asio::co_spawn(executor, watch_caller(stream, response, watch), asio::detached);
+        asio::co_spawn(executor, watch_caller(stream, response, watch, pipelined), asio::detached);
     }
     else {
         watch->active = false; // not watched: a pipelined request has been received already
+        if (pipelined.resize(pipelined_bytes) != http::byte_answer::granted) {
+            response.disable_keep_alive();
+            co_await refuse_unread(connection, response, http::read_outcome::budget_used);
+            co_return false;
+        }
+        pipelined.set_in_transfer(false);
     }
     ++server.active_requests;
     co_await handle_request(server, request, response);
@@ -208,48 +221,42 @@
     co_return response.reusable();
 }
 
-/// Closes the sending side and discards what the caller still sends. Closing a socket with unread bytes would
-/// reset the connection, and the caller could lose the response.
-asio::awaitable<void> drain_and_close(beast::tcp_stream& stream)
-{
-    boost::system::error_code error;
-    stream.socket().shutdown(tcp::socket::shutdown_send, error);
-    std::array<char, 4096> discarded{};
-    stream.expires_after(drain_timeout);
-    while (!error) {
-        co_await stream.async_read_some(asio::buffer(discarded),
-                                        asio::redirect_error(asio::use_awaitable, error));
-    }
-}
-
 asio::awaitable<void>
 serve_caller(std::shared_ptr<caller_server> server, tcp::socket socket,
              std::shared_ptr<std::set<std::pair<beast::tcp_stream*, const bool*>>> open_streams)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer{http::max_unparsed_bytes};
+    beast::flat_buffer buffer{http::max_parse_buffer(server->limits.max_header_bytes)};
     bool idle = true;
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     const unsigned timeout_ms = unacknowledged_timeout_ms;
     ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
                  sizeof timeout_ms);
+    const auto executor = co_await asio::this_coro::executor;
+    http::guarded_connection connection(server->guard, stream, executor);
+    if (!connection.accepted()) {
+        http::refuse_connection(stream.socket());
+        co_return;
+    }
     const auto entry = open_streams->insert({&stream, &idle}).first;
     ++server->connections;
-    while (co_await serve_request(*server, stream, buffer, idle)) {
+    while (co_await serve_request(*server, connection, buffer, idle)) {
         if (server->draining && buffer.size() == 0) {
             break;
         }
     }
     --server->connections;
     open_streams->erase(entry);
-    co_await drain_and_close(stream);
+    connection.mark_waiting();
+    co_await http::drain_and_close(connection);
 }
 
 } // namespace
 
-responder::responder(beast::tcp_stream& stream, bool keep_alive, bool supports_chunked)
-    : stream_(stream), keep_alive_(keep_alive), supports_chunked_(supports_chunked)
+responder::responder(http::guarded_connection& connection, bool keep_alive, bool supports_chunked)
+    : connection_(connection), stream_(connection.stream()), keep_alive_(keep_alive),
+      supports_chunked_(supports_chunked)
 {
 }
 
@@ -280,6 +287,10 @@
     if (caller_left_) {
         co_return;
     }
+    if (bytes.size() > max_unleased_response) {
+        co_await write_large(std::move(bytes));
+        co_return;
+    }
     stream_.expires_after(write_timeout);
     boost::system::error_code error;
     co_await asio::async_write(stream_, asio::buffer(bytes),
@@ -290,6 +301,27 @@
     }
 }
 
+asio::awaitable<void> responder::write_large(std::string bytes)
+{
+    http::memory_lease lease(connection_.guard().budget(), connection_.address(), connection_.shared());
+    lease.force(bytes.size());
+    stream_.expires_after(write_timeout);
+    boost::system::error_code error;
+    for (std::size_t sent = 0; !error && sent < bytes.size(); sent += response_piece_bytes) {
+        const asio::const_buffer piece =
+            asio::buffer(bytes.data() + sent, std::min(response_piece_bytes, bytes.size() - sent));
+        co_await asio::async_write(stream_, piece, asio::redirect_error(asio::use_awaitable, error));
+        lease.record_transfer(piece.size());
+    }
+    stream_.expires_never();
+    if (connection_.given_up()) {
+        log_event(event::reader_given_up, {{"address", connection_.address()}});
+    }
+    if (error) {
+        caller_left_ = true;
+    }
+}
+
 asio::awaitable<void> responder::send(int status, std::string reason, header_list headers, std::string body)
 {
     started_ = true;
@@ -299,6 +331,7 @@
     if (!head_only && !bodiless) {
         bytes += body;
     }
+    std::string().swap(body); // not held twice while a slow caller reads
     co_await write_raw(std::move(bytes));
     complete_ = !caller_left_;
 }
--- a/src/gateway/caller_connection.hpp
+++ b/src/gateway/caller_connection.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "gateway/dialect_type.hpp"
+#include "http/request_guard.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,7 +19,7 @@
 /// Writes the response to one request. Thread safety: the gateway's thread, one coroutine at a time.
 class responder {
 public:
-    responder(boost::beast::tcp_stream& stream, bool keep_alive, bool supports_chunked);
+    responder(http::guarded_connection& connection, bool keep_alive, bool supports_chunked);
     /// Sends a complete response. @pre nothing was sent yet.
     boost::asio::awaitable<void> send(int status, std::string reason, header_list headers, std::string body);
     /// Sends the head of a response of unknown length. @pre nothing was sent yet.
@@ -43,9 +44,11 @@
 
 private:
     boost::asio::awaitable<void> write_raw(std::string bytes);
+    boost::asio::awaitable<void> write_large(std::string bytes);
     [[nodiscard]] std::string make_head(int status, const std::string& reason, const header_list& headers,
                                         const std::string& framing) const;
 
+    http::guarded_connection& connection_;
     boost::beast::tcp_stream& stream_;
     bool keep_alive_;
     bool supports_chunked_; ///< false for HTTP/1.0, which has no chunked encoding
@@ -61,13 +64,14 @@
 struct caller_server {
     plan::caller_limits limits;
     call_handler handle;
-    bool draining = false; ///< responses have `Connection: close`
+    std::shared_ptr<http::request_guard> guard; ///< byte budget and connections
+    bool draining = false;                      ///< responses have `Connection: close`
     std::size_t connections = 0;
     std::size_t active_requests = 0;  ///< requests whose response is not complete
     std::function<void()> close_idle; ///< closes connections without a request in progress
 };
 
-/// Accepts callers' connections until the acceptor is closed.
+/// Accepts callers' connections until the acceptor is closed. @pre the server has a guard.
 boost::asio::awaitable<void> accept_callers(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
                                             std::shared_ptr<caller_server> server);
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -65,6 +65,16 @@
                   [this](const wire::reply_target& from, const wire::envelope_ptr& message) {
                       handle_message(message);
                   });
+    const core::fleet_settings& settings = state_->settings;
+    const auto memory = std::make_shared<http::memory_budget>(core::make_byte_limits(settings));
+    callers_->guard = std::make_shared<http::request_guard>(memory, core::make_connection_limits(settings));
+    http::log_limits(*callers_->guard);
+    http::server_limits reserved_limits;
+    const http::connection_limits reserved_connections =
+        http::derive_reserved_limits(settings.max_descriptors);
+    reserved_limits.guard = std::make_shared<http::request_guard>(memory, reserved_connections);
+    http::server_limits metrics_limits;
+    metrics_limits.guard = std::make_shared<http::request_guard>(memory, reserved_connections);
     callers_->handle = make_call_handler({state_, ledger_client_.get(), link_.get()});
     const tcp::endpoint endpoint = parse_endpoint(state_->settings.caller_listen);
     acceptor_ = std::make_shared<tcp::acceptor>(pool_.executor());
@@ -72,6 +82,7 @@
         acceptor_->open(endpoint.protocol());
         acceptor_->set_option(tcp::acceptor::reuse_address(true));
         acceptor_->bind(endpoint);
+        http::limit_socket_buffers(*acceptor_);
         acceptor_->listen();
     }
     catch (const boost::system::system_error& error) {
@@ -79,16 +90,16 @@
     }
     pool_.spawn(accept_callers(acceptor_, callers_));
     pool_.spawn(subscribe_loop());
-    readiness_server_ = std::make_unique<http::server>(pool_.executor(), state_->settings.readiness_listen,
-                                                       http::server_limits{},
-                                                       [this](http::request& request, http::responder& out) {
-                                                           return handle_readiness_check(request, out);
-                                                       });
+    readiness_server_ =
+        std::make_unique<http::server>(pool_.executor(), state_->settings.readiness_listen, reserved_limits,
+                                       [this](http::request& request, http::responder& out) {
+                                           return handle_readiness_check(request, out);
+                                       });
     add_metrics();
     if (!state_->settings.metrics_listen.empty()) {
         metrics_server_ =
-            std::make_unique<http::server>(pool_.executor(), state_->settings.metrics_listen,
-                                           http::server_limits{}, http::make_metrics_handler(metrics_));
+            std::make_unique<http::server>(pool_.executor(), state_->settings.metrics_listen, metrics_limits,
+                                           http::make_metrics_handler(metrics_));
     }
 }
 
@@ -375,6 +386,7 @@
 
 void gateway_process::add_metrics()
 {
+    http::add_guard_metrics(metrics_, callers_->guard);
     const auto add = [this](const char* name, const char* help, bool counter,
                             const std::atomic<std::uint64_t>& value) {
         metrics_.add({name, help, counter, [&value] { return static_cast<double>(value.load()); }, ""});
--- /dev/null
+++ b/src/http/byte_budget.cpp
@@ -0,0 +1,174 @@
+// Decisions on the bytes that requests and responses hold.
+#include "http/byte_budget.hpp"
+
+#include <algorithm>
+
+namespace guavawick::http {
+
+namespace {
+
+constexpr duration progress_window = std::chrono::seconds(1);
+constexpr std::uint64_t memory_divisor = 4;
+constexpr std::uint64_t min_total = 12U << 20U; ///< one request of 4 MiB and its copy for the upstream
+
+struct victim {
+    double rate = 0;
+    std::uint64_t id = 0;
+};
+
+void set_bytes(byte_budget& budget, byte_lease& lease, std::uint64_t bytes)
+{
+    std::uint64_t& by_address = budget.used_by_address[lease.address];
+    by_address = by_address - lease.bytes + bytes;
+    budget.used = budget.used - lease.bytes + bytes;
+    lease.bytes = bytes;
+    if (by_address == 0) {
+        budget.used_by_address.erase(lease.address);
+    }
+}
+
+/// @return slow transfers except `id`, the slowest first. @param address empty for those of all addresses.
+std::vector<victim> find_slow_transfers(const byte_budget& budget, std::uint64_t id,
+                                        const std::string& address, time_point now)
+{
+    std::vector<victim> found;
+    for (const auto& [other_id, lease] : budget.leases) {
+        const bool concerned = other_id != id && lease.in_transfer && lease.bytes > 0 &&
+                               (address.empty() || lease.address == address) &&
+                               now - lease.progress.started_at >= budget.limits.grace;
+        const double rate = concerned ? progress_rate(lease.progress, now) : 0;
+        if (concerned && rate < static_cast<double>(budget.limits.min_rate)) {
+            found.push_back({rate, other_id});
+        }
+    }
+    std::sort(found.begin(), found.end(), [](const victim& left, const victim& right) {
+        return left.rate != right.rate ? left.rate < right.rate : left.id < right.id;
+    });
+    return found;
+}
+
+/// Gives up slow transfers until `excess` bytes are free. @param partial whether to do so if that is not
+/// reached. @return whether it was reached.
+bool free_bytes(byte_budget& budget, std::uint64_t id, const std::string& address, std::uint64_t excess,
+                bool partial, time_point now, std::vector<std::uint64_t>& given_up)
+{
+    const std::vector<victim> victims = find_slow_transfers(budget, id, address, now);
+    std::uint64_t available = 0;
+    std::size_t count = 0;
+    while (count < victims.size() && available < excess) {
+        available += budget.leases.at(victims[count].id).bytes;
+        ++count;
+    }
+    if (available < excess && !partial) {
+        return false;
+    }
+    for (std::size_t i = 0; i < count; ++i) {
+        given_up.push_back(victims[i].id);
+        close_lease(budget, victims[i].id);
+    }
+    return available >= excess;
+}
+
+} // namespace
+
+void record_progress(transfer_progress& progress, std::uint64_t bytes, time_point now)
+{
+    const duration age = now - progress.window_start;
+    if (age >= progress_window) {
+        progress.previous_bytes = age < 2 * progress_window ? progress.window_bytes : 0;
+        progress.window_bytes = 0;
+        progress.window_start = now;
+    }
+    progress.window_bytes += bytes;
+}
+
+double progress_rate(const transfer_progress& progress, time_point now)
+{
+    const duration age = now - progress.window_start;
+    if (age >= 2 * progress_window) {
+        return 0;
+    }
+    if (age >= progress_window) {
+        return static_cast<double>(progress.window_bytes) / to_seconds(age);
+    }
+    return static_cast<double>(progress.window_bytes + progress.previous_bytes) /
+           to_seconds(age + progress_window);
+}
+
+std::uint64_t open_lease(byte_budget& budget, std::string address, time_point now)
+{
+    const std::uint64_t id = budget.next_id++;
+    byte_lease& lease = budget.leases[id];
+    lease.address = std::move(address);
+    lease.progress.started_at = now;
+    lease.progress.window_start = now;
+    return id;
+}
+
+byte_decision resize_lease(byte_budget& budget, std::uint64_t id, std::uint64_t bytes, time_point now)
+{
+    byte_decision decision;
+    const auto found = budget.leases.find(id);
+    if (found == budget.leases.end()) {
+        decision.answer = byte_answer::budget_used;
+        return decision;
+    }
+    byte_lease& lease = found->second;
+    const bool alone = budget.used == lease.bytes;
+    if (bytes > lease.bytes && !alone) {
+        const std::uint64_t extra = bytes - lease.bytes;
+        const auto by_address = budget.used_by_address.find(lease.address);
+        const std::uint64_t address_bytes =
+            extra + (by_address == budget.used_by_address.end() ? 0 : by_address->second);
+        if (address_bytes > budget.limits.per_address &&
+            !free_bytes(budget, id, lease.address, address_bytes - budget.limits.per_address, false, now,
+                        decision.given_up)) {
+            decision.answer = byte_answer::share_used;
+            return decision;
+        }
+        if (budget.used + extra > budget.limits.total &&
+            !free_bytes(budget, id, "", budget.used + extra - budget.limits.total, false, now,
+                        decision.given_up)) {
+            decision.answer = byte_answer::budget_used;
+            return decision;
+        }
+    }
+    set_bytes(budget, lease, bytes);
+    return decision;
+}
+
+byte_decision force_lease(byte_budget& budget, std::uint64_t id, std::uint64_t bytes, time_point now)
+{
+    byte_decision decision;
+    const auto found = budget.leases.find(id);
+    if (found == budget.leases.end()) {
+        decision.answer = byte_answer::budget_used;
+        return decision;
+    }
+    set_bytes(budget, found->second, bytes);
+    if (budget.used > budget.limits.total) {
+        free_bytes(budget, id, "", budget.used - budget.limits.total, true, now, decision.given_up);
+    }
+    return decision;
+}
+
+void close_lease(byte_budget& budget, std::uint64_t id)
+{
+    const auto found = budget.leases.find(id);
+    if (found != budget.leases.end()) {
+        set_bytes(budget, found->second, 0);
+        budget.leases.erase(found);
+    }
+}
+
+byte_limits derive_byte_limits(std::uint64_t memory_limit)
+{
+    byte_limits limits;
+    if (memory_limit > 0) {
+        limits.total = std::max(memory_limit / memory_divisor, min_total);
+    }
+    limits.per_address = limits.total / 2;
+    return limits;
+}
+
+} // namespace guavawick::http
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,14 +1,16 @@
 // HTTP/1.1 server on Boost.Beast.
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
-#include "http/buffer_limit.hpp"
 #include "http/http_type.hpp"
+#include "http/request_reader.hpp"
+#include "runtime/worker_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -29,6 +31,13 @@
         : pool(std::move(executor)), limits(server_options), on_request(std::move(request_handler)),
           acceptor(asio::make_strand(pool))
     {
+        if (!limits.guard) {
+            connection_limits connections_allowed;
+            connections_allowed.total = limits.max_connections;
+            connections_allowed.per_address = limits.max_connections;
+            limits.guard = std::make_shared<request_guard>(
+                std::make_shared<memory_budget>(derive_byte_limits(0)), connections_allowed);
+        }
     }
 
     asio::any_io_executor pool;
@@ -37,13 +46,15 @@
     tcp::acceptor acceptor;
     std::atomic<bool> draining{false};
     std::atomic<std::uint64_t> active_requests{0};
-    std::atomic<std::uint64_t> connections{0};
     std::mutex mutex;                              ///< guards `idle_connections`
     std::set<beast::tcp_stream*> idle_connections; ///< connections that wait for a request
 };
 
 namespace {
 
+constexpr std::size_t max_unleased_response = 16U << 10U; ///< part of what a connection may cost
+constexpr duration accept_retry_interval = std::chrono::milliseconds(20);
+
 tcp::endpoint parse_address(const std::string& address)
 {
     const std::size_t colon = address.rfind(':');
@@ -57,9 +68,10 @@
 
 class connection_responder : public responder {
 public:
-    connection_responder(beast::tcp_stream& stream, const server_limits& limits, unsigned version,
+    connection_responder(guarded_connection& connection, const server_limits& limits, unsigned version,
                          bool keep_alive)
-        : stream_(stream), limits_(limits), version_(version), keep_alive_(keep_alive)
+        : connection_(connection), stream_(connection.stream()), limits_(limits), version_(version),
+          keep_alive_(keep_alive)
     {
     }
 
@@ -71,6 +83,10 @@
         fill_head(message, complete_response);
         message.body() = std::move(complete_response.body);
         message.prepare_payload();
+        memory_lease lease(connection_.guard().budget(), connection_.address(), connection_.shared());
+        if (message.body().size() > max_unleased_response) {
+            lease.force(message.body().size());
+        }
         stream_.expires_after(limits_.write_timeout);
         boost::system::error_code error;
         co_await beast::http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
@@ -149,6 +165,7 @@
         message.keep_alive(keep_alive_);
     }
 
+    guarded_connection& connection_;
     beast::tcp_stream& stream_;
     const server_limits& limits_;
     unsigned version_;
@@ -160,8 +177,6 @@
     bool disconnected_ = false;
 };
 
-using request_parser = beast::http::request_parser<beast::http::string_body>;
-
 request to_request(request_parser& parser)
 {
     auto& message = parser.get();
@@ -178,14 +193,14 @@
     return result;
 }
 
-asio::awaitable<void> refuse(responder& writer, int status, const char* name, const std::string& detail)
+response make_refusal(int status, const char* name, const std::string& detail)
 {
     response refusal;
     refusal.status = status;
     refusal.content_type = "application/problem+json";
     refusal.body = R"({"type":"urn:guavawick:failure:)" + std::string(name) + R"(","status":)" +
                    std::to_string(status) + R"(,"detail":")" + detail + R"(","ran":"no"})";
-    co_await writer.send(std::move(refusal));
+    return refusal;
 }
 
 asio::awaitable<void> handle_request(server_state& state, request& received, connection_responder& writer)
@@ -202,58 +217,111 @@
     }
     log_event(event::internal_fault, {{"target", received.target}, {"reason", error_message}});
     if (!writer.started()) {
-        co_await refuse(writer, 500, "internal", "internal error; see the log");
+        response refusal = make_refusal(500, "internal", "internal error; see the log");
+        co_await writer.send(std::move(refusal));
     }
     writer.abort();
 }
 
-/// Serves one request of a connection. @return whether the connection may be used for another.
-asio::awaitable<bool> serve_request(server_state& state, beast::tcp_stream& stream,
-                                    beast::flat_buffer& buffer)
+const char* refusal_detail(read_outcome outcome)
+{
+    switch (outcome) {
+    case read_outcome::malformed:
+        return "the request is not valid HTTP";
+    case read_outcome::header_too_large:
+        return "the header is larger than allowed";
+    case read_outcome::body_too_large:
+        return "the body is larger than allowed";
+    case read_outcome::share_used:
+        return "too many bytes of this address's requests wait";
+    case read_outcome::budget_used:
+        return "too many bytes of requests wait";
+    default:
+        return "the request did not arrive in time";
+    }
+}
+
+const char* refusal_name(read_outcome outcome)
+{
+    switch (outcome) {
+    case read_outcome::malformed:
+        return "bad_request";
+    case read_outcome::header_too_large:
+    case read_outcome::body_too_large:
+        return "too_large";
+    case read_outcome::share_used:
+    case read_outcome::budget_used:
+        return "overloaded";
+    default:
+        return "timeout";
+    }
+}
+
+/// Responds to a request that was not read. The connection closes after it.
+asio::awaitable<void> refuse_unread(guarded_connection& connection, connection_responder& writer,
+                                    read_outcome outcome)
+{
+    record_refusal(connection, outcome);
+    response refusal = make_refusal(refusal_status(outcome), refusal_name(outcome), refusal_detail(outcome));
+    if (is_worth_retrying(outcome)) {
+        refusal.headers["Retry-After"] = make_retry_after();
+    }
+    co_await writer.send(std::move(refusal));
+    co_await drain_and_close(connection);
+}
+
+/// Reads a request. @param lease holds its bytes.
+asio::awaitable<read_outcome> read_request(server_state& state, guarded_connection& connection,
+                                           beast::flat_buffer& buffer, request_parser& parser,
+                                           memory_lease& lease)
 {
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(state.limits.max_header_bytes));
-    parser.body_limit(state.limits.max_body_bytes);
+    read_limits limits;
+    limits.max_header_bytes = state.limits.max_header_bytes;
+    limits.idle_timeout =
+        state.draining.load() ? duration{std::chrono::milliseconds(1)} : state.limits.idle_timeout;
+    limits.header_timeout = state.limits.header_timeout;
+    limits.body_timeout = state.limits.read_timeout;
     {
         const std::lock_guard lock(state.mutex);
-        state.idle_connections.insert(&stream);
+        state.idle_connections.insert(&connection.stream());
     }
-    stream.expires_after(state.draining.load() ? duration{std::chrono::milliseconds(1)}
-                                               : state.limits.idle_timeout);
-    boost::system::error_code error;
-    co_await beast::http::async_read_header(stream, buffer, parser,
-                                            asio::redirect_error(asio::use_awaitable, error));
+    connection.mark_waiting();
+    const read_outcome header = co_await read_header(connection, buffer, parser, limits, lease);
     {
         const std::lock_guard lock(state.mutex);
-        state.idle_connections.erase(&stream);
-    }
-    if (!error) {
-        stream.expires_after(state.limits.read_timeout);
-        co_await beast::http::async_read(stream, buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, error));
+        state.idle_connections.erase(&connection.stream());
     }
-    connection_responder writer(stream, state.limits,
-                                parser.get().version() == 0 ? 11 : parser.get().version(),
-                                !error && parser.get().keep_alive() && !state.draining.load());
-    if (error == beast::http::error::body_limit) {
-        co_await refuse(writer, 413, "too_large", "the body is larger than allowed");
-        co_return false;
+    if (header != read_outcome::complete) {
+        co_return header;
     }
-    if (error == beast::http::error::header_limit) {
-        co_await refuse(writer, 431, "too_large", "the header is larger than allowed");
+    co_return co_await read_body(connection, buffer, parser, limits, lease);
+}
+
+/// Serves one request of a connection. @return whether the connection may be used for another.
+asio::awaitable<bool> serve_request(server_state& state, guarded_connection& connection,
+                                    beast::flat_buffer& buffer)
+{
+    memory_lease lease(connection.guard().budget(), connection.address(), connection.shared());
+    auto parser = std::make_unique<request_parser>();
+    parser->header_limit(static_cast<std::uint32_t>(state.limits.max_header_bytes));
+    parser->body_limit(state.limits.max_body_bytes);
+    const read_outcome outcome = co_await read_request(state, connection, buffer, *parser, lease);
+    if (outcome == read_outcome::closed) {
         co_return false;
     }
-    if (error) {
-        const bool close_silently =
-            error == beast::http::error::end_of_stream || error == beast::error::timeout ||
-            error.category() != beast::http::make_error_code(beast::http::error::bad_method).category();
-        if (!close_silently) {
-            co_await refuse(writer, 400, "bad_request", "the request is not valid HTTP");
-        }
+    const unsigned version = parser->get().version() == 0 ? 11 : parser->get().version();
+    const bool keep_alive =
+        outcome == read_outcome::complete && parser->get().keep_alive() && !state.draining.load();
+    connection_responder writer(connection, state.limits, version, keep_alive);
+    if (outcome != read_outcome::complete) {
+        parser.reset(); // its bytes belong to others now
+        co_await refuse_unread(connection, writer, outcome);
         co_return false;
     }
-    request received = to_request(parser);
-    stream.expires_never();
+    request received = to_request(*parser);
+    parser.reset();
+    connection.stream().expires_never();
+    connection.mark_busy();
     state.active_requests.fetch_add(1);
     co_await handle_request(state, received, writer);
     state.active_requests.fetch_sub(1);
@@ -263,12 +331,17 @@
 asio::awaitable<void> serve_connection(std::shared_ptr<server_state> state, tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer{max_unparsed_bytes};
+    beast::flat_buffer buffer{max_parse_buffer(state->limits.max_header_bytes)};
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
-    while (co_await serve_request(*state, stream, buffer)) {
+    const auto executor = co_await asio::this_coro::executor;
+    guarded_connection connection(state->limits.guard, stream, executor);
+    if (!connection.accepted()) {
+        refuse_connection(stream.socket());
+        co_return;
+    }
+    while (co_await serve_request(*state, connection, buffer)) {
     }
-    state->connections.fetch_sub(1);
     stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
 }
 
@@ -282,12 +355,9 @@
             co_return;
         }
         if (error) {
+            co_await runtime::wait_for(accept_retry_interval); // no descriptors are left
             continue;
         }
-        if (state->connections.load() >= state->limits.max_connections) {
-            continue; // the destructor closes the socket
-        }
-        state->connections.fetch_add(1);
         const auto executor = socket.get_executor();
         asio::co_spawn(executor, serve_connection(state, std::move(socket)), asio::detached);
     }
@@ -304,6 +374,7 @@
         state_->acceptor.open(endpoint.protocol());
         state_->acceptor.set_option(asio::socket_base::reuse_address(true));
         state_->acceptor.bind(endpoint);
+        limit_socket_buffers(state_->acceptor);
         state_->acceptor.listen();
     }
     catch (const boost::system::system_error& error) {
--- a/src/http/http_type.hpp
+++ b/src/http/http_type.hpp
@@ -73,14 +73,18 @@
 /// has started, aborts it.
 using handler = std::function<boost::asio::awaitable<void>(request&, responder&)>;
 
+class request_guard;
+
 /// Limits and timeouts of a server.
 struct server_limits {
     std::uint64_t max_body_bytes = 4U << 20U;
     std::uint64_t max_header_bytes = 16U << 10U;
     std::uint64_t max_connections = 4096;
     duration idle_timeout = std::chrono::seconds(120); ///< between two requests of a connection
+    duration header_timeout = std::chrono::seconds(5); ///< from the first byte of a header to its end
     duration read_timeout = std::chrono::seconds(30);  ///< from a request's header to the end of its body
     duration write_timeout = std::chrono::seconds(30); ///< for one write to a slow caller
+    std::shared_ptr<request_guard> guard; ///< byte budget and connections; nullptr for a default one
 };
 
 struct server_state;
--- /dev/null
+++ b/src/http/request_guard.cpp
@@ -0,0 +1,296 @@
+// Applies the decisions on bytes and connections.
+#include "http/request_guard.hpp"
+
+#include "base/event_type.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <cstdio>
+#include <sys/socket.h>
+
+namespace guavawick::http {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr int receive_buffer_bytes =
+    32 << 10; ///< the kernel doubles it; a larger one lets unread bytes of 2,000 connections fill a machine
+constexpr int send_buffer_bytes = 64 << 10;
+constexpr std::uint64_t min_retry_ms = 300;
+constexpr std::uint64_t retry_spread_ms = 1000;
+
+void interrupt_stream(const std::shared_ptr<interruptible_stream>& shared)
+{
+    asio::post(shared->executor, [shared] {
+        if (shared->stream != nullptr) {
+            shared->stream->cancel();
+        }
+    });
+}
+
+} // namespace
+
+memory_budget::memory_budget(const byte_limits& limits) : limit_(limits.total)
+{
+    budget_.limits = limits;
+}
+
+std::uint64_t memory_budget::open(std::string address, std::shared_ptr<interruptible_stream> stream)
+{
+    const std::lock_guard lock(mutex_);
+    const std::uint64_t id = open_lease(budget_, std::move(address), runtime_clock::now());
+    streams_[id] = std::move(stream);
+    return id;
+}
+
+void memory_budget::interrupt(const std::vector<std::uint64_t>& given_up)
+{
+    for (const std::uint64_t id : given_up) {
+        const auto found = streams_.find(id);
+        if (found != streams_.end()) {
+            found->second->given_up.store(true);
+            interrupt_stream(found->second);
+            counters_.given_up.fetch_add(1);
+        }
+    }
+}
+
+byte_answer memory_budget::resize(std::uint64_t id, std::uint64_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    const byte_decision decision = resize_lease(budget_, id, bytes, runtime_clock::now());
+    interrupt(decision.given_up);
+    return decision.answer;
+}
+
+void memory_budget::force(std::uint64_t id, std::uint64_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    interrupt(force_lease(budget_, id, bytes, runtime_clock::now()).given_up);
+}
+
+void memory_budget::record_transfer(std::uint64_t id, std::uint64_t bytes)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = budget_.leases.find(id);
+    if (found != budget_.leases.end()) {
+        record_progress(found->second.progress, bytes, runtime_clock::now());
+    }
+}
+
+void memory_budget::set_in_transfer(std::uint64_t id, bool in_transfer)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = budget_.leases.find(id);
+    if (found != budget_.leases.end()) {
+        found->second.in_transfer = in_transfer;
+        found->second.progress.started_at = runtime_clock::now();
+    }
+}
+
+void memory_budget::close(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    close_lease(budget_, id);
+    streams_.erase(id);
+}
+
+std::uint64_t memory_budget::used() const
+{
+    const std::lock_guard lock(mutex_);
+    return budget_.used;
+}
+
+memory_lease::memory_lease(memory_budget& budget, const std::string& address,
+                           std::shared_ptr<interruptible_stream> stream)
+    : budget_(budget), address_(address), stream_(std::move(stream))
+{
+}
+
+memory_lease::~memory_lease()
+{
+    if (id_ != 0) {
+        budget_.close(id_);
+    }
+}
+
+void memory_lease::open()
+{
+    if (id_ == 0) {
+        id_ = budget_.open(address_, stream_);
+    }
+}
+
+byte_answer memory_lease::resize(std::uint64_t bytes)
+{
+    open();
+    return budget_.resize(id_, bytes);
+}
+
+void memory_lease::force(std::uint64_t bytes)
+{
+    open();
+    budget_.force(id_, bytes);
+}
+
+void memory_lease::record_transfer(std::uint64_t bytes)
+{
+    if (id_ != 0) {
+        budget_.record_transfer(id_, bytes);
+    }
+}
+
+void memory_lease::set_in_transfer(bool in_transfer)
+{
+    if (id_ != 0) {
+        budget_.set_in_transfer(id_, in_transfer);
+    }
+}
+
+request_guard::request_guard(std::shared_ptr<memory_budget> budget, const connection_limits& limits)
+    : budget_(std::move(budget))
+{
+    table_.limits = limits;
+}
+
+std::uint64_t request_guard::admit(const std::string& address,
+                                   const std::shared_ptr<const connection_activity>& activity,
+                                   const std::shared_ptr<interruptible_stream>& stream)
+{
+    connection_decision decision;
+    {
+        const std::lock_guard lock(mutex_);
+        decision = admit_connection(table_, address, activity, runtime_clock::now());
+        if (decision.closed != 0) {
+            const auto found = streams_.find(decision.closed);
+            found->second->given_up.store(true);
+            found->second->displaced.store(true);
+            interrupt_stream(found->second);
+            streams_.erase(found);
+        }
+        if (decision.accepted) {
+            streams_[decision.id] = stream;
+        }
+    }
+    if (decision.closed != 0) {
+        budget_->counters().connections_closed.fetch_add(1);
+        log_event(event::connection_closed_for_another, {{"address", address}});
+    }
+    if (!decision.accepted) {
+        budget_->counters().connections_refused.fetch_add(1);
+        log_event(event::connection_refused, {{"address", address}});
+    }
+    return decision.id;
+}
+
+void request_guard::remove(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    remove_connection(table_, id);
+    streams_.erase(id);
+}
+
+std::uint64_t request_guard::connections() const
+{
+    const std::lock_guard lock(mutex_);
+    return table_.open.size();
+}
+
+guarded_connection::guarded_connection(std::shared_ptr<request_guard> guard, boost::beast::tcp_stream& stream,
+                                       asio::any_io_executor executor)
+    : guard_(std::move(guard)), shared_(std::make_shared<interruptible_stream>()),
+      activity_(std::make_shared<connection_activity>())
+{
+    boost::system::error_code ignored;
+    const tcp::endpoint peer = stream.socket().remote_endpoint(ignored);
+    address_ = peer.address().to_string();
+    shared_->stream = &stream;
+    shared_->executor = std::move(executor);
+    mark_waiting();
+    id_ = guard_->admit(address_, activity_, shared_);
+}
+
+guarded_connection::~guarded_connection()
+{
+    shared_->stream = nullptr;
+    guard_->remove(id_);
+}
+
+void guarded_connection::mark_waiting()
+{
+    activity_->waiting_since.store(runtime_clock::now().time_since_epoch().count(),
+                                   std::memory_order_relaxed);
+}
+
+void guarded_connection::mark_busy()
+{
+    activity_->waiting_since.store(0, std::memory_order_relaxed);
+    activity_->served.store(true, std::memory_order_relaxed);
+}
+
+void limit_socket_buffers(tcp::acceptor& acceptor)
+{
+    // Accepted sockets inherit both sizes.
+    boost::system::error_code ignored;
+    acceptor.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes), ignored);
+    acceptor.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
+}
+
+void refuse_connection(tcp::socket& socket)
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + make_retry_after() +
+                                "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    ::send(socket.native_handle(), refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+std::string make_retry_after()
+{
+    const auto ticks = static_cast<std::uint64_t>(runtime_clock::now().time_since_epoch().count());
+    // The low digits of the clock are as good as random here.
+    const std::uint64_t milliseconds = min_retry_ms + ticks / 1000 % retry_spread_ms;
+    std::array<char, 16> text{};
+    const int length =
+        std::snprintf(text.data(), text.size(), "%.2f", static_cast<double>(milliseconds) / 1e3);
+    return {text.data(), static_cast<std::size_t>(length)};
+}
+
+void log_limits(const request_guard& guard)
+{
+    log_event(event::request_limits_set, {{"bytes", guard.budget().limit()},
+                                          {"connections", guard.limits().total},
+                                          {"connections_of_address", guard.limits().per_address}});
+}
+
+void add_guard_metrics(metric_set& metrics, const std::shared_ptr<request_guard>& guard)
+{
+    const auto add = [&](const char* name, const char* help, const std::atomic<std::uint64_t>& value) {
+        metrics.add({name, help, true, [&value] { return static_cast<double>(value.load()); }, ""});
+    };
+    const guard_counters& counters = guard->budget().counters();
+    add("guavawick_http_refused_by_budget_total", "Requests refused because the byte budget was used.",
+        counters.refused_by_budget);
+    add("guavawick_http_refused_by_share_total",
+        "Requests refused because the address's share of the byte budget was used.",
+        counters.refused_by_share);
+    add("guavawick_http_refused_too_large_total", "Requests refused because they exceed a size limit.",
+        counters.refused_too_large);
+    add("guavawick_http_timed_out_total", "Requests that did not arrive in time.", counters.timed_out);
+    add("guavawick_http_given_up_total", "Slow transfers given up because the byte budget was short.",
+        counters.given_up);
+    add("guavawick_http_connections_closed_total", "Waiting connections closed to accept others.",
+        counters.connections_closed);
+    add("guavawick_http_connections_refused_total", "Connections refused because the listener was full.",
+        counters.connections_refused);
+    metrics.add({"guavawick_http_budget_used_bytes", "Bytes of the byte budget in use.", false,
+                 [guard] { return static_cast<double>(guard->budget().used()); }, ""});
+    metrics.add({"guavawick_http_budget_limit_bytes", "Size of the byte budget.", false,
+                 [guard] { return static_cast<double>(guard->budget().limit()); }, ""});
+    metrics.add({"guavawick_http_connections", "Open connections of the main listener.", false,
+                 [guard] { return static_cast<double>(guard->connections()); }, ""});
+}
+
+} // namespace guavawick::http
--- /dev/null
+++ b/src/http/request_guard.hpp
@@ -0,0 +1,156 @@
+// Protects a process from clients that ignore the limits: holds its byte budget and its listeners'
+// connections, and interrupts the connections that give way.
+#pragma once
+
+#include "http/byte_budget.hpp"
+#include "http/connection_table.hpp"
+#include "http/metrics_type.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace guavawick::http {
+
+/// Counters of a process. Thread safety: atomic.
+struct guard_counters {
+    std::atomic<std::uint64_t> refused_by_budget{0};   ///< requests, with status 503
+    std::atomic<std::uint64_t> refused_by_share{0};    ///< requests, with status 429
+    std::atomic<std::uint64_t> refused_too_large{0};   ///< requests, with status 413 or 431
+    std::atomic<std::uint64_t> timed_out{0};           ///< requests that did not arrive in time, status 408
+    std::atomic<std::uint64_t> given_up{0};            ///< slow transfers that gave way
+    std::atomic<std::uint64_t> connections_closed{0};  ///< waiting connections that gave way
+    std::atomic<std::uint64_t> connections_refused{0}; ///< connections that were not accepted
+};
+
+/// The stream of a connection, as far as other coroutines may interrupt it.
+struct interruptible_stream {
+    boost::beast::tcp_stream* stream =
+        nullptr; ///< used on `executor` only; nullptr once the connection ended
+    boost::asio::any_io_executor executor;
+    std::atomic<bool> given_up{false};  ///< its bytes or its place were needed elsewhere
+    std::atomic<bool> displaced{false}; ///< its place was needed: the descriptor must close at once
+};
+
+/// The byte budget of a process. Thread safety: every function from any thread.
+class memory_budget {
+public:
+    explicit memory_budget(const byte_limits& limits);
+    std::uint64_t open(std::string address, std::shared_ptr<interruptible_stream> stream);
+    /// As resize_lease(); interrupts the connections that were given up.
+    byte_answer resize(std::uint64_t id, std::uint64_t bytes);
+    /// As force_lease(); interrupts the connections that were given up.
+    void force(std::uint64_t id, std::uint64_t bytes);
+    void record_transfer(std::uint64_t id, std::uint64_t bytes);
+    /// @param in_transfer false while the request is handled.
+    void set_in_transfer(std::uint64_t id, bool in_transfer);
+    void close(std::uint64_t id);
+    [[nodiscard]] std::uint64_t used() const;
+    [[nodiscard]] std::uint64_t limit() const { return limit_; }
+    /// @return counters of the process.
+    [[nodiscard]] guard_counters& counters() { return counters_; }
+
+private:
+    void interrupt(const std::vector<std::uint64_t>& given_up);
+
+    mutable std::mutex mutex_; ///< guards `budget_` and `streams_`; no other lock is taken while it is held
+    byte_budget budget_;
+    std::map<std::uint64_t, std::shared_ptr<interruptible_stream>> streams_;
+    std::uint64_t limit_;
+    guard_counters counters_;
+};
+
+/// Bytes of one request or response; releases them when it is destroyed. Registers with the budget when it
+/// first holds any. Thread safety: the connection's coroutine.
+class memory_lease {
+public:
+    memory_lease(memory_budget& budget, const std::string& address,
+                 std::shared_ptr<interruptible_stream> stream);
+    ~memory_lease();
+    memory_lease(const memory_lease&) = delete;
+    memory_lease& operator=(const memory_lease&) = delete;
+    /// @return whether the lease may hold that many bytes; if not, it keeps what it has.
+    byte_answer resize(std::uint64_t bytes);
+    /// Holds that many bytes in any case.
+    void force(std::uint64_t bytes);
+    void record_transfer(std::uint64_t bytes);
+    void set_in_transfer(bool in_transfer);
+
+private:
+    void open();
+
+    memory_budget& budget_;
+    const std::string& address_;
+    std::shared_ptr<interruptible_stream> stream_;
+    std::uint64_t id_ = 0;
+};
+
+/// The connections of one listener. Thread safety: every function from any thread.
+class request_guard {
+public:
+    /// @param budget of the process, shared by its listeners.
+    request_guard(std::shared_ptr<memory_budget> budget, const connection_limits& limits);
+    /// Admits a connection; interrupts the one that gives way. @return its id, 0 if it is refused.
+    std::uint64_t admit(const std::string& address,
+                        const std::shared_ptr<const connection_activity>& activity,
+                        const std::shared_ptr<interruptible_stream>& stream);
+    void remove(std::uint64_t id);
+    [[nodiscard]] memory_budget& budget() const { return *budget_; }
+    [[nodiscard]] std::uint64_t connections() const;
+    [[nodiscard]] const connection_limits& limits() const { return table_.limits; }
+
+private:
+    std::shared_ptr<memory_budget> budget_;
+    mutable std::mutex mutex_; ///< guards `table_` and `streams_`; no other lock is taken while it is held
+    connection_table table_;
+    std::map<std::uint64_t, std::shared_ptr<interruptible_stream>> streams_;
+};
+
+/// An accepted connection: its registration with the guard and what it is doing.
+class guarded_connection {
+public:
+    /// Registers the connection. @pre called on the connection's executor.
+    guarded_connection(std::shared_ptr<request_guard> guard, boost::beast::tcp_stream& stream,
+                       boost::asio::any_io_executor executor);
+    ~guarded_connection();
+    guarded_connection(const guarded_connection&) = delete;
+    guarded_connection& operator=(const guarded_connection&) = delete;
+
+    /// @return false if the listener is full; then the connection must be closed.
+    [[nodiscard]] bool accepted() const { return id_ != 0; }
+    /// The connection waits for bytes of its client. Called after each read.
+    void mark_waiting();
+    /// A request has been read and is handled.
+    void mark_busy();
+    [[nodiscard]] bool given_up() const { return shared_->given_up.load(std::memory_order_relaxed); }
+    [[nodiscard]] const std::string& address() const { return address_; }
+    [[nodiscard]] const std::shared_ptr<interruptible_stream>& shared() const { return shared_; }
+    [[nodiscard]] request_guard& guard() { return *guard_; }
+    [[nodiscard]] boost::beast::tcp_stream& stream() { return *shared_->stream; }
+
+private:
+    std::shared_ptr<request_guard> guard_;
+    std::shared_ptr<interruptible_stream> shared_;
+    std::shared_ptr<connection_activity> activity_;
+    std::string address_;
+    std::uint64_t id_ = 0;
+};
+
+/// Bounds what the kernel buffers for each connection that the listener accepts. @pre the acceptor is open.
+void limit_socket_buffers(boost::asio::ip::tcp::acceptor& acceptor);
+/// Sends a short refusal without waiting, for a connection that isn't accepted.
+void refuse_connection(boost::asio::ip::tcp::socket& socket);
+/// @return seconds for Retry-After, spread over a second so that refused clients don't return at once.
+std::string make_retry_after();
+/// Logs the limits of a process when it starts.
+void log_limits(const request_guard& guard);
+/// Adds the counters and the gauges of a process. @pre `guard` outlives the metrics.
+void add_guard_metrics(metric_set& metrics, const std::shared_ptr<request_guard>& guard);
+
+} // namespace guavawick::http
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -17,6 +17,7 @@
 
 #include <cstdlib>
 #include <iostream>
+#include <malloc.h>
 
 ABSL_FLAG(std::string, settings, "", "TOML settings file of the role");
 ABSL_FLAG(bool, check_settings, false, "check the settings file, print its faults and exit");
@@ -149,6 +150,10 @@
 
 int main(int argc, char** argv)
 {
+    // Without a fixed threshold, glibc raises it after the first large body is freed, and later bodies stay
+    // resident in the heap.
+    constexpr int mapped_allocation_bytes = 256 << 10;
+    mallopt(M_MMAP_THRESHOLD, mapped_allocation_bytes);
     try {
         return guavawick::run_main(argc, argv);
     }
--- /dev/null
+++ b/tests/unit/request_limits_test.cpp
@@ -0,0 +1,189 @@
+// Decisions on the bytes and connections of clients that ignore the limits.
+#include "http/byte_budget.hpp"
+#include "http/connection_table.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+BOOST_AUTO_TEST_SUITE(request_limits_test)
+
+using namespace guavawick;
+using namespace guavawick::http;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point start{100s};
+
+byte_budget make_budget(std::uint64_t total, std::uint64_t per_address)
+{
+    byte_budget budget;
+    budget.limits.total = total;
+    budget.limits.per_address = per_address;
+    budget.limits.min_rate = 100;
+    budget.limits.grace = 1s;
+    return budget;
+}
+
+struct open_connection {
+    std::shared_ptr<connection_activity> activity = std::make_shared<connection_activity>();
+
+    explicit open_connection(time_point since) { activity->waiting_since = since.time_since_epoch().count(); }
+};
+
+} // namespace
+
+// A body that has stopped must not keep others out.
+BOOST_AUTO_TEST_CASE(slowest_transfer_is_given_up_first)
+{
+    byte_budget budget = make_budget(1000, 1000);
+    const std::uint64_t stopped = open_lease(budget, "a", start);
+    const std::uint64_t slow = open_lease(budget, "b", start);
+    const std::uint64_t fast = open_lease(budget, "c", start);
+    for (const std::uint64_t id : {stopped, slow, fast}) {
+        BOOST_TEST((resize_lease(budget, id, 300, start).answer == byte_answer::granted));
+    }
+    record_progress(budget.leases.at(slow).progress, 10, start + 4s);
+    record_progress(budget.leases.at(fast).progress, 10000, start + 4s);
+    const std::uint64_t next = open_lease(budget, "d", start + 4s);
+    const byte_decision first = resize_lease(budget, next, 300, start + 4s);
+    BOOST_TEST((first.answer == byte_answer::granted));
+    BOOST_TEST(first.given_up == std::vector<std::uint64_t>{stopped}, boost::test_tools::per_element());
+    const byte_decision second = resize_lease(budget, next, 500, start + 4s);
+    BOOST_TEST(second.given_up == std::vector<std::uint64_t>{slow}, boost::test_tools::per_element());
+    // The fast one stays, so there is no room, and nothing is given up in vain.
+    const byte_decision third = resize_lease(budget, next, 900, start + 4s);
+    BOOST_TEST((third.answer == byte_answer::budget_used));
+    BOOST_TEST(third.given_up.empty());
+    BOOST_TEST(budget.used == 800U);
+}
+
+// A young transfer has no known rate, and a call that runs holds its body until it ends.
+BOOST_AUTO_TEST_CASE(young_transfers_and_running_calls_are_kept)
+{
+    byte_budget budget = make_budget(1000, 1000);
+    const std::uint64_t young = open_lease(budget, "a", start + 9s);
+    const std::uint64_t running = open_lease(budget, "b", start);
+    resize_lease(budget, young, 500, start + 9s);
+    resize_lease(budget, running, 500, start + 9s);
+    budget.leases.at(running).in_transfer = false;
+    const std::uint64_t next = open_lease(budget, "c", start + 9s);
+    BOOST_TEST((resize_lease(budget, next, 1, start + 9500ms).answer == byte_answer::budget_used));
+    BOOST_TEST(budget.leases.size() == 3U);
+}
+
+// One address can't use up the budget.
+BOOST_AUTO_TEST_CASE(address_is_limited_to_its_share)
+{
+    byte_budget budget = make_budget(1000, 500);
+    const std::uint64_t first = open_lease(budget, "a", start);
+    const std::uint64_t second = open_lease(budget, "a", start);
+    const std::uint64_t other = open_lease(budget, "b", start);
+    BOOST_TEST((resize_lease(budget, first, 400, start).answer == byte_answer::granted));
+    BOOST_TEST((resize_lease(budget, second, 400, start).answer == byte_answer::share_used));
+    BOOST_TEST((resize_lease(budget, other, 400, start).answer == byte_answer::granted));
+}
+
+// A request of the largest size must be served when the load is low, however small the budget is.
+BOOST_AUTO_TEST_CASE(request_alone_is_granted)
+{
+    byte_budget budget = make_budget(10, 5);
+    const std::uint64_t only = open_lease(budget, "a", start);
+    BOOST_TEST((resize_lease(budget, only, 4096, start).answer == byte_answer::granted));
+    const std::uint64_t next = open_lease(budget, "b", start);
+    BOOST_TEST((resize_lease(budget, next, 1, start).answer == byte_answer::budget_used));
+}
+
+// The counts must match the leases whatever happens, or the budget leaks until nothing is admitted.
+BOOST_AUTO_TEST_CASE(budget_counts_what_the_leases_hold)
+{
+    BOOST_TEST(rc::check([] {
+        byte_budget budget = make_budget(1000, 600);
+        time_point now = start;
+        std::vector<std::uint64_t> ids;
+        const int steps = *rc::gen::inRange(1, 60);
+        for (int i = 0; i < steps; ++i) {
+            now += std::chrono::milliseconds(*rc::gen::inRange(0, 900));
+            const int action = *rc::gen::inRange(0, 5);
+            if (action == 0 || ids.empty()) {
+                ids.push_back(open_lease(budget, *rc::gen::element<std::string>("a", "b"), now));
+                continue;
+            }
+            const std::uint64_t id = *rc::gen::elementOf(ids);
+            const auto bytes = static_cast<std::uint64_t>(*rc::gen::inRange(0, 700));
+            const std::uint64_t before = budget.used;
+            if (action == 1) {
+                close_lease(budget, id);
+            }
+            else if (action == 2) {
+                force_lease(budget, id, bytes, now);
+            }
+            else if (action == 3 && budget.leases.count(id) != 0) {
+                record_progress(budget.leases.at(id).progress, bytes, now);
+            }
+            else {
+                resize_lease(budget, id, bytes, now);
+                RC_ASSERT(budget.used <= std::max<std::uint64_t>(before, 1000));
+            }
+            std::uint64_t sum = 0;
+            std::map<std::string, std::uint64_t> by_address;
+            for (const auto& [lease_id, lease] : budget.leases) {
+                sum += lease.bytes;
+                if (lease.bytes > 0) {
+                    by_address[lease.address] += lease.bytes;
+                }
+            }
+            RC_ASSERT(sum == budget.used);
+            RC_ASSERT(by_address == budget.used_by_address);
+        }
+    }));
+}
+
+// Connections that never sent a request must not keep out those that do.
+BOOST_AUTO_TEST_CASE(longest_waiting_connection_gives_way)
+{
+    connection_table table;
+    table.limits = {3, 3, 100ms};
+    const open_connection served(start);
+    served.activity->served = true;
+    const open_connection silent(start + 1s);
+    const open_connection busy(start);
+    busy.activity->waiting_since = 0;
+    admit_connection(table, "a", served.activity, start);
+    const std::uint64_t silent_id = admit_connection(table, "a", silent.activity, start).id;
+    admit_connection(table, "a", busy.activity, start);
+    const open_connection next(start + 5s);
+    const connection_decision decision = admit_connection(table, "b", next.activity, start + 5s);
+    BOOST_TEST(decision.accepted);
+    BOOST_TEST(decision.closed == silent_id);
+    BOOST_TEST(table.open.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(connection_is_refused_when_all_are_busy)
+{
+    connection_table table;
+    table.limits = {2, 1, 100ms};
+    open_connection busy(start);
+    busy.activity->waiting_since = 0;
+    const std::uint64_t first = admit_connection(table, "a", busy.activity, start).id;
+    BOOST_TEST(!admit_connection(table, "a", busy.activity, start).accepted);
+    BOOST_TEST(admit_connection(table, "b", busy.activity, start).accepted);
+    BOOST_TEST(!admit_connection(table, "c", busy.activity, start).accepted);
+    remove_connection(table, first);
+    BOOST_TEST(admit_connection(table, "a", busy.activity, start).accepted);
+}
+
+// The smallest gateway has room for one request of the largest size, and keeps descriptors for other uses.
+BOOST_AUTO_TEST_CASE(limits_of_the_smallest_gateway)
+{
+    const byte_limits bytes = derive_byte_limits(88'000'000);
+    BOOST_TEST(bytes.total == 22'000'000U);
+    BOOST_TEST(bytes.per_address >= 2U * 4'194'304U);
+    const connection_limits connections = derive_connection_limits(88'000'000, 4100);
+    BOOST_TEST(connections.total > 1500U);
+    BOOST_TEST(connections.total < 4100U - 200U);
+    BOOST_TEST(derive_connection_limits(0, 0).total == 4096U);
+    BOOST_TEST(derive_reserved_limits(4100).total >= 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
