--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t min_read_bytes = 512;
 constexpr std::size_t chunk_head_bytes = 4U << 10U; ///< beyond the header limit: a chunk's head and extension
 constexpr std::uint64_t copies_of_body = 2;
+constexpr std::size_t drain_read_bytes = 16U << 10U;
+constexpr std::size_t max_drained_bytes =
+    8U << 20U; ///< more than a legal body; discarding all that 120 clients sent kept a process from its links
 constexpr duration drain_timeout =
     std::chrono::seconds(1); ///< for a client to read the last response and close
 
@@ -267,11 +270,11 @@
         co_return;
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
-    std::array<char, 4096> discarded{};
+    std::array<char, drain_read_bytes> discarded{};
     const asio::mutable_buffer space = asio::buffer(discarded);
     stream.expires_after(drain_timeout);
-    while (!error) {
-        co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+    for (std::size_t drained = 0; !error && drained < max_drained_bytes;) {
+        drained += co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
     }
 }
 
