Roll out upstream versions by evidence, within a limit on exposed calls

Operators had no way to move a service to another version of its upstreams without giving a bad version all calls.

The leader decides from the gateways' absolute counters with sequential tests per route. Gateways expose calls only under a lease of 2.5 s and within a limit that each keeps by its own calls, so the sum holds whichever links are cut.

--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -35,6 +35,7 @@
                                         {"state", to_string(record.state)},
                                         {"service", record.service},
                                         {"address", record.address},
+                                        {"version", record.version},
                                         {"data_centre", record.data_centre.value},
                                         {"started_ms", record.started_ms},
                                         {"sequence", record.sequence},
@@ -53,6 +54,7 @@
     message->set_state(static_cast<std::uint32_t>(record.state));
     message->set_started_ms(record.started_ms);
     message->set_sequence(record.sequence);
+    message->set_version(record.version);
     if (record.cold_until > now) {
         message->set_cold_ms(static_cast<std::uint32_t>(to_ms(record.cold_until - now)));
     }
@@ -66,6 +68,7 @@
     record.address = message.address();
     record.data_centre = data_centre_name{message.data_centre()};
     record.slots = message.slots();
+    record.version = message.version();
     record.state = message.state() == 0   ? directory::instance_state::serving
                    : message.state() == 1 ? directory::instance_state::draining
                                           : directory::instance_state::gone;
@@ -147,6 +150,7 @@
             batch_entry->clear_service();
             batch_entry->clear_address();
             batch_entry->clear_data_centre();
+            batch_entry->clear_version();
             co_return;
         }
         if (result == directory::merge_result::changed) {
--- a/src/core/control_orders.cpp
+++ b/src/core/control_orders.cpp
@@ -108,6 +108,21 @@
     co_return document;
 }
 
+wire::envelope control_process::make_retirement_reply(const std::string& store, time_point now)
+{
+    retirement_phase phase = retirement_phase::unknown;
+    {
+        const std::lock_guard lock(mutex_);
+        phase = evaluate_retirement(state_, stores_, store, 2 * settings_.tolerated_failures + 1, now);
+    }
+    wire::envelope reply;
+    wire::retire_answer* body = reply.mutable_retired();
+    body->set_known(phase != retirement_phase::unknown);
+    body->set_possible(phase != retirement_phase::unknown && phase != retirement_phase::impossible);
+    body->set_completed(phase == retirement_phase::completed);
+    return reply;
+}
+
 namespace {
 
 retirement_phase decode_phase(const wire::envelope& reply)
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -6,6 +6,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "core/group_metrics.hpp"
+#include "rollout/rollout_codec.hpp"
 
 #include <algorithm>
 
@@ -32,6 +33,9 @@
         return (command.evacuation().out() ? "evacuate " : "end the evacuation of ") +
                command.evacuation().data_centre();
     }
+    if (command.has_start_rollout()) {
+        return "roll out " + command.start_rollout().target() + " of " + command.start_rollout().service();
+    }
     return command.has_retire() ? "retire " + command.retire().name() : "";
 }
 
@@ -105,6 +109,7 @@
                       [this] { return static_cast<double>(view_.load()->document_version); }, ""});
         metrics_.add({"guavawick_control_evacuated_data_centres", "Data centres that get no new calls.",
                       false, [this] { return static_cast<double>(evacuated_data_centres().size()); }, ""});
+        add_rollout_metrics();
         metrics_server_ =
             std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
                                            http::make_metrics_handler(metrics_));
@@ -169,6 +174,10 @@
         handle_directory_update(message->directory());
         return;
     }
+    if (message->has_rollout_report()) {
+        handle_rollout_report(message->rollout_report());
+        return;
+    }
     if (message->has_directory_confirmed()) {
         const std::lock_guard lock(mutex_);
         pending_confirms_.erase(message->directory_confirmed().number());
@@ -219,21 +228,9 @@
     if (request->has_retire()) {
         send_reply(make_retirement_reply(request->retire().name(), now));
     }
-}
-
-wire::envelope control_process::make_retirement_reply(const std::string& store, time_point now)
-{
-    retirement_phase phase = retirement_phase::unknown;
-    {
-        const std::lock_guard lock(mutex_);
-        phase = evaluate_retirement(state_, stores_, store, 2 * settings_.tolerated_failures + 1, now);
+    if (request->has_rollout()) {
+        send_reply(make_rollout_reply(request->rollout().service()));
     }
-    wire::envelope reply;
-    wire::retire_answer* body = reply.mutable_retired();
-    body->set_known(phase != retirement_phase::unknown);
-    body->set_possible(phase != retirement_phase::unknown && phase != retirement_phase::impossible);
-    body->set_completed(phase == retirement_phase::completed);
-    return reply;
 }
 
 wire::envelope control_process::apply(const std::string& bytes)
@@ -253,7 +250,9 @@
         return reply;
     }
     const std::uint64_t previous_version = state_.document_version;
-    if (!execute(state_, command)) {
+    const bool changed = execute(state_, command);
+    report_rollout_command(command, changed, reply);
+    if (!changed) {
         return reply;
     }
     if (state_.document_version != previous_version) {
@@ -321,6 +320,9 @@
     for (const std::string& data_centre : view.evacuated_data_centres) {
         body->add_evacuated(data_centre);
     }
+    for (const auto& [service, rollout] : view.rollouts) {
+        rollout::to_wire(rollout, body->add_rollouts());
+    }
     links_->send(endpoint, std::move(message));
 }
 
@@ -451,6 +453,7 @@
         group_->set_contacts(contacts);
     }
     bootstrap_ledger_groups(now);
+    decide_rollouts(now);
 }
 
 void control_process::bootstrap_ledger_groups(time_point now)
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -9,6 +9,7 @@
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
 #include "replica/log_store.hpp"
+#include "rollout/decision_func.hpp"
 #include "runtime/stall_type.hpp"
 #include "runtime/worker_pool.hpp"
 #include "wire/group_client.hpp"
@@ -37,6 +38,20 @@
     std::function<bool()> is_abandoned;            ///< whether its sender has left; empty if it can't leave
 };
 
+/// What a control replica keeps on the latest rollout of a service besides the replicated record.
+struct rollout_work {
+    std::uint64_t number = 0;     ///< of the rollout
+    std::uint64_t changed_at = 0; ///< revision of the stage
+    time_point known_since{};
+    duration known_age{}; ///< age of the rollout at that time
+    time_point stage_since{};
+    rollout::judgement judged;
+    rollout::decision current; ///< of the last tick in which this replica led
+    duration age{};            ///< at that tick
+    time_point decided_at{};
+    bool proposal_pending = false;
+};
+
 /// One control replica. Commands may be sent to any replica, which forwards them to the leader.
 /// Thread safety: commands and announcements may come from any thread; start(), stop() and set_seeds() from
 /// one thread only.
@@ -81,6 +96,14 @@
     boost::asio::awaitable<retirement_phase> retire(std::string store, order_source source = {});
     /// @return the phase of a store's retirement. @throw link_error as read_document().
     boost::asio::awaitable<retirement_phase> query_retirement(std::string store);
+    /// @return the features that are enabled. Thread-safe.
+    [[nodiscard]] const fleet_features& features() const { return settings_.features; }
+    /// Requests a rollout. @return whether it was committed or was already known; false if a rollout with
+    /// another target is running. @throw as set_evacuation().
+    boost::asio::awaitable<bool> start_rollout(std::string service, std::string target, duration length,
+                                               order_source source = {});
+    /// @return the latest rollout of a service, if any. @throw link_error as read_document().
+    boost::asio::awaitable<std::optional<rollout::record>> query_rollout(std::string service);
 
 private:
     using fleet_view = std::shared_ptr<const fleet_state>;
@@ -102,6 +125,16 @@
     void push_view_to_all(std::uint64_t known_version);
     void tick(time_point now);
     void bootstrap_ledger_groups(time_point now);
+    void decide_rollouts(time_point now);
+    void decide_rollout(const rollout::record& rollout, rollout_work& work, time_point now);
+    void propose_change(const rollout::record& rollout, rollout_work& work);
+    [[nodiscard]] bool gateways_confirm(const rollout::record& rollout, time_point now);
+    [[nodiscard]] bool is_target_serving(const rollout::record& rollout);
+    void handle_rollout_report(const wire::rollout_report& report);
+    void lend_exposure(const std::string& endpoint, std::uint64_t incarnation, std::uint64_t sequence);
+    void report_rollout_command(const wire::fleet_command& command, bool changed, wire::envelope& reply);
+    wire::envelope make_rollout_reply(const std::string& service) const;
+    void add_rollout_metrics();
     wire::envelope make_retirement_reply(const std::string& store, time_point now);
     void update_hello(time_point now);
     wire::envelope make_full_hello(time_point now);
@@ -130,6 +163,15 @@
     std::atomic<std::shared_ptr<const prepared_hello>> hello_; ///< as of the last tick; empty before it
     std::atomic<time_point> view_published_at_{time_point{}};  ///< when `view_` was last replaced
     std::atomic<bool> running_{true};
+    time_point created_at_ = runtime_clock::now();
+    std::map<std::string, rollout_work> rollout_work_; ///< by service; the group's thread only
+    std::atomic<std::uint64_t> rollouts_running_{0};
+    std::atomic<double> rollout_share_{0}; ///< lent for the rollout that was decided on last
+    std::atomic<std::uint64_t> rollout_target_calls_{0};
+    std::atomic<std::uint64_t> rollout_target_failures_{0};
+    std::atomic<std::uint64_t> rollout_calls_{0};
+    std::atomic<std::uint64_t> rollout_stage_{0};
+    std::atomic<time_point> rollout_evidence_at_{time_point{}};
 
     mutable std::mutex mutex_; ///< guards everything below
     runtime::stall_record stalls_;
@@ -138,6 +180,7 @@
     directory::crash_table crashes_;
     std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
     std::map<std::string, store_status> stores_;    ///< by endpoint
+    rollout::evidence_table evidence_;              ///< reports of the gateways on running rollouts
     std::vector<std::string> seeds_;
     std::vector<std::string> member_endpoints_; ///< link endpoints of the control group's members
     wire::directory_update batch_;              ///< changes not yet sent to the gateways
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -3,6 +3,8 @@
 
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
+#include "rollout/rollout_codec.hpp"
+#include "rollout/rollout_func.hpp"
 #include "wire.pb.h"
 
 #include <algorithm>
@@ -58,6 +60,20 @@
         return true;
     case wire::fleet_command::kRetire:
         return state.retiring_stores.emplace(command.retire().name(), command.retire().endpoint()).second;
+    case wire::fleet_command::kStartRollout: {
+        const wire::rollout_start& order = command.start_rollout();
+        return rollout::start(state.rollouts, order.service(), order.target(),
+                              std::chrono::milliseconds(order.duration_ms()),
+                              state.revision + 1) == rollout::start_result::started;
+    }
+    case wire::fleet_command::kChangeRollout: {
+        const wire::rollout_change& change = command.change_rollout();
+        rollout::record_age(state.rollouts, change.service(), change.number(),
+                            std::chrono::milliseconds(change.age_ms()));
+        return change.stage_changes() &&
+               rollout::change_stage(state.rollouts, change.service(), change.number(),
+                                     rollout::to_stage(change.stage()), state.revision + 1);
+    }
     case wire::fleet_command::BODY_NOT_SET:
         return false;
     }
@@ -76,7 +92,7 @@
     if (is_superseded(state, command)) {
         return false;
     }
-    if (command.has_evacuation() || command.has_retire()) {
+    if (command.has_evacuation() || command.has_retire() || command.has_start_rollout()) {
         ++state.order_count; // also if it changes nothing: an older order must not follow it
     }
     if (!apply_change(state, command)) {
@@ -102,6 +118,9 @@
         store->set_endpoint(endpoint);
     }
     encoded.set_order_count(state.order_count);
+    for (const auto& [service, rollout] : state.rollouts) {
+        rollout::to_wire(rollout, encoded.add_rollouts());
+    }
     return encoded.SerializeAsString();
 }
 
@@ -121,6 +140,7 @@
         state.retiring_stores[store.name()] = store.endpoint();
     }
     state.order_count = encoded.order_count();
+    state.rollouts = rollout::from_wire(encoded.rollouts());
     return state;
 }
 
--- a/src/core/fleet_state.hpp
+++ b/src/core/fleet_state.hpp
@@ -1,9 +1,10 @@
 // State machine of a fleet's control group: the published document, evacuated data centres, the initial
-// members of the ledger groups and retiring stores. Pure functions, without I/O or a clock.
+// members of the ledger groups, retiring stores and rollouts. Pure functions, without I/O or a clock.
 #pragma once
 
 #include "base/id_type.hpp"
 #include "consensus/consensus_type.hpp"
+#include "rollout/rollout_type.hpp"
 
 #include <cstdint>
 #include <map>
@@ -34,7 +35,9 @@
     std::set<std::string> evacuated_data_centres; ///< data centres that get no new work
     initial_member_lists initial_members;         ///< of the ledger groups; the first list is of group 1
     std::map<std::string, std::string> retiring_stores; ///< endpoints of retiring stores by name
-    std::uint64_t order_count = 0; ///< committed evacuations, ends of evacuations and retirements
+    std::uint64_t order_count = 0;  ///< committed evacuations, ends of evacuations, retirements and
+                                    ///< requests of rollouts
+    rollout::record_table rollouts; ///< latest rollout of each service
 };
 
 /// @return whether a command is an order that was based on an older state than the present one: another order
--- a/src/directory/directory_func.cpp
+++ b/src/directory/directory_func.cpp
@@ -42,7 +42,7 @@
         (left.cold_until > right.last_seen_at) != (right.cold_until > right.last_seen_at);
     return left.service == right.service && left.address == right.address &&
            left.data_centre == right.data_centre && left.state == right.state && left.slots == right.slots &&
-           !cold_differs;
+           left.version == right.version && !cold_differs;
 }
 
 } // namespace
--- a/src/directory/directory_type.hpp
+++ b/src/directory/directory_type.hpp
@@ -26,6 +26,7 @@
     std::string service;
     std::string address; ///< "IP:PORT"
     data_centre_name data_centre;
+    std::string version;     ///< of its software; empty if it announces none
     std::uint32_t slots = 1; ///< concurrent calls
     instance_state state = instance_state::serving;
     std::uint64_t started_ms = 0; ///< start of the incarnation, in Unix milliseconds by the instance's clock
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -350,6 +350,7 @@
     gateway_state& gateway = *call->context.state;
     const directory::instance_record target = instance;
     placing::instance_load& load = gateway.loads[target.id];
+    attempt_watch watch(*call, target);
     const connection_ptr connection = co_await acquire_connection(call, target);
     if (!connection) {
         suspect_instance(target, load, runtime_clock::now());
@@ -401,6 +402,12 @@
         close_connection(*connection);
     }
     const bool was_rejected = state.has_head && state.head.metadata.not_executed;
+    if (!was_rejected && call->cancellation != cancel_reason::caller_left) {
+        const bool success = state.head.status >= 200 && state.head.status < 300;
+        const bool forged = success && !state.head.metadata.signed_by_upstream;
+        watch.record_outcome(result != exchange_result::complete || state.unusable || forged ||
+                             state.head.status >= min_error_status);
+    }
     const bool broke_off =
         result == exchange_result::no_response || result == exchange_result::truncated_body;
     if (broke_off && !was_rejected) {
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -203,6 +203,7 @@
         }
         candidates.push_back({&record, &state.loads[id]});
     }
+    select_versions(call, candidates, now);
     return candidates;
 }
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -79,6 +79,9 @@
     }
     pool_.spawn(accept_callers(acceptor_, callers_));
     pool_.spawn(subscribe_loop());
+    if (state_->settings.features.rollouts) {
+        pool_.spawn(report_rollouts_loop());
+    }
     readiness_server_ = std::make_unique<http::server>(pool_.executor(), state_->settings.readiness_listen,
                                                        http::server_limits{},
                                                        [this](http::request& request, http::responder& out) {
@@ -182,6 +185,9 @@
         else if (message->has_hello()) {
             handle_hello(message->hello());
         }
+        else if (message->has_rollout_lease()) {
+            receive_lease(*state_, message->rollout_lease(), incarnation_, runtime_clock::now());
+        }
     });
 }
 
@@ -216,6 +222,7 @@
         state_->counters.plan_version.store(view.version());
     }
     state_->revision = view.revision();
+    set_rollouts(*state_, view, state_->plan_confirmed_at);
     const std::set<std::string> previously_evacuated = state_->evacuated_data_centres;
     state_->evacuated_data_centres = {view.evacuated().begin(), view.evacuated().end()};
     for (const std::string& data_centre : previously_evacuated) {
@@ -373,6 +380,18 @@
     }
 }
 
+asio::awaitable<void> gateway_process::report_rollouts_loop()
+{
+    while (running_.load()) {
+        if (const auto report = make_rollout_report(*state_, incarnation_, runtime_clock::now())) {
+            for (const std::string& endpoint : state_->control_endpoints) {
+                link_->send(endpoint, *report);
+            }
+        }
+        co_await runtime::wait_for(rollout_report_interval);
+    }
+}
+
 void gateway_process::add_metrics()
 {
     const auto add = [this](const char* name, const char* help, bool counter,
@@ -392,6 +411,12 @@
         true, counters.leaving_instances);
     add("guavawick_gateway_leaving_avoided_total", "Placements kept away from an instance that leaves.", true,
         counters.leaving_avoided);
+    add("guavawick_gateway_rollout_exposed_total", "Attempts at the targets of running rollouts.", true,
+        counters.rollout_exposed);
+    add("guavawick_gateway_rollout_target_failures_total",
+        "Failed attempts at the targets of running rollouts.", true, counters.rollout_target_failures);
+    add("guavawick_gateway_rollout_leases_lost_total",
+        "Leases of exposure that ended because control was silent.", true, counters.rollout_leases_lost);
     add("guavawick_gateway_plan_version", "Version of the plan in force.", false, counters.plan_version);
     add("guavawick_gateway_instances", "Upstream instances in the directory.", false, counters.instances);
 }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -12,6 +12,7 @@
 #include "gateway/dependency.hpp"
 #include "gateway/dialect_type.hpp"
 #include "gateway/program_memory.hpp"
+#include "gateway/rollout_gate.hpp"
 #include "gateway/upstream_connection.hpp"
 #include "http/http_type.hpp"
 #include "http/metrics_type.hpp"
@@ -43,6 +44,9 @@
     std::atomic<std::uint64_t> crashes{0}; ///< of upstreams that ran a call of this gateway, by call
     std::atomic<std::uint64_t> leaving_instances{0}; ///< marked by their answers
     std::atomic<std::uint64_t> leaving_avoided{0};   ///< placements that a mark kept away from an instance
+    std::atomic<std::uint64_t> rollout_exposed{0};   ///< attempts at the targets of running rollouts
+    std::atomic<std::uint64_t> rollout_target_failures{0};
+    std::atomic<std::uint64_t> rollout_leases_lost{0};
     std::atomic<std::uint64_t> plan_version{0};
     std::atomic<std::uint64_t> instances{0};
 };
@@ -74,6 +78,7 @@
     gateway_counters counters;
     history_cache histories;
     recent_programs programs;
+    rollout_state rollouts;
 };
 
 /// A gateway. Thread safety: start(), stop() and set_seeds() by one thread, the rest is internal.
@@ -102,6 +107,7 @@
     enum class directory_request : std::uint8_t { none, from_one, from_all };
     void subscribe(directory_request request);
     boost::asio::awaitable<void> subscribe_loop();
+    boost::asio::awaitable<void> report_rollouts_loop();
     boost::asio::awaitable<void> handle_readiness_check(http::request& request, http::responder& out);
     [[nodiscard]] bool is_ready() const;
     void update_control_replicas();
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -138,6 +138,7 @@
 struct small_fleet {
     fs::path data_root = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
     runtime::worker_pool pool{1};
+    std::unique_ptr<runtime::worker_pool> control_pool = std::make_unique<runtime::worker_pool>(1);
     scripted_upstream upstream;
     scripted_upstream second_upstream;
     core::fleet_settings common_settings;
@@ -146,8 +147,9 @@
     std::unique_ptr<gateway::gateway_process> gateway_server;
     std::uint64_t next_call_number = 1;
 
-    small_fleet()
+    explicit small_fleet(core::fleet_features features = {})
     {
+        common_settings.features = features;
         try {
             start();
         }
@@ -199,6 +201,7 @@
     {
         for_each_process([](auto& process) { process.stop(); });
         pool.stop();
+        control_pool->stop();
         for_each_process([](auto& process) { process.close(); });
         gateway_server.reset();
         store.reset();
@@ -240,10 +243,22 @@
         settings.link = control_link;
         settings.data_folder = (data_root / "control").string();
         settings.operator_listen = find_free_address();
-        control = std::make_unique<core::control_process>(settings, pool);
+        settings.metrics_listen.clear(); // after a restart it is the gateway's
+        control = std::make_unique<core::control_process>(settings, *control_pool);
         control->start([](http::request&, http::responder& responder) { return respond_ok(responder); });
     }
 
+    /// Stops the control replica and starts it again from its disk.
+    void restart_control()
+    {
+        control->stop();
+        control_pool->stop();
+        control->close();
+        control.reset();
+        control_pool = std::make_unique<runtime::worker_pool>(1);
+        start_control(common_settings.seeds.front());
+    }
+
     void start_store()
     {
         core::fleet_settings settings = common_settings;
@@ -271,13 +286,15 @@
     }
 
     void announce(const scripted_upstream& scripted, const std::string& id, std::uint64_t sequence,
-                  directory::instance_state state = directory::instance_state::serving)
+                  directory::instance_state state = directory::instance_state::serving,
+                  const std::string& version = "")
     {
-        announce_address(scripted.address, id, sequence, state);
+        announce_address(scripted.address, id, sequence, state, version);
     }
 
     void announce_address(const std::string& address, const std::string& id, std::uint64_t sequence,
-                          directory::instance_state state = directory::instance_state::serving)
+                          directory::instance_state state = directory::instance_state::serving,
+                          const std::string& version = "")
     {
         directory::instance_record record;
         record.id = directory::instance_id{id};
@@ -285,6 +302,7 @@
         record.address = address;
         record.data_centre = data_centre_name{"a"};
         record.slots = 4;
+        record.version = version;
         record.started_ms = 1;
         record.sequence = sequence;
         record.state = state;
