--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -118,12 +118,9 @@
                       [this] { return static_cast<double>(view_.load()->document_version); }, ""});
         metrics_.add({"guavawick_control_evacuated_data_centres", "Data centres that get no new calls.",
                       false, [this] { return static_cast<double>(evacuated_data_centres().size()); }, ""});
+        add_rollout_metrics();
         metrics_server_ = std::make_unique<http::server>(
             pool_.executor(), settings_.metrics_listen, metrics_limits, http::make_metrics_handler(metrics_));
-        add_rollout_metrics();
-        metrics_server_ =
-            std::make_unique<http::server>(pool_.executor(), settings_.metrics_listen, http::server_limits{},
-                                           http::make_metrics_handler(metrics_));
     }
     pool_.spawn(batch_loop());
     pool_.spawn(watch_stalls());
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -98,11 +98,6 @@
     if (state_->settings.features.rollouts) {
         pool_.spawn(report_rollouts_loop());
     }
-    readiness_server_ = std::make_unique<http::server>(pool_.executor(), state_->settings.readiness_listen,
-                                                       http::server_limits{},
-                                                       [this](http::request& request, http::responder& out) {
-                                                           return handle_readiness_check(request, out);
-                                                       });
     add_metrics();
     if (!state_->settings.metrics_listen.empty()) {
         metrics_server_ =
