Charge a prefill for all calls of its batch

Cause: a turn that left its warm engine was charged the prefill of its history once, although every call of the target's batch waits for it. In overload turns left their engines, histories were read again, and the delay outlasted the burst. Change: with features.load_aware the prefill is charged 1 + running calls times (prefill_batch_share). The simulated engines can play a burst.

--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -211,6 +211,7 @@
 {
     placing::placement_request request;
     request.model = service.model.has_value();
+    request.load_aware = call.context.state->settings.features.load_aware;
     request.affinity_key =
         call.metadata.program.empty() ? call.metadata.request.value : call.metadata.program.value;
     request.warm_instance = call.warm_instance;
--- a/src/placing/placing_func.cpp
+++ b/src/placing/placing_func.cpp
@@ -85,7 +85,9 @@
     double cost = request.model ? running * model_running_ms + waiting * costs.model_waiting_ms
                                 : running * costs.service_running_ms + waiting * costs.service_waiting_ms;
     if (request.model) {
-        cost += static_cast<double>(uncached_tokens) / costs.prefill_tokens_per_ms;
+        const double prefill_ms = static_cast<double>(uncached_tokens) / costs.prefill_tokens_per_ms;
+        const double delayed_calls = request.load_aware ? running * costs.prefill_batch_share : 0;
+        cost += prefill_ms * (1 + delayed_calls);
     }
     if (instance.record->data_centre != request.own_data_centre) {
         cost += request.model ? costs.model_other_data_centre_ms : costs.service_other_data_centre_ms;
--- a/src/placing/placing_type.hpp
+++ b/src/placing/placing_type.hpp
@@ -38,6 +38,7 @@
 /// Properties of a call that decide about its instance.
 struct placement_request {
     bool model = false;                     ///< runs on an engine with a prompt cache
+    bool load_aware = false;                ///< features.load_aware
     std::string affinity_key;               ///< calls with the same key share a cached prompt
     std::string warm_instance;              ///< instance that ran the previous turn; empty if unknown
     std::uint64_t prompt_tokens = 0;        ///< length of the whole prompt
@@ -53,7 +54,11 @@
 /// Weights of the placement cost. Costs are delays in milliseconds.
 struct placement_costs {
     double prefill_tokens_per_ms =
-        30;                      ///< prefill speed; the deployed engines reach 30.9 tokens a millisecond
+        30; ///< prefill speed; the deployed engines reach 30.9 tokens a millisecond
+    /// Part of the prefill that each running call of the same batch is delayed by, with features.load_aware.
+    /// Without this charge 6 in 10 turns stayed at their warm engine in overload, and engines read their
+    /// histories again.
+    double prefill_batch_share = 1;
     double model_running_ms = 3; ///< one more call in the batch: 33 tokens x 0.03 ms and its prefill
     /// The same for a call whose line is not cached anywhere, if cached tokens are estimated: the line's
     /// later turns will follow it to the same engine.
--- a/tests/unit/engine_world.cpp
+++ b/tests/unit/engine_world.cpp
@@ -131,8 +131,10 @@
         if (now_ms_ > settings_.seconds * 1000) {
             return;
         }
-        schedule(-std::log(1 - uniform(random_)) * 1000 / settings_.programs_per_s,
-                 [this] { start_program(); });
+        const bool in_burst =
+            now_ms_ >= settings_.burst_start_s * 1000 && now_ms_ < settings_.burst_end_s * 1000;
+        const double programs_per_s = settings_.programs_per_s * (in_burst ? settings_.burst_factor : 1);
+        schedule(-std::log(1 - uniform(random_)) * 1000 / programs_per_s, [this] { start_program(); });
         const auto first = std::make_shared<line>();
         first->random = next_random(random_);
         const double choice = uniform(first->random) * popularity_.back();
@@ -158,6 +160,10 @@
         }
         const std::size_t chosen = place(*call);
         ++gateways_[call->gateway].loads[chosen].own_running;
+        if (!owner->warm_instance.empty()) {
+            ++later_turns_;
+            warm_turns_ += owner->warm_instance == records_[chosen].id.value ? 1 : 0;
+        }
         owner->warm_instance = records_[chosen].id.value;
         engines_[chosen].waiting.push_back(call);
         if (!engines_[chosen].stepping) {
@@ -174,6 +180,7 @@
         }
         placement_request request;
         request.model = true;
+        request.load_aware = settings_.by_prefix;
         request.affinity_key = call.owner->program;
         request.warm_instance = call.owner->warm_instance;
         request.prompt_tokens = static_cast<std::uint64_t>(call.prompt_tokens);
@@ -280,6 +287,13 @@
     void finish_call(std::size_t index, const running_call& call)
     {
         end_ms_.push_back(now_ms_ - call.sent_ms);
+        if (call.sent_ms < settings_.burst_start_s * 1000) {
+            end_before_burst_ms_.push_back(end_ms_.back());
+        }
+        if (call.sent_ms >= (settings_.burst_end_s + settings_.recovery_s) * 1000 &&
+            call.sent_ms < settings_.seconds * 1000) {
+            end_after_burst_ms_.push_back(end_ms_.back());
+        }
         instance_load& load = gateways_[call.gateway].loads[index];
         --load.own_running;
         load.reported_running = static_cast<std::uint32_t>(engines_[index].running.size());
@@ -305,7 +319,8 @@
     world_result summarise()
     {
         const auto mean = [](const std::vector<double>& values) {
-            return std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
+            return std::accumulate(values.begin(), values.end(), 0.0) /
+                   std::max(1.0, static_cast<double>(values.size()));
         };
         const auto p95 = [](std::vector<double>& values) {
             std::sort(values.begin(), values.end());
@@ -316,6 +331,9 @@
         result_.p95_first_event_ms = p95(first_event_ms_);
         result_.mean_end_ms = mean(end_ms_);
         result_.p95_end_ms = p95(end_ms_);
+        result_.warm_share = warm_turns_ / std::max(1.0, later_turns_);
+        result_.mean_end_before_burst_ms = mean(end_before_burst_ms_);
+        result_.mean_end_after_burst_ms = mean(end_after_burst_ms_);
         return result_;
     }
 
@@ -332,6 +350,10 @@
     std::uint64_t program_count_ = 0;
     std::vector<double> first_event_ms_;
     std::vector<double> end_ms_;
+    std::vector<double> end_before_burst_ms_;
+    std::vector<double> end_after_burst_ms_;
+    double later_turns_ = 0;
+    double warm_turns_ = 0;
     world_result result_;
 };
 
--- a/tests/unit/engine_world.hpp
+++ b/tests/unit/engine_world.hpp
@@ -24,6 +24,10 @@
     double prefix_skew = 1;     ///< the prefix of rank k is used in proportion to 1 / k^skew
     double programs_per_s = 78; ///< 590 turns a second
     double seconds = 20;        ///< in which programs start
+    double burst_factor = 1;    ///< of programs_per_s during the burst
+    double burst_start_s = 0;
+    double burst_end_s = 0;
+    double recovery_s = 4;      ///< from the end of the burst to the first call that counts as sent after it
     double second_agents = 0.3; ///< share of programs with a sub-agent
     double slots = 48;
     double memory_tokens = 131'445;
@@ -41,6 +45,9 @@
     double p95_first_event_ms = 0;
     double mean_end_ms = 0;
     double p95_end_ms = 0;
+    double warm_share = 0;               ///< of turns after the first of a line: sent to the line's engine
+    double mean_end_before_burst_ms = 0; ///< of calls sent before the burst
+    double mean_end_after_burst_ms = 0;  ///< of calls sent after the burst and the recovery
 };
 
 /// Plays the load. The result depends on the settings and the seed only.
--- a/tests/unit/prefix_test.cpp
+++ b/tests/unit/prefix_test.cpp
@@ -145,6 +145,38 @@
     }
 }
 
+// In a burst, a turn that leaves its warm engine makes another engine read its history, which delays the
+// calls of that engine's batch, so that further turns leave theirs: the overload outlasts the burst.
+BOOST_AUTO_TEST_CASE(turns_stay_warm_in_a_burst_and_the_delay_falls_back_sooner_after_it)
+{
+    world_settings settings;
+    settings.by_prefix = true;
+    settings.programs_per_s = 75;
+    settings.seconds = 24;
+    settings.burst_factor = 2.3;
+    settings.burst_start_s = 6;
+    settings.burst_end_s = 12;
+    const world_result charged = play(settings, 7);
+    settings.costs.prefill_batch_share = 0;
+    const world_result uncharged = play(settings, 7);
+    const auto print = [](const char* policy, const world_result& result) {
+        BOOST_TEST_MESSAGE(policy << ": warm turns " << result.warm_share << ", tokens read per call "
+                                  << result.prompt_tokens_read / static_cast<double>(result.calls)
+                                  << ", end mean " << result.mean_end_ms << " ms, p95 " << result.p95_end_ms
+                                  << " ms, before the burst " << result.mean_end_before_burst_ms
+                                  << " ms, after it " << result.mean_end_after_burst_ms << " ms");
+    };
+    print("prefill charged for the batch", charged);
+    print("prefill charged once", uncharged);
+    BOOST_TEST(charged.calls == uncharged.calls);
+    BOOST_TEST(charged.warm_share > 0.95);
+    BOOST_TEST(charged.warm_share > uncharged.warm_share);
+    BOOST_TEST(charged.prompt_tokens_read < uncharged.prompt_tokens_read * 0.9);
+    BOOST_TEST(charged.p95_end_ms < uncharged.p95_end_ms * 0.75);
+    BOOST_TEST(charged.mean_end_after_burst_ms < uncharged.mean_end_after_burst_ms * 0.75);
+    BOOST_TEST(charged.mean_end_after_burst_ms < 3 * charged.mean_end_before_burst_ms);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
