Admit programs to engines by the congestion that a gateway observes

Change: with load_aware on, a gateway compares the times of its own turns with the least ones lately (median over instances). From twice the least time on it paces first turns at the rate at which turns end, holds them for up to 2 % of the time until their objective or refuses them with 503 and a spread Retry-After, only if calls wait or half of the slots are taken. Turns of programs that the ledger knows are never refused. Organisations beyond their share are refused first.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -1,7 +1,7 @@
 // One attempt of a call at an upstream instance.
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
-#include "gateway/call_run.hpp"
+#include "gateway/call_admission.hpp"
 #include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -52,6 +52,7 @@
     bool unusable = false;  ///< an event was missing or a duplicate
     std::string body;
     event_splitter splitter;
+    stream_times times;
     std::optional<boost::asio::basic_waitable_timer<runtime_clock>>
         silence_timer; ///< runs until the response begins
 };
@@ -139,7 +140,10 @@
         state.body += part;
         co_return state.body.size() <= max_buffered_bytes;
     }
-    for (stream_event& next : split_events(state.splitter, part)) {
+    std::vector<stream_event> events = split_events(state.splitter, part);
+    observe_events(*call, directory::instance_id{call->serving_instance}, state.times, events.size(),
+                   runtime_clock::now());
+    for (stream_event& next : events) {
         const bool in_order = co_await forward_event(call, std::move(next));
         if (!in_order) {
             state.unusable = true;
@@ -379,6 +383,7 @@
     const auto request = std::make_shared<const std::string>(serialise_request(*call, target));
     bool reusable = false;
     const time_point sent_at = runtime_clock::now();
+    state.times.sent_at = sent_at;
     const auto executor = co_await asio::this_coro::executor;
     start_silence_timer(executor, call, connection, target.id, state);
     exchange_result result =
@@ -394,6 +399,9 @@
     const time_point now = runtime_clock::now();
     if (result == exchange_result::complete) {
         update_load(load, state.head.status, state.head.metadata, now);
+        if (state.streaming && !state.unusable) {
+            observe_stream_end(*call, target.id, state.times, now);
+        }
     }
     else if (call->cancellation == cancel_reason::none ||
              (call->cancellation == cancel_reason::deadline && !state.has_head)) {
@@ -407,6 +415,9 @@
         close_connection(*connection);
     }
     const bool was_rejected = state.has_head && state.head.metadata.not_executed;
+    if (was_rejected && state.head.status != misdirected_status) {
+        observe_rejection(*call, now);
+    }
     const bool broke_off =
         result == exchange_result::no_response || result == exchange_result::truncated_body;
     if (broke_off && !was_rejected) {
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -2,7 +2,7 @@
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
-#include "gateway/call_run.hpp"
+#include "gateway/call_admission.hpp"
 #include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -412,7 +412,15 @@
                     (call->route->keeps_turns || call->metadata.budget_tokens > 0);
     if (call->is_turn) {
         cause = co_await open_turn(call);
+        const bool is_open = cause.status == 0;
+        if (is_open) {
+            cause = co_await admit_start(call);
+        }
         if (cause.status != 0) {
+            if (is_open) {
+                forget_program(call->context.state->programs, hash_bytes(call->metadata.program.value));
+                asio::co_spawn(executor, settle_turn(call), asio::detached);
+            }
             if (call->organisation != nullptr && call->organisation->rate > 0) {
                 call->context.state->rate_limiter->return_token(call->organisation->name);
             }
@@ -447,19 +455,6 @@
             {"ms", std::uint64_t(to_ms(runtime_clock::now() - call.started_at))}};
 }
 
-queueing::urgency_inputs make_urgency(const active_call& call, time_point now)
-{
-    queueing::urgency_inputs inputs;
-    inputs.starts_program = call.starts_program;
-    inputs.priority = call.organisation != nullptr && call.organisation->priority
-                          ? *call.organisation->priority
-                          : call.route->priority;
-    if (call.metadata.finish_in) {
-        inputs.finish_in = *call.metadata.finish_in - (now - call.started_at);
-    }
-    return inputs;
-}
-
 void send_to_control(const call_context& context, const wire::envelope& report)
 {
     for (const std::string& endpoint : context.state->control_endpoints) {
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -1,6 +1,7 @@
 // State of a call in progress, and the functions that advance it.
 #pragma once
 
+#include "base/event_type.hpp"
 #include "gateway/call_flow.hpp"
 #include "gateway/event_stream.hpp"
 #include "queueing/urgency_func.hpp"
--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -170,6 +170,9 @@
             co_return refusal{503, "the ledger does not answer", ledger_retry_after};
         }
     }
+    if (opened.spent() > 0 || opened.reserved() > 0) {
+        call->starts_program = false; // other gateways have served turns of the program
+    }
     call->warm_instance = opened.upstream();
     call->ledger_takes_offers = opened.takes_offers();
     co_return refusal{0, "", {}};
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -392,6 +392,16 @@
         true, counters.leaving_instances);
     add("guavawick_gateway_leaving_avoided_total", "Placements kept away from an instance that leaves.", true,
         counters.leaving_avoided);
+    add("guavawick_gateway_starts_refused_total", "Programs refused because their service is overloaded.",
+        true, counters.starts_refused);
+    add("guavawick_gateway_starts_held_total", "Programs held before their first turn.", true,
+        counters.starts_held);
+    add("guavawick_gateway_start_hold_milliseconds_total", "Time for which programs were held.", true,
+        counters.start_hold_ms);
+    add("guavawick_gateway_starts_waiting", "Programs held at present.", false, counters.starts_waiting);
+    add("guavawick_gateway_stretch_percent",
+        "Duration of turns relative to the least one lately, of the service last asked for.", false,
+        counters.stretch_percent);
     add("guavawick_gateway_plan_version", "Version of the plan in force.", false, counters.plan_version);
     add("guavawick_gateway_instances", "Upstream instances in the directory.", false, counters.instances);
 }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -2,6 +2,7 @@
 // the plan and forwards their calls to upstream instances, which announce themselves.
 #pragma once
 
+#include "admission/admission_type.hpp"
 #include "core/fleet_settings.hpp"
 #include "directory/directory_func.hpp"
 #include "directory/leaving_marks.hpp"
@@ -43,6 +44,11 @@
     std::atomic<std::uint64_t> crashes{0}; ///< of upstreams that ran a call of this gateway, by call
     std::atomic<std::uint64_t> leaving_instances{0}; ///< marked by their answers
     std::atomic<std::uint64_t> leaving_avoided{0};   ///< placements that a mark kept away from an instance
+    std::atomic<std::uint64_t> starts_refused{0};
+    std::atomic<std::uint64_t> starts_held{0};
+    std::atomic<std::uint64_t> start_hold_ms{0};   ///< sum over the held starts
+    std::atomic<std::uint64_t> starts_waiting{0};  ///< held at present
+    std::atomic<std::uint64_t> stretch_percent{0}; ///< of the service that was last asked for, 100 when idle
     std::atomic<std::uint64_t> plan_version{0};
     std::atomic<std::uint64_t> instances{0};
 };
@@ -74,6 +80,8 @@
     gateway_counters counters;
     history_cache histories;
     recent_programs programs;
+    std::map<plan::service_name, admission::service_admission>
+        admissions; ///< used if load decides about calls
 };
 
 /// A gateway. Thread safety: start(), stop() and set_seeds() by one thread, the rest is internal.
--- a/src/gateway/program_memory.cpp
+++ b/src/gateway/program_memory.cpp
@@ -25,4 +25,10 @@
     programs.current.insert(program);
 }
 
+void forget_program(recent_programs& programs, std::uint64_t program)
+{
+    programs.current.erase(program);
+    programs.previous.erase(program);
+}
+
 } // namespace guavawick::gateway
--- a/src/gateway/program_memory.hpp
+++ b/src/gateway/program_memory.hpp
@@ -20,5 +20,7 @@
 bool is_recent_program(const recent_programs& programs, std::uint64_t program);
 /// Records that a call of the program was admitted. @param program its hash.
 void record_program(recent_programs& programs, std::uint64_t program, time_point now);
+/// Removes a program whose first call did not run after all. @param program its hash.
+void forget_program(recent_programs& programs, std::uint64_t program);
 
 } // namespace guavawick::gateway
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -134,6 +134,13 @@
         "Log lines of an event were dropped to bound their volume or because standard output was not read."},
     event_row{event::turn_not_stored, "turn_not_stored", severity::warning,
               "A turn was not stored, because a turn that it continues from has expired."},
+    event_row{event::service_congested, "service_congested", severity::info,
+              "Turns of a service take so long that a gateway paces the programs that start there."},
+    event_row{event::service_relieved, "service_relieved", severity::info,
+              "Programs start at a service without a pace again."},
+    event_row{event::start_refused, "start_refused", severity::info,
+              "A program's first turn was refused because its service is overloaded; the fields are the "
+              "decision's inputs."},
     event_row{event::attempt_started, "attempt_started", severity::debug,
               "A sidecar sent an attempt to its upstream."},
     event_row{event::attempt_finished, "attempt_finished", severity::debug,
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -40,7 +40,12 @@
 inline gateway::header_list make_headers(const gateway::header_list& received,
                                          const gateway::upstream_metadata& metadata)
 {
-    return {{"Organisation", metadata.organisation}, {"Call", gateway::find_header(received, "Call")}};
+    gateway::header_list headers{{"Organisation", metadata.organisation},
+                                 {"Call", gateway::find_header(received, "Call")}};
+    if (metadata.priority) {
+        headers.emplace_back("Priority", std::to_string(*metadata.priority));
+    }
+    return headers;
 }
 
 inline gateway::response_metadata read_response(int status, const gateway::header_list& headers)
@@ -85,6 +90,7 @@
     std::atomic<int> calls{0};
     std::string last_body;
     std::string last_organisation;
+    std::string last_priority; ///< empty if the call had none
     std::function<asio::awaitable<void>(http::responder&)> respond;
     std::string address;
     std::unique_ptr<http::server> server;
@@ -94,6 +100,7 @@
         calls.fetch_add(1);
         last_body = request.body;
         last_organisation = request.header("organisation");
+        last_priority = request.header("priority");
         co_await respond(responder);
     }
 };
@@ -146,8 +153,9 @@
     std::unique_ptr<gateway::gateway_process> gateway_server;
     std::uint64_t next_call_number = 1;
 
-    small_fleet()
+    explicit small_fleet(core::fleet_features features = {})
     {
+        common_settings.features = features;
         try {
             start();
         }
--- a/tests/unit/urgency_test.cpp
+++ b/tests/unit/urgency_test.cpp
@@ -1,5 +1,6 @@
 // Order of calls by urgency at an engine.
 #include "queueing/urgency_func.hpp"
+#include "small_fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,6 +8,14 @@
 
 using namespace queueing;
 
+namespace {
+
+struct load_aware_fleet : small_fleet {
+    load_aware_fleet() : small_fleet({.load_aware = true}) { upstream.respond = respond_with_events; }
+};
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(urgency_test)
 
 // Guards against first turns that take the time of running programs, as on the heaviest day of the band
@@ -39,6 +48,29 @@
     BOOST_TEST((classify({true, 0, 99ms, 100ms}) == urgency_class::late));
 }
 
+// Guards against an engine that is not told the urgency, and against first turns that the ledger knows
+// better.
+BOOST_FIXTURE_TEST_CASE(engine_gets_the_urgency_of_each_call, load_aware_fleet)
+{
+    BOOST_TEST(call("POST", "/turn/x", {{"Program", "p"}, {"Call", "t1"}}, "a").status == 200);
+    BOOST_TEST(upstream.last_priority == "3");
+    BOOST_TEST(call("POST", "/turn/x", {{"Program", "p"}, {"Previous", "t1"}}, "b").status == 200);
+    BOOST_TEST(upstream.last_priority == "0");
+    BOOST_TEST(call("POST", "/turn/x", {{"Program", "q"}}, "c").status == 200);
+    BOOST_TEST(upstream.last_priority == "3");
+    BOOST_TEST(call("GET", "/safe/x").status == 200);
+    BOOST_TEST(upstream.last_priority == "0");
+    BOOST_TEST(read_metric("guavawick_gateway_starts_refused_total") == 0);
+}
+
+// Guards against a change of what upstreams get while the switch is off.
+BOOST_FIXTURE_TEST_CASE(engine_is_told_no_urgency_while_the_switch_is_off, small_fleet)
+{
+    upstream.respond = respond_with_events;
+    BOOST_TEST(call("POST", "/turn/x", {{"Program", "p"}}, "a").status == 200);
+    BOOST_TEST(upstream.last_priority.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
