--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -2,6 +2,7 @@
 // the plan and forwards their calls to upstream instances, which announce themselves.
 #pragma once
 
+#include "admission/admission_type.hpp"
 #include "core/fleet_settings.hpp"
 #include "directory/directory_func.hpp"
 #include "directory/leaving_marks.hpp"
@@ -48,6 +49,11 @@
     std::atomic<std::uint64_t> rollout_exposed{0};   ///< attempts at the targets of running rollouts
     std::atomic<std::uint64_t> rollout_target_failures{0};
     std::atomic<std::uint64_t> rollout_leases_lost{0};
+    std::atomic<std::uint64_t> starts_refused{0};
+    std::atomic<std::uint64_t> starts_held{0};
+    std::atomic<std::uint64_t> start_hold_ms{0};   ///< sum over the held starts
+    std::atomic<std::uint64_t> starts_waiting{0};  ///< held at present
+    std::atomic<std::uint64_t> stretch_percent{0}; ///< of the service that was last asked for, 100 when idle
     std::atomic<std::uint64_t> plan_version{0};
     std::atomic<std::uint64_t> instances{0};
 };
@@ -82,6 +88,8 @@
     spent_budgets budgets;
     placing::prefix_memory prefixes; ///< used with features.load_aware
     rollout_state rollouts;
+    std::map<plan::service_name, admission::service_admission>
+        admissions; ///< used if load decides about calls
 };
 
 /// A gateway. Thread safety: start(), stop() and set_seeds() by one thread, the rest is internal.
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -48,6 +48,8 @@
                                  {"Call", gateway::find_header(received, "Call")}};
     if (metadata.resume_after) {
         headers.emplace_back("Last-Event", std::to_string(*metadata.resume_after));
+    if (metadata.priority) {
+        headers.emplace_back("Priority", std::to_string(*metadata.priority));
     }
     return headers;
 }
@@ -100,6 +102,7 @@
     std::atomic<int> calls{0};
     std::string last_body;
     std::string last_organisation;
+    std::string last_priority; ///< empty if the call had none
     std::function<asio::awaitable<void>(http::responder&)> respond;
     std::string address;
     std::unique_ptr<http::server> server;
@@ -109,6 +112,7 @@
         calls.fetch_add(1);
         last_body = request.body;
         last_organisation = request.header("organisation");
+        last_priority = request.header("priority");
         co_await respond(responder);
     }
 };
