--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -421,6 +421,7 @@
         const bool forged = success && !state.head.metadata.signed_by_upstream;
         watch.record_outcome(result != exchange_result::complete || state.unusable || forged ||
                              state.head.status >= min_error_status);
+    }
     if (was_rejected && state.head.status != misdirected_status) {
         observe_rejection(*call, now);
     }
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -2,9 +2,9 @@
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
+#include "gateway/call_admission.hpp"
 #include "gateway/call_run.hpp"
 #include "gateway/prompt_placement.hpp"
-#include "gateway/call_admission.hpp"
 #include "wire.pb.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/gateway/program_memory.cpp
+++ b/src/gateway/program_memory.cpp
@@ -49,6 +49,8 @@
 {
     rotate(budgets, now);
     budgets.current[program] = std::max(tokens, known_spent_tokens(budgets, program));
+}
+
 void forget_program(recent_programs& programs, std::uint64_t program)
 {
     programs.current.erase(program);
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -48,6 +48,7 @@
                                  {"Call", gateway::find_header(received, "Call")}};
     if (metadata.resume_after) {
         headers.emplace_back("Last-Event", std::to_string(*metadata.resume_after));
+    }
     if (metadata.priority) {
         headers.emplace_back("Priority", std::to_string(*metadata.priority));
     }
