--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -56,6 +56,8 @@
     std::atomic<std::uint64_t> stretch_percent{0}; ///< of the service that was last asked for, 100 when idle
     std::atomic<std::uint64_t> plan_version{0};
     std::atomic<std::uint64_t> instances{0};
+    std::atomic<std::uint64_t> slowest_percent{100}; ///< learned slowness of the slowest candidate
+    std::atomic<std::uint64_t> report_age_ms{0};     ///< mean age of the candidates' load reports
 };
 
 /// State of a gateway. Thread safety: the gateway's thread only. One thread suffices, as a gateway is
@@ -86,7 +88,8 @@
     history_cache histories;
     recent_programs programs;
     spent_budgets budgets;
-    placing::prefix_memory prefixes; ///< used with features.load_aware
+    placing::prefix_memory prefixes;                     ///< used with features.load_aware
+    std::map<std::string, load::service_timing> timings; ///< by service; used with features.load_aware
     rollout_state rollouts;
     std::map<plan::service_name, admission::service_admission>
         admissions; ///< used if load decides about calls
