--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -15,7 +15,10 @@
 /// Behaviour that only some deployments enable.
 struct fleet_features {
     bool rollouts = false;   ///< operators may order rollouts of upstream versions
-    bool load_aware = false; ///< placement by learned speed and caches; calls wait in order of urgency
+    bool load_aware = false; ///< placement by cached prompts; programs start as the load allows
+    /// Placement by learned speed, pace and memory, and by the mean where an instance was not heard lately. No
+    /// deployment enables it yet, as it was not measured on a full system.
+    bool learned_load = false;
 };
 
 /// Limits on what a rollout may expose callers to.
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -29,7 +29,6 @@
 constexpr std::size_t max_buffered_bytes =
     8U << 20U; ///< of a response that is not a stream, and of the events of a turn that is kept
 constexpr int min_error_status = 500; ///< from here on, statuses report errors of the upstream
-constexpr int misdirected_status = 421;
 
 /// @return the headers of an upstream's response that are forwarded to the caller.
 header_list filter_response_headers(const header_list& headers)
@@ -248,44 +247,6 @@
     });
 }
 
-/// Marks the instance that sent an answer as leaving, if the answer says so, and reports that to control.
-/// Only answers with the id of a request that was sent to the instance count: other bytes may come from
-/// anywhere.
-void note_leaving(const call_context& context, const directory::instance_record& target,
-                  const response_head& head)
-{
-    if (!head.metadata.leaving) {
-        return;
-    }
-    gateway_state& state = *context.state;
-    directory::instance_record sender = target;
-    if (head.status == misdirected_status) {
-        // Another instance has the address now.
-        const auto found = std::find_if(
-            state.instances.instances.begin(), state.instances.instances.end(), [&target](const auto& entry) {
-                return entry.second.address == target.address && entry.second.id != target.id &&
-                       entry.second.state == directory::instance_state::serving;
-            });
-        if (found == state.instances.instances.end()) {
-            return;
-        }
-        sender = found->second;
-    }
-    if (!directory::mark_leaving(state.leaving, sender.id, sender.started_ms)) {
-        return;
-    }
-    state.counters.leaving_instances.fetch_add(1);
-    log_event(event::instance_leaving, {{"instance", sender.id.value},
-                                        {"address", sender.address},
-                                        {"started_ms", sender.started_ms},
-                                        {"status", std::uint64_t(head.status)}});
-    wire::envelope report;
-    wire::leaving_record* record = report.mutable_directory()->add_leaving();
-    record->set_id(sender.id.value);
-    record->set_started_ms(sender.started_ms);
-    send_to_control(context, report);
-}
-
 /// @param status of the response, 0 if there was none.
 void log_failed_attempt(const active_call& call, const directory::instance_record& target, const char* reason,
                         int status)
@@ -413,9 +374,9 @@
     sink.on_authentic_head = [call, target](const response_head& head) {
         note_leaving(call->context, target, head);
     };
-    const bool load_aware = gateway.settings.features.load_aware;
-    sink.on_head = [call, &state, &load, load_aware](const response_head& head) {
-        if (load_aware && head.metadata.has_load) {
+    const bool learned_load = gateway.settings.features.learned_load;
+    sink.on_head = [call, &state, &load, learned_load](const response_head& head) {
+        if (learned_load && head.metadata.has_load) {
             const time_point received_at = runtime_clock::now();
             record_report(load, head.metadata, received_at);
             if (head.metadata.pace_percent) {
@@ -453,12 +414,12 @@
     if (result == exchange_result::complete) {
         response_metadata metadata = state.head.metadata;
         // The head's report is as old as the response took, and was taken over when the head arrived.
-        metadata.has_load = metadata.has_load && !load_aware;
+        metadata.has_load = metadata.has_load && !learned_load;
         update_load(load, state.head.status, metadata, now);
         if (state.streaming && !state.unusable) {
             observe_stream_end(*call, target.id, state.times, now);
         }
-        if (load_aware) {
+        if (learned_load) {
             learn_speed(*call, load, state, sent_at, now);
         }
     }
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -10,6 +10,8 @@
 
 namespace guavawick::gateway {
 
+constexpr int misdirected_status = 421; ///< another instance has the address and did not execute the call
+
 /// Response of the gateway's own when a call is refused or fails. Status 0 stands for no refusal.
 struct refusal {
     int status = 503;
@@ -74,9 +76,17 @@
 
 /// @return what decides about the urgency of an admitted call at this time.
 queueing::urgency_inputs make_urgency(const active_call& call, time_point now);
+/// Chooses the instance for the next attempt.
+/// @return a copy of its record; the id is empty if no instance is available.
+directory::instance_record choose_instance(active_call& call);
 /// Runs one attempt of a call. @param instance where the attempt is sent.
 boost::asio::awaitable<attempt_result> run_attempt(std::shared_ptr<active_call> call,
                                                    const directory::instance_record& instance);
+/// Marks the instance that sent an answer as leaving, if the answer says so, and reports that to control.
+/// Only answers with the id of a request that was sent to the instance count: other bytes may come from
+/// anywhere.
+void note_leaving(const call_context& context, const directory::instance_record& target,
+                  const response_head& head);
 /// Sends the caller a response that was read completely.
 boost::asio::awaitable<void> forward_response(std::shared_ptr<active_call> call, upstream_response response);
 /// Waits until the number of ledger groups is known from control.
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -89,7 +89,7 @@
     recent_programs programs;
     spent_budgets budgets;
     placing::prefix_memory prefixes;                     ///< used with features.load_aware
-    std::map<std::string, load::service_timing> timings; ///< by service; used with features.load_aware
+    std::map<std::string, load::service_timing> timings; ///< by service; used with features.learned_load
     rollout_state rollouts;
     std::map<plan::service_name, admission::service_admission>
         admissions; ///< used if load decides about calls
--- a/src/placing/placing_func.cpp
+++ b/src/placing/placing_func.cpp
@@ -127,7 +127,7 @@
     double running = load.own_running;
     double waiting = 0;
     double calls_over_memory = 0;
-    if (request.load_aware) {
+    if (request.learned_load) {
         const double weight = report_weight(load, costs, now);
         const double others = weight * reported_by_others(load) + (1 - weight) * typical.running;
         running += others;
@@ -144,12 +144,15 @@
     const double model_running_ms = is_new_line ? costs.model_new_line_running_ms : costs.model_running_ms;
     double cost = request.model ? running * model_running_ms + waiting * costs.model_waiting_ms
                                 : running * costs.service_running_ms + waiting * costs.service_waiting_ms;
+    double failure_ms = costs.error_ms;
     if (request.model) {
-        const double prefill_ms = static_cast<double>(uncached_tokens) / costs.prefill_tokens_per_ms;
         const double delayed_calls = request.load_aware ? running * costs.prefill_batch_share : 0;
-        cost += prefill_ms * (1 + delayed_calls);
+        const double ms_per_token = (1 + delayed_calls) / costs.prefill_tokens_per_ms;
+        cost += static_cast<double>(uncached_tokens) * ms_per_token;
+        // A call that fails reads its whole prompt elsewhere, so a warm engine that fails its calls is left.
+        failure_ms += request.load_aware ? static_cast<double>(request.prompt_tokens) * ms_per_token : 0;
     }
-    if (request.load_aware) {
+    if (request.learned_load) {
         const double duration_factor = guavawick::load::recent_slowness(load.timing, costs.speed, now) *
                                        guavawick::load::recent_pace(load.timing, costs.speed, now);
         cost = (cost + (request.model ? costs.model_call_ms : costs.service_call_ms)) * duration_factor;
@@ -157,7 +160,7 @@
     if (instance.record->data_centre != request.own_data_centre) {
         cost += request.model ? costs.model_other_data_centre_ms : costs.service_other_data_centre_ms;
     }
-    cost += recent_error_rate(load, now) * costs.error_ms;
+    cost += recent_error_rate(load, now) * failure_ms;
     if (load.suspect_until > now) {
         cost += costs.suspect_ms;
     }
@@ -170,7 +173,7 @@
     const int preferred_index =
         request.model && request.cached_tokens.empty() ? find_preferred(candidates, request) : -1;
     const typical_load typical =
-        request.load_aware ? estimate_typical_load(candidates, costs, now) : typical_load{};
+        request.learned_load ? estimate_typical_load(candidates, costs, now) : typical_load{};
     int best_index = -1;
     double best_cost = 0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
--- a/src/placing/placing_func.hpp
+++ b/src/placing/placing_func.hpp
@@ -14,7 +14,7 @@
 /// Estimates the cost of running a call at an instance: its expected delay in milliseconds, without the parts
 /// that are the same at every instance.
 /// @param uncached_tokens prompt tokens that the instance has to read.
-/// @param typical replaces outdated reports with features.load_aware.
+/// @param typical replaces outdated reports with features.learned_load.
 double estimate_cost(const candidate& instance, const placement_request& request,
                      const placement_costs& costs, std::uint64_t uncached_tokens, const typical_load& typical,
                      time_point now);
--- a/src/placing/placing_type.hpp
+++ b/src/placing/placing_type.hpp
@@ -28,7 +28,7 @@
     time_point error_rate_at{};
     double cold_tokens = 0; ///< calls that this gateway may send to it while it is cold
     time_point cold_refilled_at{};
-    load::instance_timing timing; ///< kept with features.load_aware
+    load::instance_timing timing; ///< kept with features.learned_load
     std::uint64_t own_tokens = 0; ///< memory tokens of this gateway's calls there, without shared prefixes
 };
 
@@ -48,6 +48,7 @@
 struct placement_request {
     bool model = false;                     ///< runs on an engine with a prompt cache
     bool load_aware = false;                ///< features.load_aware
+    bool learned_load = false;              ///< features.learned_load
     std::string affinity_key;               ///< calls with the same key share a cached prompt
     std::string warm_instance;              ///< instance that ran the previous turn; empty if unknown
     std::uint64_t prompt_tokens = 0;        ///< length of the whole prompt
@@ -83,7 +84,7 @@
     double error_ms = 2000; ///< a failed call: its duration, the callers' backoff of up to 400 ms and the
                             ///< risk of a later call
     double suspect_ms = 100'000;  ///< a suspected instance: chosen only if there is no other
-    duration max_report_age = 1s; ///< older load reports are ignored without features.load_aware
+    duration max_report_age = 1s; ///< older load reports are ignored without features.learned_load
     /// With it, the weight of an older report halves in this time. A gateway hears from an engine about every
     /// 2 to 4 s.
     duration report_half_life = 1s;
--- a/tests/unit/engine_world.cpp
+++ b/tests/unit/engine_world.cpp
@@ -184,6 +184,7 @@
         placement_request request;
         request.model = true;
         request.load_aware = settings_.by_prefix;
+        request.learned_load = settings_.by_prefix;
         request.affinity_key = call.owner->program;
         request.warm_instance = call.owner->warm_instance;
         request.prompt_tokens = static_cast<std::uint64_t>(call.prompt_tokens);
--- a/tests/unit/placing_test.cpp
+++ b/tests/unit/placing_test.cpp
@@ -160,6 +160,7 @@
     request.own_data_centre = {};
     BOOST_TEST(cost_of(3) < cost_of(0)); // without the feature an unheard engine counts as idle
     request.load_aware = true;
+    request.learned_load = true;
     const double idle = estimate_cost(candidates[3], request, costs, 0, typical_load{}, now);
     BOOST_TEST(cost_of(3) > idle);
     BOOST_TEST(cost_of(3) < cost_of(0)); // it should be tried, or it would never be heard
@@ -179,6 +180,7 @@
 BOOST_FIXTURE_TEST_CASE(engine_whose_memory_is_taken_counts_as_full_although_it_has_free_slots, four_engines)
 {
     request.load_aware = true;
+    request.learned_load = true;
     request.warm_instance = "i3";
     request.memory_tokens = 130'000;
     loads[3].own_running = 5;
@@ -190,10 +192,27 @@
     BOOST_TEST(choose_id() == "i3");
 }
 
+// Guards against a warm engine that keeps the turns of a long history although it fails them.
+BOOST_FIXTURE_TEST_CASE(warm_engine_that_fails_its_calls_loses_them, four_engines)
+{
+    request.load_aware = true;
+    request.warm_instance = "i3";
+    request.prompt_tokens = 8000;
+    request.cached_tokens = {0, 0, 0, 8000};
+    for (auto& [index, load] : loads) {
+        load.own_running = 20;
+    }
+    BOOST_TEST(choose_id() == "i3");
+    loads[3].error_rate = 0.95;
+    loads[3].error_rate_at = now;
+    BOOST_TEST(choose_id() != "i3");
+}
+
 // Guards against a slow engine that is avoided forever, or not at all.
 BOOST_FIXTURE_TEST_CASE(slow_engine_is_avoided_and_tried_again_after_some_seconds, four_engines)
 {
     request.load_aware = true;
+    request.learned_load = true;
     request.warm_instance = "i3";
     loads[3].timing.log_slowness = 2;
     loads[3].timing.slowness_at = now;
@@ -205,7 +224,7 @@
     BOOST_TEST(choose_id() != "i3");
     now += 2s;
     BOOST_TEST(choose_id() == "i3");
-    request.load_aware = false;
+    request.learned_load = false;
     loads[3].timing.log_slowness = 3;
     loads[3].timing.slowness_at = now;
     BOOST_TEST(choose_id() == "i3");
