Complete a rollout to the accepted version at once

Cause: after a rollout that was rolled back, a request for the version of the last completed rollout made it its own baseline, so no old version was accepted and calls got 503.

--- a/src/rollout/rollout_func.cpp
+++ b/src/rollout/rollout_func.cpp
@@ -50,6 +50,10 @@
         }
         next.rejected.erase(target);
     }
+    // The calls go to this version already. As its own baseline, it would leave no old version for them.
+    if (!next.baseline.empty() && target == next.baseline) {
+        next.current = stage::completed;
+    }
     next.service = service;
     next.target = target;
     next.length = length;
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -250,6 +250,48 @@
     BOOST_TEST(!accepts_version(table.at("s"), false, "v3"));
 }
 
+// Guards against a rollout that leaves no version for the calls that don't go to its target: one to the
+// version of the last completed rollout after another one was rolled back.
+RC_BOOST_PROP(calls_have_an_old_version_until_a_rollout_is_completed, (std::vector<std::uint8_t> commands))
+{
+    record_table table;
+    std::uint64_t revision = 1;
+    for (const std::uint8_t command : commands) {
+        const std::string target = "v" + std::to_string(1 + command % 3);
+        const bool good = command / 3 % 2 == 0;
+        start(table, "s", target, 12s, ++revision);
+        const std::uint64_t number = table.at("s").number;
+        for (const stage next : {stage::probing, stage::switching,
+                                 good ? stage::completed : stage::rolling_back, stage::rolled_back}) {
+            change_stage(table, "s", number, next, ++revision);
+            const record& rollout = table.at("s");
+            const bool accepted =
+                accepts_version(rollout, false, "v0") || accepts_version(rollout, false, "v1") ||
+                accepts_version(rollout, false, "v2") || accepts_version(rollout, false, "v3");
+            RC_ASSERT(rollout.current == stage::completed || accepted);
+        }
+    }
+}
+
+// Guards against a return to the accepted version that is reported as anything but completed.
+BOOST_AUTO_TEST_CASE(rollout_to_the_version_in_use_is_completed_at_once)
+{
+    record_table table;
+    start(table, "s", "v2", 12s, 5);
+    change_stage(table, "s", 5, stage::switching, 6);
+    change_stage(table, "s", 5, stage::completed, 7);
+    start(table, "s", "v3", 12s, 8);
+    change_stage(table, "s", 8, stage::rolling_back, 9);
+    change_stage(table, "s", 8, stage::rolled_back, 10);
+    BOOST_TEST((start(table, "s", "v2", 12s, 11) == start_result::started));
+    BOOST_TEST((table.at("s").current == stage::completed));
+    BOOST_TEST(accepts_version(table.at("s"), true, "v2"));
+    BOOST_TEST((start(table, "s", "v2", 12s, 12) == start_result::repeated));
+    BOOST_TEST((start(table, "s", "v4", 12s, 13) == start_result::started));
+    BOOST_TEST(accepts_version(table.at("s"), false, "v2"));
+    BOOST_TEST(!accepts_version(table.at("s"), false, "v3"));
+}
+
 BOOST_AUTO_TEST_CASE(only_the_completed_version_is_the_old_one_of_the_next_rollout)
 {
     record_table table;
