Apply an address's share of the byte budget only when others need the reserve

Cause: a second request of 4 MiB from one address, or one beside 3 MB, got 429 on a gateway of 88 MB although half of its budget was free. Change: the share applies once the last quarter of the budget is needed and is at least one largest request; the smallest budget holds two. struct victim is named eviction_candidate.

--- a/src/http/byte_budget.cpp
+++ b/src/http/byte_budget.cpp
@@ -9,9 +9,12 @@
 
 constexpr duration progress_window = std::chrono::seconds(1);
 constexpr std::uint64_t memory_divisor = 4;
-constexpr std::uint64_t min_total = 12U << 20U; ///< one request of 4 MiB and its copy for the upstream
+constexpr std::uint64_t reserve_divisor = 4; ///< share of the budget that is kept for other addresses
+constexpr std::uint64_t largest_request =
+    (8U << 20U) + (16U << 10U); ///< a body of 4 MiB, its copy for the upstream and a read buffer
+constexpr std::uint64_t min_total = 2 * largest_request; ///< the largest request of each of two addresses
 
-struct victim {
+struct eviction_candidate {
     double rate = 0;
     std::uint64_t id = 0;
 };
@@ -28,10 +31,10 @@
 }
 
 /// @return slow transfers except `id`, the slowest first. @param address empty for those of all addresses.
-std::vector<victim> find_slow_transfers(const byte_budget& budget, std::uint64_t id,
-                                        const std::string& address, time_point now)
+std::vector<eviction_candidate> find_slow_transfers(const byte_budget& budget, std::uint64_t id,
+                                                    const std::string& address, time_point now)
 {
-    std::vector<victim> found;
+    std::vector<eviction_candidate> found;
     for (const auto& [other_id, lease] : budget.leases) {
         const bool concerned = other_id != id && lease.in_transfer && lease.bytes > 0 &&
                                (address.empty() || lease.address == address) &&
@@ -41,9 +44,10 @@
             found.push_back({rate, other_id});
         }
     }
-    std::sort(found.begin(), found.end(), [](const victim& left, const victim& right) {
-        return left.rate != right.rate ? left.rate < right.rate : left.id < right.id;
-    });
+    std::sort(found.begin(), found.end(),
+              [](const eviction_candidate& left, const eviction_candidate& right) {
+                  return left.rate != right.rate ? left.rate < right.rate : left.id < right.id;
+              });
     return found;
 }
 
@@ -52,19 +56,19 @@
 bool free_bytes(byte_budget& budget, std::uint64_t id, const std::string& address, std::uint64_t excess,
                 bool partial, time_point now, std::vector<std::uint64_t>& given_up)
 {
-    const std::vector<victim> victims = find_slow_transfers(budget, id, address, now);
+    const std::vector<eviction_candidate> candidates = find_slow_transfers(budget, id, address, now);
     std::uint64_t available = 0;
     std::size_t count = 0;
-    while (count < victims.size() && available < excess) {
-        available += budget.leases.at(victims[count].id).bytes;
+    while (count < candidates.size() && available < excess) {
+        available += budget.leases.at(candidates[count].id).bytes;
         ++count;
     }
     if (available < excess && !partial) {
         return false;
     }
     for (std::size_t i = 0; i < count; ++i) {
-        given_up.push_back(victims[i].id);
-        close_lease(budget, victims[i].id);
+        given_up.push_back(candidates[i].id);
+        close_lease(budget, candidates[i].id);
     }
     return available >= excess;
 }
@@ -120,7 +124,9 @@
         const auto by_address = budget.used_by_address.find(lease.address);
         const std::uint64_t address_bytes =
             extra + (by_address == budget.used_by_address.end() ? 0 : by_address->second);
-        if (address_bytes > budget.limits.per_address &&
+        const std::uint64_t reserve = budget.limits.total / reserve_divisor;
+        const bool needs_reserve = budget.used + extra > budget.limits.total - reserve;
+        if (needs_reserve && address_bytes > budget.limits.per_address &&
             !free_bytes(budget, id, lease.address, address_bytes - budget.limits.per_address, false, now,
                         decision.given_up)) {
             decision.answer = byte_answer::share_used;
@@ -167,7 +173,7 @@
     if (memory_limit > 0) {
         limits.total = std::max(memory_limit / memory_divisor, min_total);
     }
-    limits.per_address = limits.total / 2;
+    limits.per_address = std::max(limits.total / 2, largest_request);
     return limits;
 }
 
--- a/src/http/byte_budget.hpp
+++ b/src/http/byte_budget.hpp
@@ -14,7 +14,8 @@
 /// Limits of a byte budget.
 struct byte_limits {
     std::uint64_t total = 128U << 20U;      ///< bytes held by all connections
-    std::uint64_t per_address = 64U << 20U; ///< bytes held by the connections of one address
+    std::uint64_t per_address = 64U << 20U; ///< bytes held by the connections of one
+                                            ///< address once the last quarter is needed
     std::uint64_t min_rate = 64U << 10U;    ///< bytes a second; slower transfers are given up under pressure
     duration grace =
         std::chrono::seconds(1); ///< a younger transfer is not given up; its rate isn't known yet
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -84,6 +84,29 @@
     BOOST_TEST((resize_lease(budget, other, 400, start).answer == byte_answer::granted));
 }
 
+// An address that is the only one in use was refused at half of the budget of the smallest gateway.
+BOOST_AUTO_TEST_CASE(share_applies_only_when_the_reserve_for_other_addresses_is_needed)
+{
+    byte_budget budget;
+    budget.limits = derive_byte_limits(88'000'000);
+    const std::uint64_t held = open_lease(budget, "a", start);
+    const std::uint64_t large = open_lease(budget, "a", start);
+    const std::uint64_t excess = open_lease(budget, "a", start);
+    const std::uint64_t other = open_lease(budget, "b", start);
+    BOOST_TEST((resize_lease(budget, held, 3'000'000, start).answer == byte_answer::granted));
+    BOOST_TEST((resize_lease(budget, large, 8'404'992, start).answer == byte_answer::granted));
+    BOOST_TEST((resize_lease(budget, excess, 8'404'992, start).answer == byte_answer::share_used));
+    BOOST_TEST((resize_lease(budget, other, 8'404'992, start).answer == byte_answer::granted));
+}
+
+// The smallest budget has room for the largest request of each of two addresses.
+BOOST_AUTO_TEST_CASE(smallest_budget_holds_the_largest_requests_of_two_addresses)
+{
+    const byte_limits limits = derive_byte_limits(1'000'000);
+    BOOST_TEST(limits.per_address >= 8'404'992U);
+    BOOST_TEST(limits.total >= 2U * 8'404'992U);
+}
+
 // A request of the largest size must be served when the load is low, however small the budget is.
 BOOST_AUTO_TEST_CASE(request_alone_is_granted)
 {
