Give up no transfer for a share when the budget refuses the request

Cause: transfers were closed for the address's share before the whole budget was checked, which could still refuse. Change: both checks precede the first close.

--- a/src/http/byte_budget.cpp
+++ b/src/http/byte_budget.cpp
@@ -51,26 +51,30 @@
     return found;
 }
 
-/// Gives up slow transfers until `excess` bytes are free. @param partial whether to do so if that is not
-/// reached. @return whether it was reached.
-bool free_bytes(byte_budget& budget, std::uint64_t id, const std::string& address, std::uint64_t excess,
-                bool partial, time_point now, std::vector<std::uint64_t>& given_up)
+/// @return bytes that slow transfers except `id` hold. @param address empty for those of all addresses.
+std::uint64_t count_slow_bytes(const byte_budget& budget, std::uint64_t id, const std::string& address,
+                               time_point now)
 {
-    const std::vector<eviction_candidate> candidates = find_slow_transfers(budget, id, address, now);
-    std::uint64_t available = 0;
-    std::size_t count = 0;
-    while (count < candidates.size() && available < excess) {
-        available += budget.leases.at(candidates[count].id).bytes;
-        ++count;
+    std::uint64_t bytes = 0;
+    for (const eviction_candidate& candidate : find_slow_transfers(budget, id, address, now)) {
+        bytes += budget.leases.at(candidate.id).bytes;
     }
-    if (available < excess && !partial) {
-        return false;
-    }
-    for (std::size_t i = 0; i < count; ++i) {
-        given_up.push_back(candidates[i].id);
-        close_lease(budget, candidates[i].id);
+    return bytes;
+}
+
+/// Gives up slow transfers until `excess` bytes are free or none is left.
+void free_bytes(byte_budget& budget, std::uint64_t id, const std::string& address, std::uint64_t excess,
+                time_point now, std::vector<std::uint64_t>& given_up)
+{
+    std::uint64_t freed = 0;
+    for (const eviction_candidate& candidate : find_slow_transfers(budget, id, address, now)) {
+        if (freed >= excess) {
+            return;
+        }
+        freed += budget.leases.at(candidate.id).bytes;
+        given_up.push_back(candidate.id);
+        close_lease(budget, candidate.id);
     }
-    return available >= excess;
 }
 
 } // namespace
@@ -126,18 +130,25 @@
             extra + (by_address == budget.used_by_address.end() ? 0 : by_address->second);
         const std::uint64_t reserve = budget.limits.total / reserve_divisor;
         const bool needs_reserve = budget.used + extra > budget.limits.total - reserve;
-        if (needs_reserve && address_bytes > budget.limits.per_address &&
-            !free_bytes(budget, id, lease.address, address_bytes - budget.limits.per_address, false, now,
-                        decision.given_up)) {
+        const std::uint64_t share_excess = needs_reserve && address_bytes > budget.limits.per_address
+                                               ? address_bytes - budget.limits.per_address
+                                               : 0;
+        if (share_excess > 0 && count_slow_bytes(budget, id, lease.address, now) < share_excess) {
             decision.answer = byte_answer::share_used;
             return decision;
         }
+        // Checked before any transfer gives way for the share, which would be in vain.
         if (budget.used + extra > budget.limits.total &&
-            !free_bytes(budget, id, "", budget.used + extra - budget.limits.total, false, now,
-                        decision.given_up)) {
+            count_slow_bytes(budget, id, "", now) < budget.used + extra - budget.limits.total) {
             decision.answer = byte_answer::budget_used;
             return decision;
         }
+        if (share_excess > 0) {
+            free_bytes(budget, id, lease.address, share_excess, now, decision.given_up);
+        }
+        if (budget.used + extra > budget.limits.total) {
+            free_bytes(budget, id, "", budget.used + extra - budget.limits.total, now, decision.given_up);
+        }
     }
     set_bytes(budget, lease, bytes);
     return decision;
@@ -153,7 +164,7 @@
     }
     set_bytes(budget, found->second, bytes);
     if (budget.used > budget.limits.total) {
-        free_bytes(budget, id, "", budget.used - budget.limits.total, true, now, decision.given_up);
+        free_bytes(budget, id, "", budget.used - budget.limits.total, now, decision.given_up);
     }
     return decision;
 }
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -107,6 +107,22 @@
     BOOST_TEST(limits.total >= 2U * 8'404'992U);
 }
 
+// A transfer that gave way for the share was lost although the budget refused the request afterwards.
+BOOST_AUTO_TEST_CASE(nothing_is_given_up_for_the_share_if_the_budget_refuses)
+{
+    byte_budget budget = make_budget(1000, 500);
+    const std::uint64_t slow = open_lease(budget, "a", start);
+    const std::uint64_t other = open_lease(budget, "b", start);
+    resize_lease(budget, slow, 100, start);
+    force_lease(budget, other, 900, start);
+    budget.leases.at(other).in_transfer = false;
+    const std::uint64_t next = open_lease(budget, "a", start + 4s);
+    const byte_decision decision = resize_lease(budget, next, 450, start + 4s);
+    BOOST_TEST((decision.answer == byte_answer::budget_used));
+    BOOST_TEST(decision.given_up.empty());
+    BOOST_TEST(budget.leases.count(slow) == 1U);
+}
+
 // A request of the largest size must be served when the load is low, however small the budget is.
 BOOST_AUTO_TEST_CASE(request_alone_is_granted)
 {
