Cap the capacity of a chunked body at the body limit and the read buffer

Cause: doubling reserved up to twice max_body_bytes for a chunked body of legal size. Change: next_body_capacity() caps the growth; both servers pass their body limit.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -134,6 +134,7 @@
 {
     http::read_limits limits;
     limits.max_header_bytes = server.limits.max_header_bytes;
+    limits.max_body_bytes = server.limits.max_body_bytes;
     limits.idle_timeout = server.limits.idle_timeout;
     limits.header_timeout = server.limits.header_timeout;
     limits.body_timeout = body_timeout;
--- a/src/http/byte_budget.cpp
+++ b/src/http/byte_budget.cpp
@@ -178,6 +178,11 @@
     }
 }
 
+std::uint64_t next_body_capacity(std::uint64_t capacity, std::uint64_t needed, std::uint64_t limit)
+{
+    return std::max(needed, std::min(std::max(2 * capacity, 2 * needed), limit));
+}
+
 byte_limits derive_byte_limits(std::uint64_t memory_limit)
 {
     byte_limits limits;
--- a/src/http/byte_budget.hpp
+++ b/src/http/byte_budget.hpp
@@ -73,6 +73,11 @@
 /// Removes a lease. Has no effect on a lease that was given up.
 void close_lease(byte_budget& budget, std::uint64_t id);
 
+/// @param capacity of the body so far. @param needed bytes of the body and the read buffer.
+/// @return capacity to allocate for a body of unknown length: twice what is needed, at most `limit`, but not
+/// less than `needed`.
+std::uint64_t next_body_capacity(std::uint64_t capacity, std::uint64_t needed, std::uint64_t limit);
+
 /// @param memory_limit of the process in bytes, 0 if unknown. @return limits of its budget: a quarter of the
 /// memory, since a control replica and a gateway may share a machine of 88 MB.
 byte_limits derive_byte_limits(std::uint64_t memory_limit);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -277,6 +277,7 @@
 {
     read_limits limits;
     limits.max_header_bytes = state.limits.max_header_bytes;
+    limits.max_body_bytes = state.limits.max_body_bytes;
     limits.idle_timeout =
         state.draining.load() ? duration{std::chrono::milliseconds(1)} : state.limits.idle_timeout;
     limits.header_timeout = state.limits.header_timeout;
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -70,13 +70,15 @@
 }
 
 /// Makes room for what the buffer holds of a body of unknown length.
-read_outcome reserve_chunked_body(const beast::flat_buffer& buffer, std::string& body, memory_lease& lease)
+read_outcome reserve_chunked_body(const beast::flat_buffer& buffer, std::string& body,
+                                  std::uint64_t max_body_bytes, memory_lease& lease)
 {
     const std::size_t needed = body.size() + buffer.size();
     if (needed <= body.capacity() || needed <= free_bytes) {
         return read_outcome::complete;
     }
-    const std::size_t capacity = std::max<std::size_t>(2 * body.capacity(), 2 * needed);
+    const std::size_t capacity =
+        next_body_capacity(body.capacity(), needed, max_body_bytes + buffer.max_size());
     // While the body moves, the old and the new allocation are less than two new ones.
     const byte_answer answer = lease.resize(body_read_bytes + bytes_of_body(capacity));
     if (answer == byte_answer::granted) {
@@ -198,7 +200,8 @@
     while (true) {
         if (buffer.size() > 0) {
             if (chunked) {
-                const read_outcome room = reserve_chunked_body(buffer, parser.get().body(), lease);
+                const read_outcome room =
+                    reserve_chunked_body(buffer, parser.get().body(), limits.max_body_bytes, lease);
                 if (room != read_outcome::complete) {
                     co_return room;
                 }
--- a/src/http/request_reader.hpp
+++ b/src/http/request_reader.hpp
@@ -15,6 +15,7 @@
 /// Limits of reading a request.
 struct read_limits {
     std::uint64_t max_header_bytes = 16U << 10U;
+    std::uint64_t max_body_bytes = 4U << 20U;
     duration idle_timeout = std::chrono::seconds(15);  ///< until the first byte of a request
     duration header_timeout = std::chrono::seconds(3); ///< from the first read to the end of the header
     duration body_timeout = std::chrono::seconds(30);  ///< from the end of the header to the end of the body
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -123,6 +123,14 @@
     BOOST_TEST(budget.leases.count(slow) == 1U);
 }
 
+// Doubling took a chunked body of legal size to twice the bytes that a body may have.
+BOOST_AUTO_TEST_CASE(capacity_of_a_chunked_body_stays_under_its_limit)
+{
+    BOOST_TEST(next_body_capacity(0, 20'000, 4'214'784) == 40'000U);
+    BOOST_TEST(next_body_capacity(3'000'000, 3'000'001, 4'214'784) == 4'214'784U);
+    BOOST_TEST(next_body_capacity(0, 4'300'000, 4'214'784) == 4'300'000U);
+}
+
 // A request of the largest size must be served when the load is low, however small the budget is.
 BOOST_AUTO_TEST_CASE(request_alone_is_granted)
 {
