--- a/src/http/byte_budget.hpp
+++ b/src/http/byte_budget.hpp
@@ -14,7 +14,8 @@
 /// Limits of a byte budget.
 struct byte_limits {
     std::uint64_t total = 128U << 20U;      ///< bytes held by all connections
-    std::uint64_t per_address = 64U << 20U; ///< bytes held by the connections of one address
+    std::uint64_t per_address = 64U << 20U; ///< bytes held by the connections of one
+                                            ///< address once the last quarter is needed
     std::uint64_t min_rate = 64U << 10U;    ///< bytes a second; slower transfers are given up under pressure
     duration grace =
         std::chrono::seconds(1); ///< a younger transfer is not given up; its rate isn't known yet
@@ -72,6 +73,11 @@
 /// Removes a lease. Has no effect on a lease that was given up.
 void close_lease(byte_budget& budget, std::uint64_t id);
 
+/// @param capacity of the body so far. @param needed bytes of the body and the read buffer.
+/// @return capacity to allocate for a body of unknown length: twice what is needed, at most `limit`, but not
+/// less than `needed`.
+std::uint64_t next_body_capacity(std::uint64_t capacity, std::uint64_t needed, std::uint64_t limit);
+
 /// @param memory_limit of the process in bytes, 0 if unknown. @return limits of its budget: a quarter of the
 /// memory, since a control replica and a gateway may share a machine of 88 MB.
 byte_limits derive_byte_limits(std::uint64_t memory_limit);
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -84,6 +84,53 @@
     BOOST_TEST((resize_lease(budget, other, 400, start).answer == byte_answer::granted));
 }
 
+// An address that is the only one in use was refused at half of the budget of the smallest gateway.
+BOOST_AUTO_TEST_CASE(share_applies_only_when_the_reserve_for_other_addresses_is_needed)
+{
+    byte_budget budget;
+    budget.limits = derive_byte_limits(88'000'000);
+    const std::uint64_t held = open_lease(budget, "a", start);
+    const std::uint64_t large = open_lease(budget, "a", start);
+    const std::uint64_t excess = open_lease(budget, "a", start);
+    const std::uint64_t other = open_lease(budget, "b", start);
+    BOOST_TEST((resize_lease(budget, held, 3'000'000, start).answer == byte_answer::granted));
+    BOOST_TEST((resize_lease(budget, large, 8'404'992, start).answer == byte_answer::granted));
+    BOOST_TEST((resize_lease(budget, excess, 8'404'992, start).answer == byte_answer::share_used));
+    BOOST_TEST((resize_lease(budget, other, 8'404'992, start).answer == byte_answer::granted));
+}
+
+// The smallest budget has room for the largest request of each of two addresses.
+BOOST_AUTO_TEST_CASE(smallest_budget_holds_the_largest_requests_of_two_addresses)
+{
+    const byte_limits limits = derive_byte_limits(1'000'000);
+    BOOST_TEST(limits.per_address >= 8'404'992U);
+    BOOST_TEST(limits.total >= 2U * 8'404'992U);
+}
+
+// A transfer that gave way for the share was lost although the budget refused the request afterwards.
+BOOST_AUTO_TEST_CASE(nothing_is_given_up_for_the_share_if_the_budget_refuses)
+{
+    byte_budget budget = make_budget(1000, 500);
+    const std::uint64_t slow = open_lease(budget, "a", start);
+    const std::uint64_t other = open_lease(budget, "b", start);
+    resize_lease(budget, slow, 100, start);
+    force_lease(budget, other, 900, start);
+    budget.leases.at(other).in_transfer = false;
+    const std::uint64_t next = open_lease(budget, "a", start + 4s);
+    const byte_decision decision = resize_lease(budget, next, 450, start + 4s);
+    BOOST_TEST((decision.answer == byte_answer::budget_used));
+    BOOST_TEST(decision.given_up.empty());
+    BOOST_TEST(budget.leases.count(slow) == 1U);
+}
+
+// Doubling took a chunked body of legal size to twice the bytes that a body may have.
+BOOST_AUTO_TEST_CASE(capacity_of_a_chunked_body_stays_under_its_limit)
+{
+    BOOST_TEST(next_body_capacity(0, 20'000, 4'214'784) == 40'000U);
+    BOOST_TEST(next_body_capacity(3'000'000, 3'000'001, 4'214'784) == 4'214'784U);
+    BOOST_TEST(next_body_capacity(0, 4'300'000, 4'214'784) == 4'300'000U);
+}
+
 // A request of the largest size must be served when the load is low, however small the budget is.
 BOOST_AUTO_TEST_CASE(request_alone_is_granted)
 {
