--- a/src/core/control_rollouts.cpp
+++ b/src/core/control_rollouts.cpp
@@ -117,8 +117,17 @@
     }
     rollouts_running_.store(running);
     const std::lock_guard lock(mutex_);
-    std::erase_if(evidence_,
-                  [now](const auto& entry) { return now - entry.second.received_at > evidence_retention; });
+    // A report of a running rollout stays: the tests would ignore new outcomes as long as the totals are
+    // below what they have counted.
+    std::erase_if(evidence_, [this, now](const auto& entry) {
+        const bool is_needed =
+            std::any_of(entry.second.services.begin(), entry.second.services.end(), [this](const auto& item) {
+                const auto record = state_.rollouts.find(item.first);
+                return record != state_.rollouts.end() && rollout::is_running(record->second) &&
+                       record->second.number == item.second.number;
+            });
+        return !is_needed && now - entry.second.received_at > evidence_retention;
+    });
 }
 
 void control_process::decide_rollout(const rollout::record& rollout, rollout_work& work, time_point now)
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -15,10 +15,14 @@
 /// Behaviour that only some deployments enable.
 struct fleet_features {
     bool rollouts = false;   ///< operators may order rollouts of upstream versions
-    bool load_aware = false; ///< placement by cached prompts; programs start as the load allows
-    /// Placement by learned speed, pace and memory, and by the mean where an instance was not heard lately. No
-    /// deployment enables it yet, as it was not measured on a full system.
+    bool load_aware = false; ///< placement by cached prompts and by the delay of a batch
+    /// Placement by learned speed, pace and memory, and by the mean where an instance was not heard lately.
+    /// No deployment enables it yet, as it was not measured on a full system.
     bool learned_load = false;
+    /// Programs start at the pace that the congestion of their service allows. No deployment enables it: on
+    /// the heaviest measured day it served fewer programs in time (docs/design/admission.md).
+    bool paced_starts = false;
+    bool engine_priority = false; ///< engines get the urgency of each call; measured together with the pace
 };
 
 /// Limits on what a rollout may expose callers to.
--- a/src/gateway/call_admission.cpp
+++ b/src/gateway/call_admission.cpp
@@ -19,7 +19,7 @@
 /// @return the service of the call if it has engines and its load decides about calls, else nullptr.
 const plan::service* find_engine_service(const active_call& call)
 {
-    if (!call.context.state->settings.features.load_aware || !call.plan) {
+    if (!call.context.state->settings.features.paced_starts || !call.plan) {
         return nullptr;
     }
     const auto found = call.plan->plan.services.find(call.service);
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -71,7 +71,7 @@
     metadata.time_left = call.deadline - now;
     const auto service = call.plan->plan.services.find(call.service);
     const bool has_engine = service != call.plan->plan.services.end() && service->second.model.has_value();
-    if (call.context.state->settings.features.load_aware && has_engine) {
+    if (call.context.state->settings.features.engine_priority && has_engine) {
         metadata.priority = queueing::engine_priority(make_urgency(call, now));
     }
     metadata.resume_after = call.head_sent ? call.last_event_id : std::nullopt;
--- a/src/gateway/rollout_gate.cpp
+++ b/src/gateway/rollout_gate.cpp
@@ -67,7 +67,7 @@
     const std::string& route = call.route->name.value;
     const bool is_first = call.tried_instances.empty();
     if (rollout.current == rollout::stage::switching) {
-        const bool to_target = target_available && has_lease(tracked, now);
+        const bool to_target = target_available && has_lease(tracked, now) && tracked.lent.share > 0;
         tracked.use.calls += is_first ? 1 : 0;
         tracked.use.exposed += to_target ? 1 : 0;
         return to_target;
@@ -94,6 +94,9 @@
 
 void set_rollouts(gateway_state& state, const wire::control_view& view, time_point now)
 {
+    if (!state.settings.features.rollouts) {
+        return;
+    }
     rollout_state& rollouts = state.rollouts;
     rollouts.records = rollout::from_wire(view.rollouts());
     for (const auto& [service, record] : rollouts.records) {
--- a/src/rollout/decision_func.cpp
+++ b/src/rollout/decision_func.cpp
@@ -339,6 +339,14 @@
     case stage::switching:
         result.share = 1;
         result.step = judged.step;
+        if (!input.target_serving) {
+            // The old upstreams stop once a rollout is completed, so nothing would serve.
+            if (input.age >= input.rollout.length * complete_at_latest) {
+                result.next = stage::rolling_back;
+                result.reason = "no upstream of the target serves";
+            }
+            return result;
+        }
         if ((input.gateways_confirm && input.stage_age >= input.rollout.length * min_full_load) ||
             input.age >= input.rollout.length * complete_at_latest) {
             result.next = stage::completed;
--- a/tests/unit/rollout_test.cpp
+++ b/tests/unit/rollout_test.cpp
@@ -339,6 +339,25 @@
     BOOST_TEST((directory::merge(known, announced, time_point{1h}) == directory::merge_result::changed));
 }
 
+// Guards against a rollout that is completed, so that the old upstreams stop, although no new one serves.
+BOOST_AUTO_TEST_CASE(rollout_without_serving_target_is_not_completed)
+{
+    record running;
+    running.service = "s";
+    running.target = "v2";
+    running.number = 1;
+    running.length = 12s;
+    running.current = stage::switching;
+    const evidence_totals totals;
+    judgement judged;
+    const decision early = decide(judged, {running, totals, 10s, 3s, false, true}, 50);
+    BOOST_TEST(!early.next.has_value());
+    const decision late = decide(judged, {running, totals, 11900ms, 5s, false, true}, 50);
+    BOOST_TEST((late.next == stage::rolling_back));
+    const decision serving = decide(judged, {running, totals, 11900ms, 5s, true, true}, 50);
+    BOOST_TEST((serving.next == stage::completed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
--- a/tests/unit/urgency_test.cpp
+++ b/tests/unit/urgency_test.cpp
@@ -11,7 +11,10 @@
 namespace {
 
 struct load_aware_fleet : small_fleet {
-    load_aware_fleet() : small_fleet({.load_aware = true}) { upstream.respond = respond_with_events; }
+    load_aware_fleet() : small_fleet({.load_aware = true, .paced_starts = true, .engine_priority = true})
+    {
+        upstream.respond = respond_with_events;
+    }
 };
 
 } // namespace
