Log why a caller's connection ended and when a stop closes idle connections

caller_left was the same line whether the caller or the gateway ended the connection, so a request that a planned stop cut off could not be told from one that its caller gave up. The event now carries the cause and whether the gateway drains; GW1209 marks the moment at which a stop closes idle connections.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -33,6 +33,7 @@
     connection_refused = 1206,
     connection_closed_for_another = 1207,
     request_limits_set = 1208,
+    idle_connections_closed = 1209,
     group_started = 2000,
     leader_elected = 2001,
     leader_lost = 2002,
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -60,6 +60,21 @@
     }
 }
 
+const char* describe(departure cause)
+{
+    switch (cause) {
+    case departure::caller_closed:
+        return "the connection was closed";
+    case departure::write_failed:
+        return "the connection takes no bytes";
+    case departure::aborted:
+        return "the connection was reset by the gateway";
+    case departure::none:
+        break;
+    }
+    return "none";
+}
+
 /// Sends the response of a call that is refused or failed. 502 and 504 are failures, as an upstream may have
 /// executed the call; any other status promises that it did not run.
 asio::awaitable<void> refuse(std::shared_ptr<active_call> call, refusal cause)
@@ -219,7 +234,10 @@
         }
     }
     if (call->response.caller_left()) {
-        log_event(event::caller_left, call_fields(*call));
+        std::vector<event_field> fields = call_fields(*call);
+        fields.push_back({"cause", describe(call->response.left())});
+        fields.push_back({"draining", call->context.state->draining ? "yes" : "no"});
+        log_event(event::caller_left, fields);
         co_return;
     }
     if (call->response.started()) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -80,8 +80,8 @@
     bool stop_requested = false;
 };
 
-/// Sets `caller_left_` and calls `on_caller_left` if the caller closes the connection while its request is in
-/// progress.
+/// Records that the caller left and calls `on_caller_left` if the caller closes the connection while its
+/// request is in progress.
 /// @param pipelined holds the bytes that the caller sends meanwhile; the connection is reset if they may not
 /// be held.
 asio::awaitable<void> watch_caller(beast::tcp_stream& stream, responder& response,
@@ -100,7 +100,7 @@
             response.abort();
         }
         if (closed || refused) {
-            response.caller_left_ = true;
+            response.set_left(departure::caller_closed);
             if (response.on_caller_left) {
                 response.on_caller_left();
             }
@@ -276,7 +276,7 @@
 void responder::abort()
 {
     aborted_ = true;
-    caller_left_ = true;
+    set_left(departure::aborted);
     // Forces a reset, since a normal close could be taken for the end of the response.
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::socket::linger(true, 0), ignored);
@@ -285,7 +285,7 @@
 
 asio::awaitable<void> responder::write_raw(std::string bytes)
 {
-    if (caller_left_) {
+    if (caller_left()) {
         co_return;
     }
     if (bytes.size() > max_unleased_response) {
@@ -298,7 +298,7 @@
                                asio::redirect_error(asio::use_awaitable, error));
     stream_.expires_never();
     if (error) {
-        caller_left_ = true;
+        set_left(departure::write_failed);
     }
 }
 
@@ -319,7 +319,7 @@
         log_event(event::reader_given_up, {{"address", connection_.address()}});
     }
     if (error) {
-        caller_left_ = true;
+        set_left(departure::write_failed);
     }
 }
 
@@ -334,7 +334,7 @@
     }
     std::string().swap(body); // not held twice while a slow caller reads
     co_await write_raw(std::move(bytes));
-    complete_ = !caller_left_;
+    complete_ = !caller_left();
 }
 
 asio::awaitable<void> responder::start(int status, std::string reason, header_list headers)
@@ -371,7 +371,7 @@
         std::string last_chunk = "0\r\n\r\n";
         co_await write_raw(std::move(last_chunk));
     }
-    complete_ = !caller_left_;
+    complete_ = !caller_left();
 }
 
 asio::awaitable<void> accept_callers(std::shared_ptr<tcp::acceptor> acceptor,
@@ -380,6 +380,7 @@
     const auto executor = co_await asio::this_coro::executor;
     auto open_streams = std::make_shared<std::set<std::pair<beast::tcp_stream*, const bool*>>>();
     server->close_idle = [open_streams] {
+        log_event(event::idle_connections_closed, {{"open", open_streams->size()}});
         for (const auto& [stream, idle] : *open_streams) {
             if (*idle) {
                 boost::system::error_code ignored;
--- a/src/gateway/caller_connection.hpp
+++ b/src/gateway/caller_connection.hpp
@@ -16,6 +16,14 @@
 
 namespace guavawick::gateway {
 
+/// Why the rest of a response is not sent.
+enum class departure : std::uint8_t {
+    none,
+    caller_closed, ///< the caller closed its connection
+    write_failed,  ///< the connection no longer takes bytes
+    aborted        ///< the gateway reset the connection
+};
+
 /// Writes the response to one request. Thread safety: the gateway's thread, one coroutine at a time.
 class responder {
 public:
@@ -34,12 +42,14 @@
     void disable_keep_alive() { keep_alive_ = false; }
 
     [[nodiscard]] bool started() const { return started_; }
-    [[nodiscard]] bool caller_left() const { return caller_left_; }
-    [[nodiscard]] bool reusable() const { return keep_alive_ && complete_ && !caller_left_; }
+    [[nodiscard]] bool caller_left() const { return left_ != departure::none; }
+    [[nodiscard]] departure left() const { return left_; }
+    /// Gives up the rest of the response. Only the first cause counts.
+    void set_left(departure cause) { left_ = left_ == departure::none ? cause : left_; }
+    [[nodiscard]] bool reusable() const { return keep_alive_ && complete_ && !caller_left(); }
     [[nodiscard]] bool aborted() const { return aborted_ || (started_ && !complete_); }
 
     bool head_only = false;               ///< the request was HEAD
-    bool caller_left_ = false;            ///< the connection was closed by the caller, failed or was aborted
     std::function<void()> on_caller_left; ///< called once when the caller closes the connection
 
 private:
@@ -50,6 +60,7 @@
 
     http::guarded_connection& connection_;
     boost::beast::tcp_stream& stream_;
+    departure left_ = departure::none;
     bool keep_alive_;
     bool supports_chunked_; ///< false for HTTP/1.0, which has no chunked encoding
     bool started_ = false;
