Tests of callers' connections while a gateway stops, listed red

Four of five cases fail: a request whose bytes wait in the socket or were just read is passed on and its response can't be written; a request in transfer is cut off; the count that the stop waits for drops before the last response is sent; a connection accepted last waits beyond the stop.

--- /dev/null
+++ b/tests/unit/drain_test.cpp
@@ -0,0 +1,192 @@
+// Callers' connections while a gateway stops.
+#include "free_address.hpp"
+#include "gateway/caller_connection.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace guavawick::tests {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+const std::string request_head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
+const std::string whole_request = request_head + "body";
+
+/// A listener for callers and a connected caller. Both run on the test's thread, so that the test decides
+/// what happens between two steps of the listener.
+struct connected_caller {
+    asio::io_context context{1};
+    std::shared_ptr<gateway::caller_server> server = std::make_shared<gateway::caller_server>();
+    std::shared_ptr<tcp::acceptor> acceptor;
+    tcp::socket caller{context};
+    int handled = 0; ///< requests that were passed on
+
+    connected_caller()
+    {
+        server->guard = std::make_shared<http::request_guard>(
+            std::make_shared<http::memory_budget>(http::byte_limits{}), http::connection_limits{});
+        server->handle = [this](gateway::raw_request&,
+                                gateway::responder& response) -> asio::awaitable<void> {
+            ++handled;
+            std::string body = "done";
+            co_await response.send(200, "OK", {}, std::move(body));
+        };
+        acceptor =
+            std::make_shared<tcp::acceptor>(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        asio::co_spawn(context, gateway::accept_callers(acceptor, server), asio::detached);
+        caller.connect(acceptor->local_endpoint());
+        caller.set_option(tcp::no_delay(true));
+        exchange();
+    }
+
+    ~connected_caller()
+    {
+        boost::system::error_code ignored;
+        caller.close(ignored);
+        acceptor->close(ignored);
+        context.run();
+    }
+
+    connected_caller(const connected_caller&) = delete;
+    connected_caller& operator=(const connected_caller&) = delete;
+
+    void send(const std::string& bytes) { asio::write(caller, asio::buffer(bytes)); }
+
+    /// A request and its response, after which the connection is kept.
+    void exchange()
+    {
+        send(whole_request);
+        while (caller.available() == 0) {
+            context.run_one();
+        }
+        std::array<char, 1024> response{};
+        caller.receive(asio::buffer(response));
+        context.poll();
+    }
+
+    void drain()
+    {
+        server->draining = true;
+        server->close_idle();
+    }
+
+    /// Drains after the listener has looked for events, so that reads which they complete are handled later.
+    void drain_before_handlers()
+    {
+        asio::post(context, [this] { drain(); });
+    }
+
+    /// @return what the caller receives until its connection ends.
+    std::string receive_all()
+    {
+        std::string received;
+        std::array<char, 1024> part{};
+        bool ended = false;
+        std::function<void(boost::system::error_code, std::size_t)> receive_part =
+            [&](boost::system::error_code error, std::size_t bytes) {
+                received.append(part.data(), bytes);
+                ended = static_cast<bool>(error);
+                if (!ended) {
+                    caller.async_read_some(asio::buffer(part), receive_part);
+                }
+            };
+        caller.async_read_some(asio::buffer(part), receive_part);
+        while (!ended) {
+            context.run_one();
+        }
+        context.poll(); // what the listener does after the connection has ended
+        return received;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(drain_test)
+
+// Guards against a request that is run although its response can't be delivered.
+BOOST_AUTO_TEST_CASE(request_received_when_the_gateway_stops_is_answered)
+{
+    for (const bool is_read : {false, true}) {
+        connected_caller connection;
+        connection.send(whole_request);
+        if (is_read) {
+            connection.drain_before_handlers();
+        }
+        else {
+            connection.drain();
+        }
+        const std::string response = connection.receive_all();
+        BOOST_TEST_CONTEXT(connection.handled - 1 << " requests passed on")
+        {
+            BOOST_TEST(response.starts_with("HTTP/1.1 200 OK"));
+            BOOST_TEST(response.ends_with("done"));
+            BOOST_TEST(connection.handled == 2);
+        }
+    }
+}
+
+// Guards against a request that is cut off in the middle by a planned stop.
+BOOST_AUTO_TEST_CASE(request_in_transfer_when_the_gateway_stops_is_answered)
+{
+    for (std::size_t sent = 1; sent < whole_request.size(); ++sent) {
+        connected_caller connection;
+        connection.send(whole_request.substr(0, sent));
+        connection.context.poll();
+        connection.drain();
+        connection.context.poll();
+        connection.send(whole_request.substr(sent));
+        const std::string response = connection.receive_all();
+        BOOST_TEST_CONTEXT("after byte " << sent)
+        {
+            BOOST_TEST(response.ends_with("done"));
+        }
+    }
+}
+
+// Guards against a stop that waits for connections on which nothing arrives.
+BOOST_AUTO_TEST_CASE(idle_connection_is_closed_when_the_gateway_stops)
+{
+    connected_caller connection;
+    connection.drain();
+    BOOST_TEST(connection.receive_all() == "");
+    BOOST_TEST(connection.handled == 1);
+}
+
+// Guards against an exit while a request that arrived during the stop still runs.
+BOOST_AUTO_TEST_CASE(connection_is_counted_until_its_last_response_is_sent)
+{
+    connected_caller connection;
+    connection.send(whole_request);
+    connection.drain();
+    while (connection.server->connections > 0) {
+        connection.context.run_one();
+    }
+    BOOST_TEST(connection.handled == 2);
+    BOOST_TEST(connection.caller.available() > 0U);
+}
+
+// Guards against a connection that is accepted last and then waits for a request beyond the stop.
+BOOST_AUTO_TEST_CASE(connection_accepted_during_the_stop_is_closed)
+{
+    connected_caller connection;
+    tcp::socket late(connection.context);
+    late.connect(connection.acceptor->local_endpoint());
+    connection.drain();
+    connection.context.poll();
+    std::array<char, 16> byte{};
+    boost::system::error_code error;
+    late.non_blocking(true);
+    late.receive(asio::buffer(byte), 0, error);
+    BOOST_TEST((error == asio::error::eof));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
