Let a gateway that stops answer the requests that have arrived

What callers saw: a request on a kept connection ended without an answer around a planned stop, although it ran.

Cause: 3 s after SIGTERM the gateway shut down both directions of each connection whose request had not been read to its end. A request whose bytes waited in the socket, or whose read had completed but not been handled yet, was then passed on and run; its response could not be written. Requests in transfer were cut off. The stop ended once no request was counted, while a connection that was accepted last, or whose response was still being sent, was not counted. Class of fault: a decision of one task on the state that another one had before it was resumed.

Change: the stop interrupts only the wait for the first byte of a request, by cancelling the read. The connection's own coroutine then decides: it reads on if bytes have arrived, and closes otherwise. A request in transfer is read and answered. The stop waits until all connections are closed, up to its deadline.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -165,19 +165,24 @@
 }
 
 /// Serves one request of a connection.
-/// @param idle set to true while waiting for the request, false afterwards.
 /// @return whether another request may follow.
 asio::awaitable<bool> serve_request(caller_server& server, http::guarded_connection& connection,
-                                    beast::flat_buffer& buffer, bool& idle)
+                                    beast::flat_buffer& buffer)
 {
     beast::tcp_stream& stream = connection.stream();
     http::memory_lease lease(connection.guard().budget(), connection.address(), connection.shared());
     auto parser = std::make_unique<request_parser>();
     parser->header_limit(static_cast<std::uint32_t>(server.limits.max_header_bytes));
     parser->body_limit(server.limits.max_body_bytes);
-    idle = true;
-    const http::read_outcome outcome = co_await read_request(server, connection, buffer, *parser, lease);
-    idle = false;
+    http::read_outcome outcome = http::read_outcome::closed;
+    // A stop interrupts the wait for a request, which may have arrived at the same moment.
+    while (outcome == http::read_outcome::closed &&
+           (!server.closing || http::has_unread_bytes(connection, buffer))) {
+        outcome = co_await read_request(server, connection, buffer, *parser, lease);
+        if (!server.closing) {
+            break;
+        }
+    }
     if (outcome == http::read_outcome::closed) {
         co_return false;
     }
@@ -210,9 +215,7 @@
         }
         pipelined.set_in_transfer(false);
     }
-    ++server.active_requests;
     co_await handle_request(server, request, response);
-    --server.active_requests;
     watch->stop_requested = true;
     while (watch->active) {
         boost::system::error_code ignored;
@@ -222,13 +225,10 @@
     co_return response.reusable();
 }
 
-asio::awaitable<void>
-serve_caller(std::shared_ptr<caller_server> server, tcp::socket socket,
-             std::shared_ptr<std::set<std::pair<beast::tcp_stream*, const bool*>>> open_streams)
+asio::awaitable<void> serve_caller(std::shared_ptr<caller_server> server, tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer{http::max_parse_buffer(server->limits.max_header_bytes)};
-    bool idle = true;
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay(true), ignored);
     const unsigned timeout_ms = unacknowledged_timeout_ms;
@@ -240,15 +240,11 @@
         http::refuse_connection(stream.socket());
         co_return;
     }
-    const auto entry = open_streams->insert({&stream, &idle}).first;
-    ++server->connections;
-    while (co_await serve_request(*server, connection, buffer, idle)) {
+    while (co_await serve_request(*server, connection, buffer)) {
         if (server->draining && buffer.size() == 0) {
             break;
         }
     }
-    --server->connections;
-    open_streams->erase(entry);
     connection.mark_waiting();
     co_await http::drain_and_close(connection);
 }
@@ -374,20 +370,17 @@
     complete_ = !caller_left();
 }
 
+void close_idle_connections(caller_server& server)
+{
+    server.closing = true;
+    log_event(event::idle_connections_closed, {{"open", server.guard->connections()}});
+    server.guard->interrupt_idle();
+}
+
 asio::awaitable<void> accept_callers(std::shared_ptr<tcp::acceptor> acceptor,
                                      std::shared_ptr<caller_server> server)
 {
     const auto executor = co_await asio::this_coro::executor;
-    auto open_streams = std::make_shared<std::set<std::pair<beast::tcp_stream*, const bool*>>>();
-    server->close_idle = [open_streams] {
-        log_event(event::idle_connections_closed, {{"open", open_streams->size()}});
-        for (const auto& [stream, idle] : *open_streams) {
-            if (*idle) {
-                boost::system::error_code ignored;
-                stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
-            }
-        }
-    };
     while (acceptor->is_open()) {
         boost::system::error_code error;
         tcp::socket socket =
@@ -400,7 +393,7 @@
                 std::chrono::milliseconds(20)); // file descriptors exhausted, try again
             continue;
         }
-        asio::co_spawn(executor, serve_caller(server, std::move(socket), open_streams), asio::detached);
+        asio::co_spawn(executor, serve_caller(server, std::move(socket)), asio::detached);
     }
 }
 
--- a/src/gateway/caller_connection.hpp
+++ b/src/gateway/caller_connection.hpp
@@ -77,11 +77,13 @@
     call_handler handle;
     std::shared_ptr<http::request_guard> guard; ///< byte budget and connections
     bool draining = false;                      ///< responses have `Connection: close`
-    std::size_t connections = 0;
-    std::size_t active_requests = 0;  ///< requests whose response is not complete
-    std::function<void()> close_idle; ///< closes connections without a request in progress
+    bool closing = false;                       ///< only requests that have arrived are still read
 };
 
+/// Closes the connections on which no request has begun to arrive, and lets the others close after their
+/// response. @pre the server drains.
+void close_idle_connections(caller_server& server);
+
 /// Accepts callers' connections until the acceptor is closed. @pre the server has a guard.
 boost::asio::awaitable<void> accept_callers(std::shared_ptr<boost::asio::ip::tcp::acceptor> acceptor,
                                             std::shared_ptr<caller_server> server);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -155,24 +155,23 @@
     const time_point deadline = stop_started_at + state_->settings.stop_grace - stop_margin;
     bool acceptor_closed = false;
     while (runtime_clock::now() < deadline) {
-        std::promise<std::size_t> active_requests;
+        std::promise<std::size_t> open_connections;
         const bool close_acceptor =
             !acceptor_closed && runtime_clock::now() - stop_started_at > balancer_detection_time;
-        asio::post(pool_.executor(), [this, close_acceptor, &active_requests] {
+        asio::post(pool_.executor(), [this, close_acceptor, &open_connections] {
             if (close_acceptor) {
                 boost::system::error_code ignored;
                 acceptor_->close(ignored);
+                close_idle_connections(*callers_);
             }
-            if (callers_->close_idle && state_->draining && close_acceptor) {
-                callers_->close_idle();
-            }
-            active_requests.set_value(callers_->active_requests);
+            open_connections.set_value(callers_->guard->connections());
         });
-        const std::size_t remaining = active_requests.get_future().get();
-        acceptor_closed = acceptor_closed || close_acceptor;
+        const std::size_t remaining = open_connections.get_future().get();
+        // A connection that was accepted last is counted from the next round on.
         if (acceptor_closed && remaining == 0) {
             break;
         }
+        acceptor_closed = acceptor_closed || close_acceptor;
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
     running_.store(false);
--- a/src/http/request_guard.cpp
+++ b/src/http/request_guard.cpp
@@ -192,6 +192,18 @@
     streams_.erase(id);
 }
 
+void request_guard::interrupt_idle()
+{
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, shared] : streams_) {
+        asio::post(shared->executor, [shared] {
+            if (shared->stream != nullptr && shared->idle) {
+                shared->stream->cancel();
+            }
+        });
+    }
+}
+
 std::uint64_t request_guard::connections() const
 {
     const std::lock_guard lock(mutex_);
--- a/src/http/request_guard.hpp
+++ b/src/http/request_guard.hpp
@@ -34,6 +34,7 @@
     boost::beast::tcp_stream* stream =
         nullptr; ///< used on `executor` only; nullptr once the connection ended
     boost::asio::any_io_executor executor;
+    bool idle = false;                  ///< waits for the first byte of a request; used on `executor` only
     std::atomic<bool> given_up{false};  ///< its bytes or its place were needed elsewhere
     std::atomic<bool> displaced{false}; ///< its place was needed: the descriptor must close at once
 };
@@ -101,6 +102,9 @@
                         const std::shared_ptr<const connection_activity>& activity,
                         const std::shared_ptr<interruptible_stream>& stream);
     void remove(std::uint64_t id);
+    /// Interrupts the connections that wait for the first byte of a request. A request that has arrived at
+    /// the same moment is not interrupted, so that it can be answered.
+    void interrupt_idle();
     [[nodiscard]] memory_budget& budget() const { return *budget_; }
     [[nodiscard]] std::uint64_t connections() const;
     [[nodiscard]] const connection_limits& limits() const { return table_.limits; }
@@ -128,6 +132,8 @@
     void mark_waiting();
     /// A request has been read and is handled.
     void mark_busy();
+    /// Records whether the connection waits for the first byte of a request.
+    void set_idle(bool idle) { shared_->idle = idle; }
     [[nodiscard]] bool given_up() const { return shared_->given_up.load(std::memory_order_relaxed); }
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::shared_ptr<interruptible_stream>& shared() const { return shared_; }
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -126,6 +126,12 @@
     return std::max<std::size_t>(max_header_bytes, body_read_bytes) + chunk_head_bytes;
 }
 
+bool has_unread_bytes(guarded_connection& connection, const beast::flat_buffer& buffer)
+{
+    boost::system::error_code error;
+    return buffer.size() > 0 || connection.stream().socket().available(error) > 0;
+}
+
 asio::awaitable<read_outcome> read_header(guarded_connection& connection, beast::flat_buffer& buffer,
                                           request_parser& parser, const read_limits& limits,
                                           memory_lease& lease)
@@ -134,8 +140,10 @@
     parser.eager(false);
     stream.expires_after(limits.idle_timeout);
     bool has_started = false;
+    connection.set_idle(buffer.size() == 0);
     while (true) {
         if (buffer.size() > 0) {
+            connection.set_idle(false);
             boost::system::error_code parse_error;
             buffer.consume(parser.put(buffer.data(), parse_error));
             if (parse_error && parse_error != beast::http::error::need_more) {
--- a/src/http/request_reader.hpp
+++ b/src/http/request_reader.hpp
@@ -43,6 +43,8 @@
 /// @return limit of what a connection's parse buffer holds.
 std::size_t max_parse_buffer(std::uint64_t max_header_bytes);
 
+/// @return whether bytes of the client wait to be read.
+bool has_unread_bytes(guarded_connection& connection, const boost::beast::flat_buffer& buffer);
 /// Reads a request's header. @param lease grows with a long header.
 boost::asio::awaitable<read_outcome> read_header(guarded_connection& connection,
                                                  boost::beast::flat_buffer& buffer, request_parser& parser,
--- a/tests/unit/drain_test.cpp
+++ b/tests/unit/drain_test.cpp
@@ -74,7 +74,7 @@
     void drain()
     {
         server->draining = true;
-        server->close_idle();
+        gateway::close_idle_connections(*server);
     }
 
     /// Drains after the listener has looked for events, so that reads which they complete are handled later.
@@ -165,7 +165,7 @@
     connected_caller connection;
     connection.send(whole_request);
     connection.drain();
-    while (connection.server->connections > 0) {
+    while (connection.server->guard->connections() > 0) {
         connection.context.run_one();
     }
     BOOST_TEST(connection.handled == 2);
