Servers that drain no longer take their own shutdown for a caller who left

Same cause as the gateway's planned stop: drain() shut down the receiving side of every connection whose request had not been handled yet, and caller_left() reads the end of that side. A request that was just received ran, and the entry dropped a repeatable one as if its caller had gone. The entry also exited once no request was counted, although one could have been read meanwhile; it now waits for its connections.

drain() interrupts only connections that wait for the first byte of a request, through the same function as the gateway, and the set of idle connections with its lock is gone. Test: drain_test/request_received_when_a_server_drains_has_its_caller.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -167,7 +167,7 @@
     constexpr duration drain_notice = 500ms;
     std::this_thread::sleep_for(drain_notice);
     caller_server_->drain();
-    while (caller_server_->active_requests() != 0) {
+    while (caller_server_->connections() != 0) {
         std::this_thread::sleep_for(drain_check_interval);
     }
     stopped_.store(true);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -16,8 +16,6 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
-#include <mutex>
-#include <set>
 
 namespace guavawick::http {
 
@@ -25,7 +23,7 @@
 namespace beast = boost::beast;
 using tcp = asio::ip::tcp;
 
-/// State shared by the acceptor and the connections. No other lock is taken while `mutex` is held.
+/// State shared by the acceptor and the connections.
 struct server_state : std::enable_shared_from_this<server_state> {
     server_state(asio::any_io_executor executor, const server_limits& server_options, handler request_handler)
         : pool(std::move(executor)), limits(server_options), on_request(std::move(request_handler)),
@@ -46,8 +44,6 @@
     tcp::acceptor acceptor;
     std::atomic<bool> draining{false};
     std::atomic<std::uint64_t> active_requests{0};
-    std::mutex mutex;                              ///< guards `idle_connections`
-    std::set<beast::tcp_stream*> idle_connections; ///< connections that wait for a request
 };
 
 namespace {
@@ -278,20 +274,11 @@
     read_limits limits;
     limits.max_header_bytes = state.limits.max_header_bytes;
     limits.max_body_bytes = state.limits.max_body_bytes;
-    limits.idle_timeout =
-        state.draining.load() ? duration{std::chrono::milliseconds(1)} : state.limits.idle_timeout;
+    limits.idle_timeout = state.limits.idle_timeout;
     limits.header_timeout = state.limits.header_timeout;
     limits.body_timeout = state.limits.read_timeout;
-    {
-        const std::lock_guard lock(state.mutex);
-        state.idle_connections.insert(&connection.stream());
-    }
     connection.mark_waiting();
     const read_outcome header = co_await read_header(connection, buffer, parser, limits, lease);
-    {
-        const std::lock_guard lock(state.mutex);
-        state.idle_connections.erase(&connection.stream());
-    }
     if (header != read_outcome::complete) {
         co_return header;
     }
@@ -306,7 +293,15 @@
     auto parser = std::make_unique<request_parser>();
     parser->header_limit(static_cast<std::uint32_t>(state.limits.max_header_bytes));
     parser->body_limit(state.limits.max_body_bytes);
-    const read_outcome outcome = co_await read_request(state, connection, buffer, *parser, lease);
+    read_outcome outcome = read_outcome::closed;
+    // A stop interrupts the wait for a request, which may have arrived at the same moment.
+    while (outcome == read_outcome::closed &&
+           (!state.draining.load() || has_unread_bytes(connection, buffer))) {
+        outcome = co_await read_request(state, connection, buffer, *parser, lease);
+        if (!state.draining.load()) {
+            break;
+        }
+    }
     if (outcome == read_outcome::closed) {
         co_return false;
     }
@@ -398,11 +393,12 @@
         boost::system::error_code ignored;
         state->acceptor.close(ignored);
     });
-    const std::lock_guard lock(state_->mutex);
-    for (beast::tcp_stream* stream : state_->idle_connections) {
-        // shutdown() of the descriptor is safe while a read is pending; the read then ends.
-        ::shutdown(stream->socket().native_handle(), SHUT_RD);
-    }
+    state_->limits.guard->interrupt_idle();
+}
+
+std::uint64_t server::connections() const
+{
+    return state_->limits.guard->connections();
 }
 
 std::uint64_t server::active_requests() const
--- a/tests/unit/drain_test.cpp
+++ b/tests/unit/drain_test.cpp
@@ -1,6 +1,7 @@
 // Callers' connections while a gateway stops.
 #include "free_address.hpp"
 #include "gateway/caller_connection.hpp"
+#include "http/http_type.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/connect.hpp>
@@ -187,6 +188,35 @@
     BOOST_TEST((error == asio::error::eof));
 }
 
+// Guards against a server that takes its own shutdown for a caller who left.
+BOOST_AUTO_TEST_CASE(request_received_when_a_server_drains_has_its_caller)
+{
+    asio::io_context context{1};
+    const std::string address = find_free_address();
+    int handled = 0;
+    bool left = true;
+    http::server server(context.get_executor(), address, {},
+                        [&](http::request&, http::responder& response) -> asio::awaitable<void> {
+                            ++handled;
+                            left = response.caller_left();
+                            http::response done = http::make_response(200, "text/plain", "done");
+                            co_await response.send(std::move(done));
+                        });
+    tcp::socket caller(context);
+    const std::size_t colon = address.rfind(':');
+    caller.connect({asio::ip::make_address(address.substr(0, colon)),
+                    static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))});
+    context.poll();
+    asio::write(caller, asio::buffer(whole_request));
+    asio::post(context, [&server] { server.drain(); });
+    while (server.connections() > 0) {
+        context.run_one();
+    }
+    BOOST_TEST(handled == 1);
+    BOOST_TEST(!left);
+    BOOST_TEST(caller.available() > 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
