Answer the next request of a kept connection while a gateway drains

What callers saw: a request that followed a response on a kept connection, or was cut off while a gateway stopped, ended without an answer.

Cause: after SIGTERM a connection was closed behind the response in progress, which had promised to keep it. The close reads and discards for a second, so a request that had arrived meanwhile was read whole and dropped. The connection now stays, answers the next request with `Connection: close`, or is interrupted while it is idle.

HTTP servers close as gateways do, since a close with unread bytes resets the connection and may destroy the response.

Tests: drain_test/request_that_breaks_off_during_the_stop_ends_its_connection and next_request_of_a_kept_connection_is_answered_while_the_gateway_drains; the tests now wait until the bytes that they send have arrived.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -17,7 +17,6 @@
 
 #include <algorithm>
 #include <netinet/tcp.h>
-#include <set>
 
 namespace guavawick::gateway {
 
@@ -179,8 +178,8 @@
     while (outcome == http::read_outcome::closed &&
            (!server.closing || http::has_unread_bytes(connection, buffer))) {
         outcome = co_await read_request(server, connection, buffer, *parser, lease);
-        if (!server.closing) {
-            break;
+        if (!server.closing || parser->got_some()) {
+            break; // a request that broke off in the middle is not waited for again
         }
     }
     if (outcome == http::read_outcome::closed) {
@@ -225,7 +224,8 @@
     co_return response.reusable();
 }
 
-asio::awaitable<void> serve_caller(std::shared_ptr<caller_server> server, tcp::socket socket)
+asio::awaitable<void> serve_caller(std::shared_ptr<caller_server> server, tcp::socket socket,
+                                   std::shared_ptr<void> open)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer{http::max_parse_buffer(server->limits.max_header_bytes)};
@@ -241,9 +241,6 @@
         co_return;
     }
     while (co_await serve_request(*server, connection, buffer)) {
-        if (server->draining && buffer.size() == 0) {
-            break;
-        }
     }
     connection.mark_waiting();
     co_await http::drain_and_close(connection);
@@ -377,10 +374,22 @@
     server.guard->interrupt_idle();
 }
 
+namespace {
+
+/// @return a token that counts as open until its last copy is destroyed.
+std::shared_ptr<void> count_open(const std::shared_ptr<caller_server>& server)
+{
+    ++server->open;
+    return {nullptr, [server](void*) { --server->open; }};
+}
+
+} // namespace
+
 asio::awaitable<void> accept_callers(std::shared_ptr<tcp::acceptor> acceptor,
                                      std::shared_ptr<caller_server> server)
 {
     const auto executor = co_await asio::this_coro::executor;
+    const std::shared_ptr<void> accepting = count_open(server);
     while (acceptor->is_open()) {
         boost::system::error_code error;
         tcp::socket socket =
@@ -393,7 +402,7 @@
                 std::chrono::milliseconds(20)); // file descriptors exhausted, try again
             continue;
         }
-        asio::co_spawn(executor, serve_caller(server, std::move(socket)), asio::detached);
+        asio::co_spawn(executor, serve_caller(server, std::move(socket), count_open(server)), asio::detached);
     }
 }
 
--- a/src/gateway/caller_connection.hpp
+++ b/src/gateway/caller_connection.hpp
@@ -76,8 +76,9 @@
     plan::caller_limits limits;
     call_handler handle;
     std::shared_ptr<http::request_guard> guard; ///< byte budget and connections
-    bool draining = false;                      ///< responses have `Connection: close`
-    bool closing = false;                       ///< only requests that have arrived are still read
+    bool draining = false; ///< set when a stop begins: responses have `Connection: close`
+    bool closing = false;  ///< set once callers know of the stop: only requests that have arrived are read
+    std::size_t open = 0;  ///< the accepting coroutine and the accepted connections, until they end
 };
 
 /// Closes the connections on which no request has begun to arrive, and lets the others close after their
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -164,11 +164,10 @@
                 acceptor_->close(ignored);
                 close_idle_connections(*callers_);
             }
-            open_connections.set_value(callers_->guard->connections());
+            open_connections.set_value(callers_->open);
         });
         const std::size_t remaining = open_connections.get_future().get();
-        // A connection that was accepted last is counted from the next round on.
-        if (acceptor_closed && remaining == 0) {
+        if (remaining == 0) {
             break;
         }
         acceptor_closed = acceptor_closed || close_acceptor;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -44,6 +44,8 @@
     tcp::acceptor acceptor;
     std::atomic<bool> draining{false};
     std::atomic<std::uint64_t> active_requests{0};
+    std::atomic<std::uint64_t> open{
+        0}; ///< the accepting coroutine and the accepted connections, until they end
 };
 
 namespace {
@@ -298,8 +300,8 @@
     while (outcome == read_outcome::closed &&
            (!state.draining.load() || has_unread_bytes(connection, buffer))) {
         outcome = co_await read_request(state, connection, buffer, *parser, lease);
-        if (!state.draining.load()) {
-            break;
+        if (!state.draining.load() || parser->got_some()) {
+            break; // a request that broke off in the middle is not waited for again
         }
     }
     if (outcome == read_outcome::closed) {
@@ -324,7 +326,15 @@
     co_return writer.reusable();
 }
 
-asio::awaitable<void> serve_connection(std::shared_ptr<server_state> state, tcp::socket socket)
+/// @return a token that counts as open until its last copy is destroyed.
+std::shared_ptr<void> count_open(const std::shared_ptr<server_state>& state)
+{
+    state->open.fetch_add(1);
+    return {nullptr, [state](void*) { state->open.fetch_sub(1); }};
+}
+
+asio::awaitable<void> serve_connection(std::shared_ptr<server_state> state, tcp::socket socket,
+                                       std::shared_ptr<void> open)
 {
     beast::tcp_stream stream(std::move(socket));
     beast::flat_buffer buffer{max_parse_buffer(state->limits.max_header_bytes)};
@@ -338,10 +348,10 @@
     }
     while (co_await serve_request(*state, connection, buffer)) {
     }
-    stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    co_await drain_and_close(connection);
 }
 
-asio::awaitable<void> accept_connections(std::shared_ptr<server_state> state)
+asio::awaitable<void> accept_connections(std::shared_ptr<server_state> state, std::shared_ptr<void> open)
 {
     while (!state->draining.load()) {
         boost::system::error_code error;
@@ -355,7 +365,8 @@
             continue;
         }
         const auto executor = socket.get_executor();
-        asio::co_spawn(executor, serve_connection(state, std::move(socket)), asio::detached);
+        asio::co_spawn(executor, serve_connection(state, std::move(socket), count_open(state)),
+                       asio::detached);
     }
 }
 
@@ -376,7 +387,8 @@
     catch (const boost::system::system_error& error) {
         throw link_error(address + ": cannot listen: " + error.what());
     }
-    asio::co_spawn(state_->acceptor.get_executor(), accept_connections(state_), asio::detached);
+    asio::co_spawn(state_->acceptor.get_executor(), accept_connections(state_, count_open(state_)),
+                   asio::detached);
 }
 
 server::~server()
@@ -398,7 +410,7 @@
 
 std::uint64_t server::connections() const
 {
-    return state_->limits.guard->connections();
+    return state_->open.load();
 }
 
 std::uint64_t server::active_requests() const
--- a/src/http/http_type.hpp
+++ b/src/http/http_type.hpp
@@ -102,7 +102,7 @@
     /// Accepts no further connections and closes idle ones. Running requests are completed before their
     /// connections close; a request that still arrives is answered with `Connection: close`.
     void drain();
-    /// @return the number of connections that are not closed yet.
+    /// @return the number of connections that are not closed yet, and one more while others are accepted.
     [[nodiscard]] std::uint64_t connections() const;
     /// @return the number of requests that are being handled.
     [[nodiscard]] std::uint64_t active_requests() const;
--- a/tests/unit/drain_test.cpp
+++ b/tests/unit/drain_test.cpp
@@ -1,4 +1,4 @@
-// Callers' connections while a gateway stops.
+// Connections of callers while a gateway or an HTTP server stops.
 #include "free_address.hpp"
 #include "gateway/caller_connection.hpp"
 #include "http/http_type.hpp"
@@ -7,9 +7,15 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 namespace guavawick::tests {
 
 namespace {
@@ -20,6 +26,16 @@
 const std::string request_head = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n";
 const std::string whole_request = request_head + "body";
 
+/// Sends bytes and waits until they are in the receiver's buffer.
+void send_all(tcp::socket& socket, const std::string& bytes)
+{
+    asio::write(socket, asio::buffer(bytes));
+    int unacknowledged = 1;
+    while (unacknowledged > 0) {
+        BOOST_REQUIRE(::ioctl(socket.native_handle(), SIOCOUTQ, &unacknowledged) == 0);
+    }
+}
+
 /// A listener for callers and a connected caller. Both run on the test's thread, so that the test decides
 /// what happens between two steps of the listener.
 struct connected_caller {
@@ -27,7 +43,9 @@
     std::shared_ptr<gateway::caller_server> server = std::make_shared<gateway::caller_server>();
     std::shared_ptr<tcp::acceptor> acceptor;
     tcp::socket caller{context};
-    int handled = 0; ///< requests that were passed on
+    asio::steady_timer gate{context, asio::steady_timer::time_point::max()};
+    bool held = false; ///< requests are not answered until the gate opens
+    int handled = 0;   ///< requests that were passed on
 
     connected_caller()
     {
@@ -36,6 +54,10 @@
         server->handle = [this](gateway::raw_request&,
                                 gateway::responder& response) -> asio::awaitable<void> {
             ++handled;
+            if (held) {
+                boost::system::error_code ignored;
+                co_await gate.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            }
             std::string body = "done";
             co_await response.send(200, "OK", {}, std::move(body));
         };
@@ -58,7 +80,7 @@
     connected_caller(const connected_caller&) = delete;
     connected_caller& operator=(const connected_caller&) = delete;
 
-    void send(const std::string& bytes) { asio::write(caller, asio::buffer(bytes)); }
+    void send(const std::string& bytes) { send_all(caller, bytes); }
 
     /// A request and its response, after which the connection is kept.
     void exchange()
@@ -165,8 +187,9 @@
 {
     connected_caller connection;
     connection.send(whole_request);
+    connection.acceptor->close();
     connection.drain();
-    while (connection.server->guard->connections() > 0) {
+    while (connection.server->open > 0) {
         connection.context.run_one();
     }
     BOOST_TEST(connection.handled == 2);
@@ -188,6 +211,38 @@
     BOOST_TEST((error == asio::error::eof));
 }
 
+// Guards against a stop that reads a connection again and again which broke off inside a request.
+BOOST_AUTO_TEST_CASE(request_that_breaks_off_during_the_stop_ends_its_connection)
+{
+    const std::string chunk = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5";
+    for (const std::string& part : {std::string("POST /x HT"), request_head + "bo", chunk}) {
+        connected_caller connection;
+        connection.send(part);
+        connection.context.poll();
+        connection.drain();
+        connection.caller.shutdown(tcp::socket::shutdown_send);
+        BOOST_TEST(connection.receive_all() == "");
+        BOOST_TEST(connection.handled == 1);
+    }
+}
+
+// Guards against a request that is read and discarded after the response before it.
+BOOST_AUTO_TEST_CASE(next_request_of_a_kept_connection_is_answered_while_the_gateway_drains)
+{
+    connected_caller connection;
+    connection.held = true;
+    connection.send(whole_request);
+    connection.context.poll();
+    connection.server->draining = true; // the response in progress has promised to keep the connection
+    connection.send(whole_request);
+    connection.held = false;
+    connection.gate.cancel();
+    const std::string responses = connection.receive_all();
+    BOOST_TEST(connection.handled == 3);
+    BOOST_TEST(responses.find("done") != responses.rfind("done"));
+    BOOST_TEST(responses.find("Connection: close") != std::string::npos);
+}
+
 // Guards against a server that takes its own shutdown for a caller who left.
 BOOST_AUTO_TEST_CASE(request_received_when_a_server_drains_has_its_caller)
 {
@@ -206,8 +261,10 @@
     const std::size_t colon = address.rfind(':');
     caller.connect({asio::ip::make_address(address.substr(0, colon)),
                     static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))});
-    context.poll();
-    asio::write(caller, asio::buffer(whole_request));
+    while (server.connections() < 2) { // the listener itself and the caller
+        context.run_one();
+    }
+    send_all(caller, whole_request);
     asio::post(context, [&server] { server.drain(); });
     while (server.connections() > 0) {
         context.run_one();
