Replace a retiring voter before it is removed

A retiring voter of a full group was removed first and its replacement promoted 200 ms later or more. If as many disks as the deployment tolerates were lost in between, two of four voters (or one of two) were left, which can never elect a leader: acknowledged turns or the plan were gone. Class of fault: a planned step that uses up the margin kept for unplanned ones.

The replacement of a voter that takes part is promoted first now. Six voters survive the loss of two disks, four the loss of one. A lost voter is still removed first, and a group below its size keeps its order.

--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -83,7 +83,14 @@
     const auto voters = static_cast<std::size_t>(std::count_if(
         members.begin(), members.end(), [](const member_status& status) { return status.info.voter; }));
     const member_status* departing = find_departing_voter(members, policy);
-    if (departing != nullptr && find_replacement(members, departing, policy) != nullptr) {
+    const member_status* successor =
+        departing != nullptr ? find_replacement(members, departing, policy) : nullptr;
+    const bool is_replaced = departing != nullptr && voters > policy.voters;
+    const bool takes_part = departing != nullptr && !is_lost(*departing, policy);
+    if (takes_part && voters == policy.voters && successor != nullptr) {
+        return {planned_kind::promote, successor->info.id};
+    }
+    if (is_replaced || successor != nullptr) {
         return {departing->is_self ? planned_kind::hand_over : planned_kind::remove, departing->info.id};
     }
     if (voters < policy.voters) {
--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -36,8 +36,9 @@
 };
 
 /// Plans the next membership change. A lost or retiring voter is removed only once a learner that can replace
-/// it has caught up, and before that learner is promoted: with both as voters, one more loss could break the
-/// quorum.
+/// it has caught up. A lost one is removed before that learner is promoted: with both as voters, one more
+/// loss could break the quorum. A retiring one that takes part in a group of full size stays until the
+/// learner is a voter: without it, the loss of as many disks as the group tolerates would end the group.
 /// @param members status of all members, including the leader.
 /// @return the change, of kind `nothing` if none is needed or possible.
 planned_change plan_membership_change(const std::vector<member_status>& members,
