Answer 503 to a turn on a route that the gateway does not know

Found by reading. A gateway whose plan is older than the one under which a turn was served answered 404 to the next turn, which says that the turn does not exist; the program ends. It can't be certain, so it promises only that the call did not run.

--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -110,6 +110,10 @@
         return {503, "no configuration yet", plan_retry_after};
     }
     call.route = plan::find_route(*call.plan, call.metadata.host, call.metadata.path);
+    if (call.route == nullptr && !call.metadata.previous_turn.empty()) {
+        // The turn may have been served under a newer plan, and 404 would say that it does not exist.
+        return {503, "no such route yet", plan_retry_after};
+    }
     if (call.route == nullptr) {
         return {404, "no such route", {}};
     }
--- a/tests/unit/fleet_test.cpp
+++ b/tests/unit/fleet_test.cpp
@@ -17,6 +17,8 @@
 BOOST_FIXTURE_TEST_CASE(call_without_route_or_key_is_refused_and_reaches_no_upstream, small_fleet)
 {
     BOOST_TEST(call("GET", "/nowhere/x").status == 404);
+    // A gateway with an older plan can't know that the turn does not exist.
+    BOOST_TEST(call("POST", "/nowhere/x", {{"Previous", "t1"}}, "x").status == 503);
     BOOST_TEST(call("GET", "/safe/x", {{"Key", "other"}}).status == 401);
     BOOST_TEST(upstream.calls.load() == 0);
 }
