Log an attempt's software version and what a call takes up

attempt_sent named the instance and not its version, call_opened not the stream that a call continues, so neither hypothesis could be told from the other.

--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -289,6 +289,8 @@
                {"program", call.metadata.program.value},
                {"line", call.metadata.line},
                {"previous", call.metadata.previous_turn.value},
+               {"resumes", call.metadata.resumed_request.value},
+               {"after", call.metadata.resume_after.value_or(0)},
                {"plan", call.plan->plan.version.value},
                {"plan_confirmed_ms_ago", std::uint64_t(to_ms(now - state.plan_confirmed_at))},
                {"deadline_ms", std::uint64_t(to_ms(call.deadline - call.started_at))},
--- a/src/gateway/call_placement.cpp
+++ b/src/gateway/call_placement.cpp
@@ -123,6 +123,7 @@
         request.cached_tokens.empty() ? 0 : request.cached_tokens[static_cast<std::size_t>(chosen)];
     log_event(event::attempt_sent, {{"request", call.metadata.request.value},
                                     {"to", best.record->id.value},
+                                    {"version", best.record->version},
                                     {"address", best.record->address},
                                     {"data_centre", best.record->data_centre.value},
                                     {"warm", call.warm_instance},
--- a/src/gateway/dialect_type.hpp
+++ b/src/gateway/dialect_type.hpp
@@ -50,6 +50,8 @@
     request_name previous_turn;
     std::optional<duration> finish_in;         ///< until the caller wants the whole program to be finished
     std::optional<std::uint64_t> resume_after; ///< id of the last event that the caller has received
+    request_name resumed_request; ///< that got the first event of the stream that the call takes up; may be
+                                  ///< empty
 };
 
 /// Values for the headers that the gateway adds to a request to an upstream.
