Continue a stream only at the software version that began it

What callers saw: streams with events of two software versions of a service, in one answer after an upstream broke off, and over their tries at several gateways.

Cause: a gateway chose any instance of the service to go on with, and one that a caller reached with Last-Event-Id knew nothing of the stream. Class of fault: state that a later request depends on was kept nowhere.

Change: a resumable stream is bound to the service and version of its first event, and only instances of that version are candidates afterwards. The ledger group of the organisation keeps this origin by the request that got the first event, until the deadline and a slack have passed. While one version serves the opening of the turn carries it, without a further message; otherwise the gateway records it with the first event. A stream whose origin is not recorded is refused with 503, so a lost record is safe, and only an origin that replaces another is awaited. Streams on resumable routes without a token budget now open a turn as well.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -90,6 +90,7 @@
     turn_closed = 4012,
     lines_left_out = 4013,
     turn_not_stored = 4014,
+    stream_not_recorded = 4015,
     service_congested = 4025,
     service_relieved = 4026,
     start_refused = 4027,
--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -155,6 +155,9 @@
     else if (request.has_close_turn()) {
         propose_close(request.close_turn(), send_reply);
     }
+    else if (request.has_record_stream()) {
+        propose_stream(request.record_stream(), send_reply);
+    }
 }
 
 void ledger_replica::refuse(const wire::open_turn& request, const char* outcome,
@@ -265,6 +268,16 @@
                    });
 }
 
+void ledger_replica::propose_stream(const wire::record_stream& request, const reply_function& send_reply)
+{
+    wire::turn_command command;
+    *command.mutable_stream() = request;
+    command.mutable_stream()->set_now_ms(clock_.at(runtime_clock::now()).count());
+    group_.propose(command.SerializeAsString(), [this, send_reply](const wire::envelope* result) {
+        send_reply(result == nullptr ? make_redirect(group_) : *result);
+    });
+}
+
 wire::envelope ledger_replica::apply(const std::string& bytes)
 {
     wire::turn_command command;
@@ -276,6 +289,12 @@
     if (command.has_open()) {
         return apply_open(command.open());
     }
+    if (command.has_stream()) {
+        turns::advance_time(state_, turns::group_time{command.stream().now_ms()});
+        turns::record_stream(state_, turns::from_wire(command.stream()));
+        reply.mutable_done();
+        return reply;
+    }
     return apply_close(*command.mutable_close());
 }
 
@@ -329,6 +348,9 @@
     body->set_spent(result.spent);
     body->set_reserved(result.reserved);
     body->set_takes_offers(true);
+    if (result.origin) {
+        turns::to_wire(*result.origin, body->mutable_origin());
+    }
     if (group_.leads()) {
         log_event(event::turn_opened, {{"request", request.request()},
                                        {"group", std::uint64_t{group_.number()}},
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -59,6 +59,7 @@
     void handle_offer(const wire::content_offer& request, const reply_function& send_reply);
     void handle_history_query(const wire::history_query& request, const reply_function& send_reply);
     void propose_open(const wire::open_turn& request, const reply_function& send_reply);
+    void propose_stream(const wire::record_stream& request, const reply_function& send_reply);
     void propose_close(const wire::close_turn& request, const reply_function& send_reply);
     wire::envelope apply(const std::string& command);
     wire::envelope apply_open(const wire::open_turn& request);
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -128,7 +128,8 @@
         return;
     }
     const bool is_request = message->has_open_turn() || message->has_close_turn() || message->has_borrow() ||
-                            message->has_content_offer() || message->has_history_query();
+                            message->has_content_offer() || message->has_history_query() ||
+                            message->has_record_stream();
     if (!is_request) {
         return; // a consensus message of a group that no hello has named yet; its sender repeats it
     }
--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -50,7 +50,8 @@
     response_head head;
     bool has_head = false;
     bool streaming = false; ///< events are forwarded as they arrive
-    bool unusable = false;  ///< an event was missing or a duplicate
+    bool unusable = false;  ///< an event was missing, a duplicate or of another version than the stream
+    std::string version;    ///< of the instance's software
     time_point first_event_at{};
     time_point last_event_at{};
     std::uint64_t events = 0; ///< of this attempt
@@ -147,6 +148,14 @@
     std::vector<stream_event> events = split_events(state.splitter, part);
     observe_events(*call, directory::instance_id{call->serving_instance}, state.times, events.size(),
                    runtime_clock::now());
+    const bool may_be_taken_up = call->route->resumable && !call->stream_version;
+    if (may_be_taken_up && !events.empty()) {
+        if (!co_await record_stream_version(call, state.version)) {
+            state.unusable = true;
+            co_return false;
+        }
+        call->stream_version = state.version;
+    }
     for (stream_event& next : events) {
         state.last_event_at = runtime_clock::now();
         state.first_event_at = state.events == 0 ? state.last_event_at : state.first_event_at;
@@ -370,6 +379,7 @@
         co_return attempt_result::not_executed;
     }
     attempt_state state;
+    state.version = target.version;
     response_sink sink;
     sink.on_authentic_head = [call, target](const response_head& head) {
         note_leaving(call->context, target, head);
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -125,8 +125,10 @@
     }
     const duration requested_timeout = call.metadata.timeout.value_or(default_timeout);
     call.deadline = call.started_at + std::min(requested_timeout, call.route->timeout);
+    const request_name& first_request =
+        call.metadata.resumed_request.empty() ? call.metadata.request : call.metadata.resumed_request;
     const std::string& affinity_key =
-        call.metadata.program.empty() ? call.metadata.request.value : call.metadata.program.value;
+        call.metadata.program.empty() ? first_request.value : call.metadata.program.value;
     call.service = plan::pick_service(*call.route, hash_bytes(affinity_key)).service;
     const std::string organisation = call.organisation != nullptr ? call.organisation->name.value : "";
     // A turn that the route keeps is run with its history in front of its body.
@@ -341,11 +343,14 @@
         }
     };
     call->is_turn = call->route->kind == plan::call_kind::streaming &&
-                    (call->route->keeps_turns || call->metadata.budget_tokens > 0);
+                    (call->route->keeps_turns || call->metadata.budget_tokens > 0 || call->route->resumable);
     if (call->is_turn) {
         cause = co_await open_turn(call);
         const bool is_open = cause.status == 0;
-        if (is_open) {
+        if (is_open && takes_up_stream(*call)) {
+            cause = bind_to_origin(*call);
+        }
+        if (cause.status == 0) {
             cause = co_await admit_start(call);
         }
         if (cause.status != 0) {
--- a/src/gateway/call_placement.cpp
+++ b/src/gateway/call_placement.cpp
@@ -29,7 +29,7 @@
         const bool usable = record.state == directory::instance_state::serving &&
                             record.service == service.name.value &&
                             !state.evacuated_data_centres.contains(record.data_centre.value);
-        if (!usable) {
+        if (!usable || (call.stream_version && record.version != *call.stream_version)) {
             continue;
         }
         if (directory::is_leaving(state.leaving, record)) {
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -5,6 +5,7 @@
 #include "gateway/call_flow.hpp"
 #include "gateway/event_stream.hpp"
 #include "queueing/urgency_func.hpp"
+#include "turns/turn_type.hpp"
 
 #include <boost/asio/basic_waitable_timer.hpp>
 
@@ -62,6 +63,11 @@
     std::optional<std::uint64_t> last_event_id; ///< of the last event forwarded
     std::string output;                         ///< data of the forwarded events, if the route keeps turns
     std::string serving_instance;               ///< instance of the last attempt
+    /// Software version whose events the stream holds. The events of two versions can't be joined.
+    std::optional<std::string> stream_version;
+    std::optional<std::string> recorded_version; ///< that the ledger has for the stream
+    bool origin_uncertain = false;               ///< the ledger may have another version than that
+    std::optional<turns::stream_origin> origin;  ///< of the stream that the call takes up, from the ledger
     std::optional<upstream_response>
         fallback_response; ///< an upstream's error response, forwarded if no other attempt succeeds
 };
@@ -89,6 +95,16 @@
                   const response_head& head);
 /// Sends the caller a response that was read completely.
 boost::asio::awaitable<void> forward_response(std::shared_ptr<active_call> call, upstream_response response);
+/// How a request to the ledger is answered.
+enum class ledger_call_mode : std::uint8_t { prompt, hold, once };
+
+/// Sends a request to the ledger group of the call's organisation. Shortly after the gateway's start it first
+/// waits until the groups are known from control.
+/// @param mode `hold` if the leader answers when it can, `once` for a large request.
+/// @throw link_error if the groups stayed unknown or no leader replied within the timeout.
+boost::asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call,
+                                                       wire::envelope request, duration timeout,
+                                                       ledger_call_mode mode = ledger_call_mode::prompt);
 /// Waits until the number of ledger groups is known from control.
 /// @return false if the deadline passed first.
 boost::asio::awaitable<bool> await_ledger_groups(std::shared_ptr<active_call> call, time_point deadline);
@@ -99,6 +115,17 @@
 /// Opens the call's turn in the ledger, which checks the program's budget and finds the previous turn.
 /// @return a refusal with status 0 if the call may proceed.
 boost::asio::awaitable<refusal> open_turn(std::shared_ptr<active_call> call);
+/// @return whether the call continues a stream that another request began.
+bool takes_up_stream(const active_call& call);
+/// @return the software version of all serving instances of the call's service, or nothing if they differ.
+std::optional<std::string> find_only_version(const active_call& call);
+/// Restricts a call that takes up a stream to the service and the version that began it.
+/// @return a refusal with status 0 if the call may proceed.
+refusal bind_to_origin(active_call& call);
+/// Records in the ledger which version begins the call's stream, if the ledger doesn't have it yet.
+/// @return false if the ledger may still have another version, so that the stream must not begin with this
+/// one.
+boost::asio::awaitable<bool> record_stream_version(std::shared_ptr<active_call> call, std::string version);
 /// Closes the call's turn in the ledger. @param completed keeps the turn, so that another can continue it.
 /// @return whether the ledger committed it.
 boost::asio::awaitable<bool> close_turn(std::shared_ptr<active_call> call, bool completed);
--- /dev/null
+++ b/src/gateway/call_stream.cpp
@@ -0,0 +1,119 @@
+// Streams that may be continued at another instance or by another call: the software version that began them.
+#include "base/event_type.hpp"
+#include "base/failure_type.hpp"
+#include "gateway/call_run.hpp"
+#include "turns/turn_func.hpp"
+#include "wire.pb.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+
+#include <algorithm>
+
+namespace guavawick::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration record_timeout = 2500ms;    ///< a new leader of a ledger group is elected within 2 s
+constexpr duration origin_retry_after = 300ms; ///< a record that is on its way has been committed by then
+
+/// Sends the origin of the call's stream to the ledger. @return whether the ledger committed it.
+asio::awaitable<bool> send_stream_origin(std::shared_ptr<active_call> call, std::string version)
+{
+    const duration time_left = std::max<duration>(call->deadline - runtime_clock::now(), 1ms);
+    wire::envelope request;
+    wire::record_stream* body = request.mutable_record_stream();
+    body->set_organisation(call->organisation != nullptr ? call->organisation->name.value : "");
+    body->set_request(call->metadata.request.value);
+    body->set_run_timeout_ms(static_cast<std::uint64_t>(to_ms(time_left)));
+    turns::to_wire({call->service.value, std::move(version), call->attempts, {}}, body->mutable_origin());
+    try {
+        const wire::envelope_ptr reply =
+            co_await call_ledger(call, std::move(request), std::min<duration>(time_left, record_timeout));
+        co_return reply->has_done();
+    }
+    catch (const link_error& error) {
+        std::vector<event_field> fields = call_fields(*call);
+        fields.push_back({"reason", error.what()});
+        log_event(event::stream_not_recorded, fields);
+    }
+    co_return false;
+}
+
+/// Sends the origin without waiting for the ledger.
+asio::awaitable<void> post_stream_origin(std::shared_ptr<active_call> call, std::string version)
+{
+    co_await send_stream_origin(std::move(call), std::move(version));
+}
+
+} // namespace
+
+bool takes_up_stream(const active_call& call)
+{
+    return call.route->resumable && call.metadata.resume_after.value_or(0) > 0;
+}
+
+std::optional<std::string> find_only_version(const active_call& call)
+{
+    std::optional<std::string> only;
+    for (const auto& [id, record] : call.context.state->instances.instances) {
+        if (record.service != call.service.value || record.state != directory::instance_state::serving) {
+            continue;
+        }
+        if (only && *only != record.version) {
+            return std::nullopt;
+        }
+        only = record.version;
+    }
+    return only;
+}
+
+refusal bind_to_origin(active_call& call)
+{
+    if (call.origin) {
+        const plan::service_name service{call.origin->service};
+        const bool is_routed = std::any_of(
+            call.route->services.begin(), call.route->services.end(),
+            [&service](const plan::weighted_service& listed) { return listed.service == service; });
+        if (!is_routed) {
+            return {503, "the service that began the stream no longer serves the route", {}};
+        }
+        call.service = service;
+        call.stream_version = call.origin->version;
+    }
+    else if (call.metadata.resumed_request.empty()) {
+        call.stream_version = find_only_version(call); // the caller doesn't say what it continues
+    }
+    if (!call.stream_version) {
+        return {503, "the version that began the stream is not known", origin_retry_after};
+    }
+    return {0, "", {}};
+}
+
+asio::awaitable<bool> record_stream_version(std::shared_ptr<active_call> call, std::string version)
+{
+    if (!call->origin_uncertain && call->recorded_version == version) {
+        co_return true;
+    }
+    if (!call->origin_uncertain && !call->recorded_version) {
+        // A stream without a record is not continued, so that its events need not wait for the ledger.
+        call->recorded_version = version;
+        const auto executor = co_await asio::this_coro::executor;
+        asio::co_spawn(executor, post_stream_origin(call, std::move(version)), asio::detached);
+        co_return true;
+    }
+    call->origin_uncertain = true;
+    const bool recorded = co_await send_stream_origin(call, version);
+    if (recorded) {
+        call->recorded_version = std::move(version);
+        call->origin_uncertain = false;
+    }
+    co_return recorded;
+}
+
+} // namespace guavawick::gateway
--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -5,7 +5,7 @@
 #include "core/content_gate.hpp"
 #include "core/fleet_state.hpp"
 #include "gateway/call_run.hpp"
-#include "turns/turn_type.hpp"
+#include "turns/turn_func.hpp"
 #include "wire.pb.h"
 
 namespace guavawick::gateway {
@@ -21,49 +21,6 @@
 constexpr duration ledger_poll_interval = 20ms; ///< at which a waiting call checks for the ledger groups
 constexpr duration ledger_retry_after = 300ms;  ///< a ledger group needs about this long for a new leader
 
-/// How a request to the ledger is answered.
-enum class ledger_call_mode : std::uint8_t { prompt, hold, once };
-
-/// Sends a request to the ledger group of the call's organisation. Shortly after the gateway's start it first
-/// waits until the groups are known from control.
-/// @param mode `hold` if the leader answers when it can, `once` for a large request.
-/// @throw link_error if the groups stayed unknown or no leader replied within the timeout.
-asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call, wire::envelope request,
-                                                duration timeout,
-                                                ledger_call_mode mode = ledger_call_mode::prompt)
-{
-    const gateway_state& state = *call->context.state;
-    const organisation_name organisation =
-        call->organisation != nullptr ? call->organisation->name : organisation_name{};
-    const time_point deadline = runtime_clock::now() + timeout;
-    const bool groups_known = co_await await_ledger_groups(call, deadline);
-    const std::optional<std::uint32_t> group = core::ledger_group_of(organisation, state.ledger_group_count);
-    if (!groups_known || !group) {
-        throw link_error("the ledger groups are not known from control yet");
-    }
-    dependency& ledger_group = call->context.state->ledger_dependencies
-                                   .try_emplace(*group, dependency{"ledger group " + std::to_string(*group)})
-                                   .first->second;
-    try {
-        wire::group_client& client = *call->context.ledger_client;
-        const duration time_left = deadline - runtime_clock::now();
-        const duration hold_time = mode == ledger_call_mode::hold ? time_left : duration{};
-        wire::envelope_ptr reply;
-        if (mode == ledger_call_mode::once) {
-            reply = co_await client.call_once(*group, std::move(request), time_left);
-        }
-        else {
-            reply = co_await client.call(*group, std::move(request), time_left, hold_time);
-        }
-        record_reply(ledger_group, runtime_clock::now());
-        co_return reply;
-    }
-    catch (const link_error& error) {
-        record_outage(ledger_group, error.what(), runtime_clock::now());
-        throw;
-    }
-}
-
 /// @return a hash of the call's program and its organisation.
 std::uint64_t hash_program(const active_call& call)
 {
@@ -100,6 +57,41 @@
 
 } // namespace
 
+asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call, wire::envelope request,
+                                                duration timeout, ledger_call_mode mode)
+{
+    const gateway_state& state = *call->context.state;
+    const organisation_name organisation =
+        call->organisation != nullptr ? call->organisation->name : organisation_name{};
+    const time_point deadline = runtime_clock::now() + timeout;
+    const bool groups_known = co_await await_ledger_groups(call, deadline);
+    const std::optional<std::uint32_t> group = core::ledger_group_of(organisation, state.ledger_group_count);
+    if (!groups_known || !group) {
+        throw link_error("the ledger groups are not known from control yet");
+    }
+    dependency& ledger_group = call->context.state->ledger_dependencies
+                                   .try_emplace(*group, dependency{"ledger group " + std::to_string(*group)})
+                                   .first->second;
+    try {
+        wire::group_client& client = *call->context.ledger_client;
+        const duration time_left = deadline - runtime_clock::now();
+        const duration hold_time = mode == ledger_call_mode::hold ? time_left : duration{};
+        wire::envelope_ptr reply;
+        if (mode == ledger_call_mode::once) {
+            reply = co_await client.call_once(*group, std::move(request), time_left);
+        }
+        else {
+            reply = co_await client.call(*group, std::move(request), time_left, hold_time);
+        }
+        record_reply(ledger_group, runtime_clock::now());
+        co_return reply;
+    }
+    catch (const link_error& error) {
+        record_outage(ledger_group, error.what(), runtime_clock::now());
+        throw;
+    }
+}
+
 std::string history_key(const active_call& call, const request_name& turn)
 {
     return make_history_key(call.organisation != nullptr ? call.organisation->name.value : "", turn.value);
@@ -143,6 +135,16 @@
         }
         body->set_accepts_history_parts(true);
     }
+    if (takes_up_stream(*call)) {
+        body->set_resumes(call->metadata.resumed_request.value);
+    }
+    else if (call->route->resumable) {
+        call->recorded_version = find_only_version(*call);
+        if (call->recorded_version) {
+            body->mutable_origin()->set_service(call->service.value);
+            body->mutable_origin()->set_version(*call->recorded_version);
+        }
+    }
     const duration time_left = call->deadline - runtime_clock::now();
     body->set_run_timeout_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(time_left), 1)));
     std::string failure_reason;
@@ -190,6 +192,9 @@
         call->starts_program = false; // other gateways have served turns of the program
     }
     call->warm_instance = opened.upstream();
+    if (opened.has_origin()) {
+        call->origin = turns::from_wire(opened.origin());
+    }
     call->ledger_takes_offers = opened.takes_offers();
     co_return refusal{0, "", {}};
 }
--- a/src/gateway/rollout_gate.cpp
+++ b/src/gateway/rollout_gate.cpp
@@ -198,6 +198,9 @@
         keep_versions(candidates, rollout, rollout.current == rollout::stage::completed);
         return;
     }
+    if (call.stream_version) {
+        return; // decided when the stream began
+    }
     tracked_rollout& tracked = state.rollouts.tracked[rollout.service];
     const bool available = std::any_of(candidates.begin(), candidates.end(), [&](const auto& candidate) {
         return is_exposable(call, candidate, rollout, now);
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -61,16 +61,36 @@
         return;
     }
     std::erase_if(state.turns, [&](const auto& entry) { return entry.second.keep_until < state.now; });
+    std::erase_if(state.streams, [&](const auto& entry) { return entry.second.keep_until < state.now; });
     std::erase_if(state.programs, [&](const auto& entry) {
         const program_account& account = entry.second;
         return account.used_at + account_retention < state.now && account.keep_until < state.now;
     });
 }
 
+void record_stream(turn_state& state, const stream_request& request)
+{
+    const auto [known, is_new] =
+        state.streams.try_emplace({request.organisation, request.request}, request.origin);
+    if (!is_new && known->second.attempt > request.origin.attempt) {
+        return;
+    }
+    known->second = request.origin;
+    known->second.keep_until = state.now + request.run_timeout + retention_slack;
+}
+
 open_result open_turn(turn_state& state, const open_request& request)
 {
     open_result result;
     const group_time run_until = state.now + request.run_timeout + retention_slack;
+    if (const auto taken_up = state.streams.find({request.organisation, request.resumes});
+        taken_up != state.streams.end()) {
+        taken_up->second.keep_until = std::max(taken_up->second.keep_until, run_until);
+        result.origin = taken_up->second;
+    }
+    if (request.origin) {
+        record_stream(state, {request.organisation, request.request, *request.origin, request.run_timeout});
+    }
     if (!request.previous.empty()) {
         result.missing = find_missing_turn(state, request.organisation, request.previous,
                                            request.has_history ? nullptr : &result.history);
--- a/src/turns/turn_codec.cpp
+++ b/src/turns/turn_codec.cpp
@@ -6,6 +6,18 @@
 
 namespace guavawick::turns {
 
+void to_wire(const stream_origin& origin, wire::stream_origin* message)
+{
+    message->set_service(origin.service);
+    message->set_version(origin.version);
+    message->set_attempt(origin.attempt);
+}
+
+stream_origin from_wire(const wire::stream_origin& message)
+{
+    return {message.service(), message.version(), message.attempt(), {}};
+}
+
 std::string encode_state(const turn_state& state)
 {
     wire::turn_snapshot encoded;
@@ -41,6 +53,13 @@
             budget->add_settled(request.value);
         }
     }
+    for (const auto& [key, origin] : state.streams) {
+        wire::stream_record* record = encoded.add_streams();
+        record->set_organisation(key.organisation.value);
+        record->set_request(key.request.value);
+        to_wire(origin, record->mutable_origin());
+        record->set_keep_until_ms(origin.keep_until.count());
+    }
     return encoded.SerializeAsString();
 }
 
@@ -75,6 +94,12 @@
             account.settled.insert(request_name{request});
         }
     }
+    for (const wire::stream_record& record : encoded.streams()) {
+        stream_origin& origin =
+            state.streams[{organisation_name{record.organisation()}, request_name{record.request()}}];
+        origin = from_wire(record.origin());
+        origin.keep_until = group_time{record.keep_until_ms()};
+    }
     return state;
 }
 
@@ -89,7 +114,9 @@
             message.line(),
             message.has_history(),
             message.run_timeout_ms() > 0 ? std::chrono::milliseconds{message.run_timeout_ms()}
-                                         : default_run_timeout};
+                                         : default_run_timeout,
+            message.has_origin() ? std::optional{from_wire(message.origin())} : std::nullopt,
+            request_name{message.resumes()}};
 }
 
 close_request from_wire(const wire::close_turn& message)
@@ -105,4 +132,10 @@
             message.line()};
 }
 
+stream_request from_wire(const wire::record_stream& message)
+{
+    return {organisation_name{message.organisation()}, request_name{message.request()},
+            from_wire(message.origin()), std::chrono::milliseconds{message.run_timeout_ms()}};
+}
+
 } // namespace guavawick::turns
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -62,9 +63,18 @@
     group_time keep_until{}; ///< the account is not removed before this
 };
 
-/// Turns and program accounts of a ledger group.
+/// The upstream software that began a stream. The events of two versions can't be joined to one stream.
+struct stream_origin {
+    std::string service;
+    std::string version;       ///< of the software; empty if the service's instances announce none
+    std::uint32_t attempt = 0; ///< of the call, from 1; 0 if it was recorded when the turn was opened
+    group_time keep_until{};   ///< the origin is removed after this
+};
+
+/// Turns, program accounts and origins of streams of a ledger group.
 struct turn_state {
     group_time now{};
+    std::map<turn_key, stream_origin> streams; ///< by the request that got the stream's first event
     std::map<turn_key, turn> turns;
     std::map<program_key, program_account> programs;
 };
@@ -80,6 +90,8 @@
     std::string line;                ///< sequence of turns within the program that this turn belongs to
     bool has_history = false;        ///< the requesting gateway already has the bytes of the history
     std::chrono::milliseconds run_timeout = default_run_timeout; ///< time left until the call's deadline
+    std::optional<stream_origin> origin; ///< of a stream that may be taken up, if it is known already
+    request_name resumes;                ///< request whose stream the call takes up; empty if there is none
 };
 
 /// Whether a turn may run.
@@ -95,6 +107,15 @@
     request_name missing;       ///< turn of the chain that is not stored, if the outcome is unknown_turn
     std::uint64_t spent = 0;    ///< tokens of closed turns, for logs
     std::uint64_t reserved = 0; ///< tokens reserved for running turns, for logs
+    std::optional<stream_origin> origin; ///< of the stream that the call takes up; nothing if it is unknown
+};
+
+/// Request to record the origin of a stream.
+struct stream_request {
+    organisation_name organisation;
+    request_name request;
+    stream_origin origin;
+    std::chrono::milliseconds run_timeout = default_run_timeout; ///< time left until the call's deadline
 };
 
 /// Request to close a turn.
--- a/tests/unit/resumable_test.cpp
+++ b/tests/unit/resumable_test.cpp
@@ -43,6 +43,7 @@
     std::string beginning;               ///< the bytes of the first attempt's response
     stream_end ending = stream_end::fin; ///< how they end
     int attempts = 0;
+    std::vector<std::string> served_by; ///< name of the upstream of each attempt
 };
 
 /// An upstream whose responses have neither a length nor chunks.
@@ -51,9 +52,11 @@
     tcp::acceptor acceptor{context};
     std::string address = find_free_address();
     attempt_script& script;
+    std::string name;
     std::thread thread;
 
-    explicit breaking_upstream(attempt_script& shared_script) : script(shared_script)
+    explicit breaking_upstream(attempt_script& shared_script, std::string own_name = "")
+        : script(shared_script), name(std::move(own_name))
     {
         const std::size_t colon = address.rfind(':');
         const tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
@@ -113,6 +116,7 @@
         stream_end end = stream_end::fin;
         {
             const std::lock_guard lock(script.mutex);
+            script.served_by.push_back(name);
             if (script.attempts++ == 0) {
                 bytes = script.beginning;
                 end = script.ending;
@@ -170,6 +174,7 @@
                 script.beginning = head + part;
                 script.ending = end;
                 script.attempts = 0;
+                script.served_by.clear();
             }
             response = call("POST", target, headers, "x");
         }
@@ -183,6 +188,53 @@
     }
 };
 
+/// A fleet with two gateways. A stream of request "r" began at the first gateway at version v1 and broke off
+/// there after its first event; calls reach the second gateway.
+struct stream_of_old_version : small_fleet {
+    attempt_script script;
+    breaking_upstream old_instance{script, "old"};
+    breaking_upstream new_instance{script, "new"};
+    breaking_upstream other_old_instance{script, "other old"};
+    std::unique_ptr<gateway::gateway_process> first_gateway;
+
+    /// @param both_serve instances of both versions serve when the stream begins.
+    explicit stream_of_old_version(bool both_serve = false)
+    {
+        announce(upstream, "u1", 2, directory::instance_state::gone);
+        announce_address(old_instance.address, "old", 1, directory::instance_state::serving, "v1");
+        if (both_serve) {
+            announce_address(new_instance.address, "new", 1, directory::instance_state::serving, "v2");
+        }
+        script.beginning = stream_head + whole_events[0];
+        script.ending = stream_end::reset;
+        int status = 503;
+        while (status != 0 || script.served_by != std::vector<std::string>{"old"}) {
+            script.attempts = 0;
+            script.served_by.clear();
+            status = call("POST", "/resumed/x", {{"Call", "r"}}, "x").status;
+        }
+        announce_address(old_instance.address, "old", 2, directory::instance_state::gone, "v1");
+        announce_address(new_instance.address, "new", 2, directory::instance_state::serving, "v2");
+        first_gateway = std::move(gateway_server);
+        start_gateway();
+        while (call("GET", "/safe/x").status != 200) {
+        }
+        script.served_by.clear();
+    }
+
+    ~stream_of_old_version()
+    {
+        first_gateway->stop();
+        small_fleet::stop();
+        first_gateway->close();
+    }
+
+    http::response take_up(const std::string& request)
+    {
+        return call("POST", "/resumed/x", {{"Resumes", request}, {"Last-Event", "1"}}, "x");
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(resumable_test)
@@ -238,6 +290,51 @@
     BOOST_TEST(second_upstream.last_body == "xone\ntwo\nthree\ny");
 }
 
+// Guards against an answer that joins events of two software versions of its upstreams.
+BOOST_AUTO_TEST_CASE(stream_that_breaks_off_goes_on_only_at_its_version)
+{
+    broken_stream fleet;
+    const double known = fleet.read_metric("guavawick_gateway_instances");
+    fleet.announce_address(fleet.second.address, "b2", 2, directory::instance_state::serving, "v2");
+    fleet.announce_address(find_free_address(), "b3", 1, directory::instance_state::draining);
+    while (fleet.read_metric("guavawick_gateway_instances") == known) { // announcements arrive in order
+    }
+    for (int i = 0; i < 8; ++i) {
+        const http::response response =
+            fleet.call_broken("/resumed/x", whole_events[0] + "id", stream_end::reset);
+        BOOST_TEST(response.status == 0); // broken off: no other instance has the version
+        BOOST_TEST(fleet.count_attempts() == 1);
+    }
+}
+
+// Guards against a stream that a caller takes up at another gateway and at another software version.
+BOOST_AUTO_TEST_CASE(stream_taken_up_at_another_gateway_goes_on_at_its_version)
+{
+    for (const bool both_serve : {false, true}) {
+        stream_of_old_version fleet(both_serve);
+        for (int i = 0; i < 4; ++i) {
+            BOOST_TEST(fleet.take_up("r").status == 503);
+        }
+        BOOST_TEST(fleet.script.served_by.empty());
+        fleet.announce_address(fleet.other_old_instance.address, "other old", 1,
+                               directory::instance_state::serving, "v1");
+        http::response response = http::make_response(503, "", "");
+        while (response.status == 503) { // until the gateway knows the instance
+            response = fleet.take_up("r");
+        }
+        BOOST_TEST(response.body == whole_events[1] + whole_events[2]);
+        BOOST_TEST(fleet.script.served_by == std::vector<std::string>{"other old"},
+                   boost::test_tools::per_element());
+    }
+}
+
+// Guards against a stream of unknown origin that goes on at any version.
+BOOST_FIXTURE_TEST_CASE(stream_of_unknown_origin_is_refused_and_not_run, stream_of_old_version)
+{
+    BOOST_TEST(take_up("unknown").status == 503);
+    BOOST_TEST(script.served_by.empty());
+}
+
 // Guards against a stream that is run again after its deadline, or that is passed on as whole.
 BOOST_FIXTURE_TEST_CASE(stream_that_is_silent_until_the_deadline_is_broken_off, broken_stream)
 {
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -34,6 +34,11 @@
     metadata.budget_tokens = metadata.program.empty() ? 0 : 10;
     metadata.max_tokens = 4;
     metadata.previous_turn = request_name{gateway::find_header(request.headers, "Previous")};
+    metadata.resumed_request = request_name{gateway::find_header(request.headers, "Resumes")};
+    const std::string last_event = gateway::find_header(request.headers, "Last-Event");
+    if (!last_event.empty()) {
+        metadata.resume_after = std::stoul(last_event);
+    }
     const std::string deadline_ms = gateway::find_header(request.headers, "Deadline");
     if (!deadline_ms.empty()) {
         metadata.timeout = std::chrono::milliseconds(std::stoul(deadline_ms));
@@ -46,9 +51,13 @@
 {
     gateway::header_list headers{{"Organisation", metadata.organisation},
                                  {"Call", gateway::find_header(received, "Call")}};
+    const std::string last_event = gateway::find_header(received, "Last-Event");
     if (metadata.resume_after) {
         headers.emplace_back("Last-Event", std::to_string(*metadata.resume_after));
     }
+    else if (!last_event.empty()) {
+        headers.emplace_back("Last-Event", last_event);
+    }
     if (metadata.priority) {
         headers.emplace_back("Priority", std::to_string(*metadata.priority));
     }
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -309,6 +309,39 @@
     BOOST_TEST(read_history(open_after("t1")) == "hello one\n");
 }
 
+// Guards against a stream that goes on at another version because its origin was forgotten or replaced.
+BOOST_AUTO_TEST_CASE(origin_of_a_stream_is_the_latest_attempts_and_is_kept_while_it_may_be_taken_up)
+{
+    turn_state state;
+    turns::advance_time(state, 1000ms);
+    open_request opening;
+    opening.organisation = organisation_name{"o"};
+    opening.request = request_name{"r"};
+    opening.run_timeout = 4s;
+    opening.origin = stream_origin{"s", "v1", 0, {}};
+    open_turn(state, opening);
+    record_stream(state, {organisation_name{"o"}, request_name{"r"}, {"s", "v2", 2, {}}, 4s});
+    record_stream(state, {organisation_name{"o"}, request_name{"r"}, {"s", "v3", 1, {}}, 4s}); // arrives late
+    open_turn(state, opening);                                                                 // sent again
+    open_request taking_up;
+    taking_up.organisation = organisation_name{"o"};
+    taking_up.request = request_name{"r2"};
+    taking_up.resumes = request_name{"r"};
+    taking_up.run_timeout = 4s;
+    state = decode_state(encode_state(state), [](std::string_view) { return content_range{}; });
+    BOOST_TEST(open_turn(state, taking_up).origin.value().version == "v2");
+    taking_up.organisation = organisation_name{"p"};
+    BOOST_TEST(!open_turn(state, taking_up).origin);
+    taking_up.organisation = organisation_name{"o"};
+    turns::advance_time(state, 9000ms); // the run and the slack
+    BOOST_TEST(open_turn(state, taking_up).origin.has_value());
+    turns::advance_time(state, 17000ms);
+    BOOST_TEST(open_turn(state, taking_up).origin.has_value()); // extended by the call before
+    turns::advance_time(state, 30000ms);
+    BOOST_TEST(!open_turn(state, taking_up).origin);
+    BOOST_TEST(state.streams.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
