Streams over two versions: what the review of the binding found

- An attempt whose instance restarted under its id since it was chosen is given up at its first event; the directory may have had another version.
- A caller that doesn't name what it continues goes on only if no known instance of the service, gone ones included, has another version.
- A call that takes a stream up is not a program's start, and a program is forgotten only if its start was refused.
- New plain streams open no turn: the record at the first event covers them.
Only calls that take one up ask the ledger.
- A gateway asks twice more for an origin whose record may be on its way; a refusal may use up the caller's last try.
- A stream that the gateway gave up is not charged to the instance.
An origin's retention is never shortened.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -50,8 +50,10 @@
     response_head head;
     bool has_head = false;
     bool streaming = false; ///< events are forwarded as they arrive
-    bool unusable = false;  ///< an event was missing, a duplicate or of another version than the stream
-    std::string version;    ///< of the instance's software
+    bool unusable = false;  ///< an event was missing or a duplicate
+    const char* given_up =
+        nullptr; ///< why the gateway ended a response that the upstream may have sent correctly
+    directory::instance_record target; ///< the instance, as it was known when the attempt began
     time_point first_event_at{};
     time_point last_event_at{};
     std::uint64_t events = 0; ///< of this attempt
@@ -148,13 +150,11 @@
     std::vector<stream_event> events = split_events(state.splitter, part);
     observe_events(*call, directory::instance_id{call->serving_instance}, state.times, events.size(),
                    runtime_clock::now());
-    const bool may_be_taken_up = call->route->resumable && !call->stream_version;
-    if (may_be_taken_up && !events.empty()) {
-        if (!co_await record_stream_version(call, state.version)) {
-            state.unusable = true;
+    if (call->route->resumable && state.events == 0 && !events.empty()) {
+        state.given_up = co_await bind_first_event(call, state.target);
+        if (state.given_up != nullptr) {
             co_return false;
         }
-        call->stream_version = state.version;
     }
     for (stream_event& next : events) {
         state.last_event_at = runtime_clock::now();
@@ -353,9 +353,10 @@
     }
     const bool cancelled = call->cancellation != cancel_reason::none;
     log_failed_attempt(*call, target,
-                       cancelled        ? "stopped"
-                       : state.has_head ? "the answer broke off"
-                                        : "no answer",
+                       cancelled                   ? "stopped"
+                       : state.given_up != nullptr ? state.given_up
+                       : state.has_head            ? "the answer broke off"
+                                                   : "no answer",
                        state.has_head ? state.head.status : 0);
     co_return call->head_sent ? attempt_result::stream_interrupted : attempt_result::maybe_executed;
 }
@@ -379,7 +380,7 @@
         co_return attempt_result::not_executed;
     }
     attempt_state state;
-    state.version = target.version;
+    state.target = target;
     response_sink sink;
     sink.on_authentic_head = [call, target](const response_head& head) {
         note_leaving(call->context, target, head);
@@ -433,8 +434,9 @@
             learn_speed(*call, load, state, sent_at, now);
         }
     }
-    else if (call->cancellation == cancel_reason::none ||
-             (call->cancellation == cancel_reason::deadline && !state.has_head)) {
+    else if (state.given_up == nullptr &&
+             (call->cancellation == cancel_reason::none ||
+              (call->cancellation == cancel_reason::deadline && !state.has_head))) {
         suspect_instance(target, load, now);
     }
     if (reusable) {
@@ -445,7 +447,7 @@
         close_connection(*connection);
     }
     const bool was_rejected = state.has_head && state.head.metadata.not_executed;
-    if (!was_rejected && call->cancellation != cancel_reason::caller_left) {
+    if (!was_rejected && state.given_up == nullptr && call->cancellation != cancel_reason::caller_left) {
         const bool success = state.head.status >= 200 && state.head.status < 300;
         const bool forged = success && !state.head.metadata.signed_by_upstream;
         watch.record_outcome(result != exchange_result::complete || state.unusable || forged ||
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -149,7 +149,8 @@
 bool starts_program(const active_call& call)
 {
     const bool first_turn = !call.metadata.program.empty() && call.metadata.previous_turn.empty() &&
-                            call.metadata.budget_tokens > 0 && call.route->kind == plan::call_kind::streaming;
+                            call.metadata.budget_tokens > 0 &&
+                            call.route->kind == plan::call_kind::streaming && !takes_up_stream(call);
     return first_turn &&
            !is_recent_program(call.context.state->programs, hash_bytes(call.metadata.program.value));
 }
@@ -305,6 +306,38 @@
     co_await close_turn(call, false);
 }
 
+/// Opens the call's turn in the ledger, binds the call to the stream that it takes up and admits a program
+/// that starts. @return a refusal with status 0 if the call may proceed.
+asio::awaitable<refusal> open_call(std::shared_ptr<active_call> call)
+{
+    const bool takes_up = takes_up_stream(*call);
+    if (!call->is_turn && !takes_up) {
+        co_return refusal{0, "", {}};
+    }
+    refusal cause;
+    if (takes_up) {
+        cause = co_await open_taken_up_turn(call);
+    }
+    else {
+        cause = co_await open_turn(call);
+    }
+    const bool is_open = cause.status == 0;
+    if (is_open && takes_up) {
+        cause = bind_to_origin(*call);
+    }
+    if (cause.status == 0) {
+        cause = co_await admit_start(call);
+        if (cause.status != 0) {
+            forget_program(call->context.state->programs, hash_bytes(call->metadata.program.value));
+        }
+    }
+    if (cause.status != 0 && is_open && call->is_turn) {
+        const auto executor = co_await asio::this_coro::executor;
+        asio::co_spawn(executor, settle_turn(call), asio::detached);
+    }
+    co_return cause;
+}
+
 asio::awaitable<void> handle_call(call_context context, raw_request& request, responder& response)
 {
     auto call = std::make_shared<active_call>(std::move(context), request, response);
@@ -343,27 +376,14 @@
         }
     };
     call->is_turn = call->route->kind == plan::call_kind::streaming &&
-                    (call->route->keeps_turns || call->metadata.budget_tokens > 0 || call->route->resumable);
-    if (call->is_turn) {
-        cause = co_await open_turn(call);
-        const bool is_open = cause.status == 0;
-        if (is_open && takes_up_stream(*call)) {
-            cause = bind_to_origin(*call);
-        }
-        if (cause.status == 0) {
-            cause = co_await admit_start(call);
-        }
-        if (cause.status != 0) {
-            if (is_open) {
-                forget_program(call->context.state->programs, hash_bytes(call->metadata.program.value));
-                asio::co_spawn(executor, settle_turn(call), asio::detached);
-            }
-            if (call->organisation != nullptr && call->organisation->rate > 0) {
-                call->context.state->rate_limiter->return_token(call->organisation->name);
-            }
-            co_await refuse(call, cause);
-            co_return;
+                    (call->route->keeps_turns || call->metadata.budget_tokens > 0);
+    cause = co_await open_call(call);
+    if (cause.status != 0) {
+        if (call->organisation != nullptr && call->organisation->rate > 0) {
+            call->context.state->rate_limiter->return_token(call->organisation->name);
         }
+        co_await refuse(call, cause);
+        co_return;
     }
     if (!response.caller_left()) {
         co_await run_attempts(call);
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -65,7 +65,7 @@
     std::string serving_instance;               ///< instance of the last attempt
     /// Software version whose events the stream holds. The events of two versions can't be joined.
     std::optional<std::string> stream_version;
-    std::optional<std::string> recorded_version; ///< that the ledger has for the stream
+    std::optional<std::string> recorded_version; ///< that the ledger has for the stream that this call began
     bool origin_uncertain = false;               ///< the ledger may have another version than that
     std::optional<turns::stream_origin> origin;  ///< of the stream that the call takes up, from the ledger
     std::optional<upstream_response>
@@ -117,15 +117,22 @@
 boost::asio::awaitable<refusal> open_turn(std::shared_ptr<active_call> call);
 /// @return whether the call continues a stream that another request began.
 bool takes_up_stream(const active_call& call);
-/// @return the software version of all serving instances of the call's service, or nothing if they differ.
-std::optional<std::string> find_only_version(const active_call& call);
+/// @param serving_only false to include instances that leave or are gone.
+/// @return the software version of all instances of the call's service, or nothing if they differ.
+std::optional<std::string> find_only_version(const active_call& call, bool serving_only);
+/// Opens the turn of a call that takes up a stream. Asks again if the ledger doesn't know the stream yet,
+/// since the record of a stream that has just begun may be on its way.
+/// @return a refusal with status 0 if the call may proceed.
+boost::asio::awaitable<refusal> open_taken_up_turn(std::shared_ptr<active_call> call);
 /// Restricts a call that takes up a stream to the service and the version that began it.
 /// @return a refusal with status 0 if the call may proceed.
 refusal bind_to_origin(active_call& call);
-/// Records in the ledger which version begins the call's stream, if the ledger doesn't have it yet.
-/// @return false if the ledger may still have another version, so that the stream must not begin with this
-/// one.
-boost::asio::awaitable<bool> record_stream_version(std::shared_ptr<active_call> call, std::string version);
+/// Prepares for the first event of an attempt at a stream that may be taken up: binds the stream to the
+/// instance's version and has the ledger record it, if it doesn't have it yet.
+/// @param target as it was known when the attempt began.
+/// @return nullptr if the event may be forwarded, otherwise the reason why not.
+boost::asio::awaitable<const char*> bind_first_event(std::shared_ptr<active_call> call,
+                                                     directory::instance_record target);
 /// Closes the call's turn in the ledger. @param completed keeps the turn, so that another can continue it.
 /// @return whether the ledger committed it.
 boost::asio::awaitable<bool> close_turn(std::shared_ptr<active_call> call, bool completed);
--- a/src/gateway/call_stream.cpp
+++ b/src/gateway/call_stream.cpp
@@ -2,6 +2,7 @@
 #include "base/event_type.hpp"
 #include "base/failure_type.hpp"
 #include "gateway/call_run.hpp"
+#include "runtime/worker_pool.hpp"
 #include "turns/turn_func.hpp"
 #include "wire.pb.h"
 
@@ -19,8 +20,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration record_timeout = 2500ms;    ///< a new leader of a ledger group is elected within 2 s
-constexpr duration origin_retry_after = 300ms; ///< a record that is on its way has been committed by then
+constexpr duration record_timeout = 2500ms;       ///< a new leader of a ledger group is elected within 2 s
+constexpr duration origin_query_interval = 150ms; ///< several commits of a ledger group
+constexpr int max_origin_queries = 2;             ///< after the first one
+constexpr duration origin_retry_after = 300ms;    ///< a record that is on its way has been committed by then
 
 /// Sends the origin of the call's stream to the ledger. @return whether the ledger committed it.
 asio::awaitable<bool> send_stream_origin(std::shared_ptr<active_call> call, std::string version)
@@ -51,6 +54,30 @@
     co_await send_stream_origin(std::move(call), std::move(version));
 }
 
+/// Records which version begins the call's stream, if the ledger doesn't have it yet.
+/// @return false if the ledger may still have another version.
+asio::awaitable<bool> record_stream_version(std::shared_ptr<active_call> call, std::string version)
+{
+    if (!call->origin_uncertain && call->recorded_version == version) {
+        co_return true;
+    }
+    if (!call->origin_uncertain && !call->recorded_version) {
+        // A stream without a record is not continued, so that its events need not wait for the ledger. A
+        // later attempt at another version waits, as it can't know whether this record was committed.
+        call->recorded_version = version;
+        const auto executor = co_await asio::this_coro::executor;
+        asio::co_spawn(executor, post_stream_origin(call, std::move(version)), asio::detached);
+        co_return true;
+    }
+    call->origin_uncertain = true;
+    const bool recorded = co_await send_stream_origin(call, version);
+    if (recorded) {
+        call->recorded_version = std::move(version);
+        call->origin_uncertain = false;
+    }
+    co_return recorded;
+}
+
 } // namespace
 
 bool takes_up_stream(const active_call& call)
@@ -58,11 +85,12 @@
     return call.route->resumable && call.metadata.resume_after.value_or(0) > 0;
 }
 
-std::optional<std::string> find_only_version(const active_call& call)
+std::optional<std::string> find_only_version(const active_call& call, bool serving_only)
 {
     std::optional<std::string> only;
     for (const auto& [id, record] : call.context.state->instances.instances) {
-        if (record.service != call.service.value || record.state != directory::instance_state::serving) {
+        const bool counts = !serving_only || record.state == directory::instance_state::serving;
+        if (record.service != call.service.value || !counts) {
             continue;
         }
         if (only && *only != record.version) {
@@ -87,7 +115,8 @@
         call.stream_version = call.origin->version;
     }
     else if (call.metadata.resumed_request.empty()) {
-        call.stream_version = find_only_version(call); // the caller doesn't say what it continues
+        // The caller doesn't say what it continues, which may have begun at an instance that is gone.
+        call.stream_version = find_only_version(call, false);
     }
     if (!call.stream_version) {
         return {503, "the version that began the stream is not known", origin_retry_after};
@@ -95,25 +124,35 @@
     return {0, "", {}};
 }
 
-asio::awaitable<bool> record_stream_version(std::shared_ptr<active_call> call, std::string version)
+asio::awaitable<refusal> open_taken_up_turn(std::shared_ptr<active_call> call)
 {
-    if (!call->origin_uncertain && call->recorded_version == version) {
-        co_return true;
+    refusal cause = co_await open_turn(call);
+    const bool is_named = !call->metadata.resumed_request.empty();
+    for (int i = 0; i < max_origin_queries && cause.status == 0 && is_named && !call->origin; ++i) {
+        co_await runtime::wait_for(origin_query_interval);
+        cause = co_await open_turn(call);
     }
-    if (!call->origin_uncertain && !call->recorded_version) {
-        // A stream without a record is not continued, so that its events need not wait for the ledger.
-        call->recorded_version = version;
-        const auto executor = co_await asio::this_coro::executor;
-        asio::co_spawn(executor, post_stream_origin(call, std::move(version)), asio::detached);
-        co_return true;
+    co_return cause;
+}
+
+asio::awaitable<const char*> bind_first_event(std::shared_ptr<active_call> call,
+                                              directory::instance_record target)
+{
+    const auto& instances = call->context.state->instances.instances;
+    const auto known = instances.find(target.id);
+    if (known != instances.end() &&
+        (known->second.started_ms != target.started_ms || known->second.version != target.version)) {
+        co_return "the instance has restarted";
     }
-    call->origin_uncertain = true;
-    const bool recorded = co_await send_stream_origin(call, version);
-    if (recorded) {
-        call->recorded_version = std::move(version);
-        call->origin_uncertain = false;
+    if (call->stream_version) {
+        co_return nullptr;
     }
-    co_return recorded;
+    const bool recorded = co_await record_stream_version(call, target.version);
+    if (!recorded) {
+        co_return "the ledger did not record the stream";
+    }
+    call->stream_version = target.version;
+    co_return nullptr;
 }
 
 } // namespace guavawick::gateway
--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -139,7 +139,7 @@
         body->set_resumes(call->metadata.resumed_request.value);
     }
     else if (call->route->resumable) {
-        call->recorded_version = find_only_version(*call);
+        call->recorded_version = find_only_version(*call, true);
         if (call->recorded_version) {
             body->mutable_origin()->set_service(call->service.value);
             body->mutable_origin()->set_version(*call->recorded_version);
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -75,16 +75,20 @@
     if (!is_new && known->second.attempt > request.origin.attempt) {
         return;
     }
+    const group_time keep_until = state.now + request.run_timeout + retention_slack;
+    const group_time kept_until = is_new ? keep_until : known->second.keep_until;
     known->second = request.origin;
-    known->second.keep_until = state.now + request.run_timeout + retention_slack;
+    known->second.keep_until = std::max(keep_until, kept_until);
 }
 
 open_result open_turn(turn_state& state, const open_request& request)
 {
     open_result result;
     const group_time run_until = state.now + request.run_timeout + retention_slack;
-    if (const auto taken_up = state.streams.find({request.organisation, request.resumes});
-        taken_up != state.streams.end()) {
+    const auto taken_up = request.resumes.empty()
+                              ? state.streams.end()
+                              : state.streams.find({request.organisation, request.resumes});
+    if (taken_up != state.streams.end()) {
         taken_up->second.keep_until = std::max(taken_up->second.keep_until, run_until);
         result.origin = taken_up->second;
     }
--- a/tests/unit/resumable_test.cpp
+++ b/tests/unit/resumable_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <future>
 #include <thread>
 
 namespace guavawick::tests {
@@ -188,7 +189,7 @@
     }
 };
 
-/// A fleet with two gateways. A stream of request "r" began at the first gateway at version v1 and broke off
+/// A fleet with two gateways. A stream began at the first gateway at version v1 and broke off
 /// there after its first event; calls reach the second gateway.
 struct stream_of_old_version : small_fleet {
     attempt_script script;
@@ -196,6 +197,7 @@
     breaking_upstream new_instance{script, "new"};
     breaking_upstream other_old_instance{script, "other old"};
     std::unique_ptr<gateway::gateway_process> first_gateway;
+    std::string stream; ///< the request that got its first event
 
     /// @param both_serve instances of both versions serve when the stream begins.
     explicit stream_of_old_version(bool both_serve = false)
@@ -211,7 +213,8 @@
         while (status != 0 || script.served_by != std::vector<std::string>{"old"}) {
             script.attempts = 0;
             script.served_by.clear();
-            status = call("POST", "/resumed/x", {{"Call", "r"}}, "x").status;
+            stream = "r" + std::to_string(next_call_number++);
+            status = call("POST", "/resumed/x", {{"Call", stream}}, "x").status;
         }
         announce_address(old_instance.address, "old", 2, directory::instance_state::gone, "v1");
         announce_address(new_instance.address, "new", 2, directory::instance_state::serving, "v2");
@@ -313,14 +316,14 @@
     for (const bool both_serve : {false, true}) {
         stream_of_old_version fleet(both_serve);
         for (int i = 0; i < 4; ++i) {
-            BOOST_TEST(fleet.take_up("r").status == 503);
+            BOOST_TEST(fleet.take_up(fleet.stream).status == 503);
         }
         BOOST_TEST(fleet.script.served_by.empty());
         fleet.announce_address(fleet.other_old_instance.address, "other old", 1,
                                directory::instance_state::serving, "v1");
         http::response response = http::make_response(503, "", "");
         while (response.status == 503) { // until the gateway knows the instance
-            response = fleet.take_up("r");
+            response = fleet.take_up(fleet.stream);
         }
         BOOST_TEST(response.body == whole_events[1] + whole_events[2]);
         BOOST_TEST(fleet.script.served_by == std::vector<std::string>{"other old"},
@@ -328,6 +331,55 @@
     }
 }
 
+// Guards against a stream that is taken up at the version that served when its turn was opened.
+BOOST_FIXTURE_TEST_CASE(stream_that_began_at_another_version_than_at_its_opening_is_taken_up_there,
+                        small_fleet)
+{
+    attempt_script script;
+    breaking_upstream old_instance{script, "old"};
+    breaking_upstream other_old_instance{script, "other old"};
+    breaking_upstream new_instance{script, "new"};
+    const std::vector<std::string> both{"old", "new"};
+    announce(upstream, "u1", 2, directory::instance_state::gone);
+    announce_address(old_instance.address, "old", 1, directory::instance_state::serving, "v1");
+    script.attempts = 1; // only the first attempt of a stream is silent
+    while (call("GET", "/safe/x").status != 200) {
+    }
+    script.ending = stream_end::silence;
+    std::string stream;
+    do { // until the new instance is known before the first attempt is given up
+        const std::string new_id = "new" + std::to_string(next_call_number);
+        stream = "r" + std::to_string(next_call_number++);
+        script.attempts = 0;
+        script.served_by.clear();
+        auto streaming = std::async(std::launch::async, [this, &stream] {
+            return call("POST", "/resumed/x", {{"Call", stream}}, "x").status;
+        });
+        const auto count_attempts = [&script] {
+            const std::lock_guard lock(script.mutex);
+            return script.attempts;
+        };
+        while (count_attempts() == 0 && streaming.wait_for(0s) != std::future_status::ready) {
+        }
+        announce_address(new_instance.address, new_id, 1, directory::instance_state::serving, "v2");
+        streaming.wait();
+        if (script.served_by != both) {
+            announce_address(new_instance.address, new_id, 2, directory::instance_state::gone, "v2");
+        }
+    } while (script.served_by != both);
+    const double known = read_metric("guavawick_gateway_instances");
+    announce_address(other_old_instance.address, "other old", 1, directory::instance_state::serving, "v1");
+    while (read_metric("guavawick_gateway_instances") == known) {
+    }
+    for (int i = 0; i < 4; ++i) {
+        script.served_by.clear();
+        const http::response response =
+            call("POST", "/resumed/x", {{"Resumes", stream}, {"Last-Event", "1"}}, "x");
+        BOOST_TEST(response.body == whole_events[1] + whole_events[2]);
+        BOOST_TEST(script.served_by == std::vector<std::string>{"new"}, boost::test_tools::per_element());
+    }
+}
+
 // Guards against a stream of unknown origin that goes on at any version.
 BOOST_FIXTURE_TEST_CASE(stream_of_unknown_origin_is_refused_and_not_run, stream_of_old_version)
 {
