--- a/src/gateway/call_stream.cpp
+++ b/src/gateway/call_stream.cpp
@@ -35,16 +35,20 @@
     body->set_request(call->metadata.request.value);
     body->set_run_timeout_ms(static_cast<std::uint64_t>(to_ms(time_left)));
     turns::to_wire({call->service.value, std::move(version), call->attempts, {}}, body->mutable_origin());
+    std::string failure_reason = "the ledger refused the record";
     try {
         const wire::envelope_ptr reply =
             co_await call_ledger(call, std::move(request), std::min<duration>(time_left, record_timeout));
-        co_return reply->has_done();
+        if (reply->has_done()) {
+            co_return true;
+        }
     }
     catch (const link_error& error) {
-        std::vector<event_field> fields = call_fields(*call);
-        fields.push_back({"reason", error.what()});
-        log_event(event::stream_not_recorded, fields);
+        failure_reason = error.what();
     }
+    std::vector<event_field> fields = call_fields(*call);
+    fields.push_back({"reason", failure_reason});
+    log_event(event::stream_not_recorded, fields);
     co_return false;
 }
 
