--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -170,7 +170,8 @@
     event_row{event::turn_not_stored, "turn_not_stored", severity::warning,
               "A turn was not stored, because a turn that it continues from has expired."},
     event_row{event::stream_not_recorded, "stream_not_recorded", severity::warning,
-              "The ledger may not have recorded which software version began a stream; taking it up may be refused."},
+              "The ledger may not have recorded which software version began a stream; taking it up may be "
+              "refused."},
     event_row{event::service_congested, "service_congested", severity::info,
               "Turns of a service take so long that a gateway paces the programs that start there."},
     event_row{event::service_relieved, "service_relieved", severity::info,
