Log and count one end for each call that a gateway opens

Each admitted call is registered and its end recorded once, after the response was written: answered, refused, failed, or caller_left with the cause. Calls that run when the process stops are recorded as well. Counters by end and by cause of a cut.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -300,9 +300,7 @@
     if (call->route->keeps_turns) {
         const bool committed = co_await close_turn(call, true);
         if (!committed) {
-            std::vector<event_field> fields = call_fields(*call);
-            fields.push_back({"reason", "the ledger did not confirm the turn"});
-            log_event(event::call_failed, fields);
+            record_cut(*call, cut_cause::turn_not_confirmed, {});
             call->context.state->counters.failed.fetch_add(1);
             call->response.abort();
             co_return attempt_result::finished;
@@ -311,8 +309,8 @@
                       call->history + call->request.body + call->output);
     }
     call->context.state->counters.answered.fetch_add(1);
-    log_event(event::call_answered, call_fields(*call));
     co_await call->response.finish();
+    record_response(*call, call_end::answered, {});
     co_return attempt_result::finished;
 }
 
@@ -473,12 +471,11 @@
 asio::awaitable<void> forward_response(std::shared_ptr<active_call> call, upstream_response response)
 {
     call->context.state->counters.answered.fetch_add(1);
-    std::vector<event_field> fields = call_fields(*call);
-    fields.push_back({"status", std::uint64_t(response.head.status)});
-    log_event(event::call_answered, fields);
+    const std::vector<event_field> details{{"status", std::uint64_t(response.head.status)}};
     header_list headers = filter_response_headers(response.head.headers);
     co_await call->response.send(response.head.status, response.head.reason, std::move(headers),
                                  std::move(response.body));
+    record_response(*call, call_end::answered, details);
 }
 
 } // namespace guavawick::gateway
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -60,21 +60,6 @@
     }
 }
 
-const char* describe(departure cause)
-{
-    switch (cause) {
-    case departure::caller_closed:
-        return "the connection was closed";
-    case departure::write_failed:
-        return "the connection takes no bytes";
-    case departure::aborted:
-        return "the connection was reset by the gateway";
-    case departure::none:
-        break;
-    }
-    return "none";
-}
-
 /// Sends the response of a call that is refused or failed. 502 and 504 are failures, as an upstream may have
 /// executed the call; any other status promises that it did not run.
 asio::awaitable<void> refuse(std::shared_ptr<active_call> call, refusal cause)
@@ -82,15 +67,13 @@
     gateway_counters& counters = call->context.state->counters;
     const bool not_executed = cause.status != 502 && cause.status != 504;
     (not_executed ? counters.refused : counters.failed).fetch_add(1);
-    std::vector<event_field> fields = call_fields(*call);
-    fields.push_back({"status", std::uint64_t(cause.status)});
-    fields.push_back({"reason", cause.reason});
-    fields.push_back({"retry_after_ms", std::uint64_t(to_ms(cause.retry_after))});
+    std::vector<event_field> fields{{"status", std::uint64_t(cause.status)},
+                                    {"reason", cause.reason},
+                                    {"retry_after_ms", std::uint64_t(to_ms(cause.retry_after))}};
     if (cause.status == too_many_requests && call->organisation != nullptr) {
         fields.push_back({"rate", std::uint64_t(call->organisation->rate)});
         fields.push_back({"burst", std::uint64_t(call->organisation->burst)});
     }
-    log_event(not_executed ? event::call_refused : event::call_failed, fields);
     header_list headers{{"Content-Type", "text/plain"}};
     if (cause.retry_after > duration{}) {
         headers.emplace_back("Retry-After", to_seconds_text(cause.retry_after));
@@ -98,6 +81,7 @@
     std::string body = std::string(cause.reason) + "\n";
     co_await call->response.send(cause.status, reason_phrase(cause.status), std::move(headers),
                                  std::move(body));
+    record_response(*call, not_executed ? call_end::refused : call_end::failed, fields);
 }
 
 /// Determines the call's route, organisation, deadline and service, and refuses quarantined requests.
@@ -241,16 +225,10 @@
         }
     }
     if (call->response.caller_left()) {
-        std::vector<event_field> fields = call_fields(*call);
-        fields.push_back({"cause", describe(call->response.left())});
-        fields.push_back({"draining", call->context.state->draining ? "yes" : "no"});
-        log_event(event::caller_left, fields);
         co_return;
     }
     if (call->response.started()) {
-        std::vector<event_field> fields = call_fields(*call);
-        fields.push_back({"reason", "the stream broke off"});
-        log_event(event::call_failed, fields);
+        record_cut(*call, cut_cause::stream_broke_off, {});
         call->context.state->counters.failed.fetch_add(1);
         call->response.abort();
         co_return;
@@ -359,6 +337,7 @@
         co_return;
     }
     log_admission(*call);
+    const running_call registration(call);
     if (!call->metadata.program.empty()) {
         record_program(call->context.state->programs, hash_bytes(call->metadata.program.value),
                        call->started_at);
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -53,6 +53,9 @@
     bool ledger_takes_offers = false; ///< a large content is offered before it is sent
     std::string warm_instance;        ///< instance that ran the previous turn; empty if unknown
 
+    bool opened = false; ///< admitted: exactly one end is logged
+    call_end end = call_end::none;
+
     std::uint32_t attempts = 0; ///< attempts that an upstream may have executed
     std::set<std::string> tried_instances;
     connection_ptr current_connection; ///< of the attempt in progress
@@ -138,6 +141,33 @@
 boost::asio::awaitable<bool> close_turn(std::shared_ptr<active_call> call, bool completed);
 /// @return the key of one of the organisation's turns in the cache of histories.
 std::string history_key(const active_call& call, const request_name& turn);
+/// @return what an operator reads of a cause.
+const char* describe(cut_cause cause);
+/// @return the metric label of a cause.
+const char* label_of(cut_cause cause);
+/// Logs and counts how a call ended. Only the first end counts. @param details appended to the call's fields.
+void record_end(active_call& call, call_end how, const std::vector<event_field>& details);
+/// Logs and counts that the caller gets no complete response. Only the first end counts.
+void record_cut(active_call& call, cut_cause cause, const std::vector<event_field>& details);
+/// Records a response that was written: as `how` if the caller took all of it, otherwise as cut.
+void record_response(active_call& call, call_end how, const std::vector<event_field>& details);
+/// Records the calls that run when the process ends.
+void record_stopped_calls(gateway_state& state);
+
+/// Registers a call as opened; its end is recorded at the latest when this is destroyed.
+/// Thread safety: the gateway's thread.
+class running_call {
+public:
+    /// @pre the call's response outlives this object.
+    explicit running_call(std::shared_ptr<active_call> call);
+    ~running_call();
+    running_call(const running_call&) = delete;
+    running_call& operator=(const running_call&) = delete;
+
+private:
+    std::shared_ptr<active_call> call_;
+};
+
 /// @return the event fields that identify a call and its progress in log lines.
 std::vector<event_field> call_fields(const active_call& call);
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -6,7 +6,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "core/control_process.hpp"
-#include "gateway/call_flow.hpp"
+#include "gateway/call_run.hpp"
 #include "wire.pb.h"
 
 #include <boost/asio/post.hpp>
@@ -173,6 +173,12 @@
         acceptor_closed = acceptor_closed || close_acceptor;
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
+    std::promise<void> recorded;
+    asio::post(pool_.executor(), [this, &recorded] {
+        record_stopped_calls(*state_);
+        recorded.set_value();
+    });
+    recorded.get_future().wait();
     running_.store(false);
     readiness_server_->drain();
 }
@@ -413,6 +419,23 @@
     add("guavawick_gateway_refused_total", "Calls that were refused and did not run.", true,
         counters.refused);
     add("guavawick_gateway_failed_total", "Calls that got no whole answer.", true, counters.failed);
+    add("guavawick_gateway_opened_total", "Calls that were admitted.", true, counters.opened);
+    const std::map<call_end, const char*> ends{{call_end::answered, "answered"},
+                                               {call_end::refused, "refused"},
+                                               {call_end::failed, "failed"},
+                                               {call_end::caller_left, "caller_left"}};
+    for (const auto& [how, label] : ends) {
+        const std::atomic<std::uint64_t>& value = counters.ended.at(static_cast<std::size_t>(how));
+        metrics_.add({"guavawick_gateway_ended_total", "Admitted calls by how they ended.", true,
+                      [&value] { return static_cast<double>(value.load()); }, label});
+    }
+    for (std::size_t cause = 0; cause < cut_cause_count; ++cause) {
+        const std::atomic<std::uint64_t>& value = counters.cut.at(cause);
+        metrics_.add({"guavawick_gateway_cut_total",
+                      "Calls that were sent to an upstream and whose caller got no complete response.", true,
+                      [&value] { return static_cast<double>(value.load()); },
+                      label_of(static_cast<cut_cause>(cause))});
+    }
     add("guavawick_gateway_retried_total", "Further attempts of calls.", true, counters.retried);
     add("guavawick_gateway_connects_total", "Connections opened to upstreams.", true, counters.connects);
     add("guavawick_gateway_crashes_total", "Calls that were running when their upstream crashed.", true,
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -24,6 +24,7 @@
 #include "wire/group_client.hpp"
 #include "wire/link_type.hpp"
 
+#include <array>
 #include <atomic>
 #include <memory>
 #include <set>
@@ -36,11 +37,38 @@
 
 namespace guavawick::gateway {
 
+struct active_call;
+
+/// How a call ended.
+enum class call_end : std::uint8_t {
+    none,     ///< it is running
+    answered, ///< the caller got an upstream's whole answer
+    refused,  ///< it did not run
+    failed,   ///< it may have run, and the caller got no whole answer
+    caller_left
+};
+constexpr std::size_t call_end_count = 5;
+
+/// Why a caller got no complete response.
+enum class cut_cause : std::uint8_t {
+    caller_closed,      ///< the caller closed its connection
+    write_failed,       ///< the connection no longer takes bytes
+    reset,              ///< the gateway reset the connection
+    stopped,            ///< the process ended before the call did
+    stream_broke_off,   ///< events were forwarded, and no attempt could continue the stream
+    turn_not_confirmed, ///< the ledger did not store the turn
+    unfinished          ///< the handler ended without a response
+};
+constexpr std::size_t cut_cause_count = 7;
+
 /// Values of the gateway's metrics. Thread safety: written by the gateway's thread, read by any thread.
 struct gateway_counters {
     std::atomic<std::uint64_t> answered{0};
     std::atomic<std::uint64_t> refused{0};
     std::atomic<std::uint64_t> failed{0};
+    std::atomic<std::uint64_t> opened{0};
+    std::array<std::atomic<std::uint64_t>, call_end_count> ended{}; ///< opened calls, by call_end
+    std::array<std::atomic<std::uint64_t>, cut_cause_count> cut{};  ///< calls that were sent, by cut_cause
     std::atomic<std::uint64_t> retried{0};
     std::atomic<std::uint64_t> connects{0};
     std::atomic<std::uint64_t> crashes{0}; ///< of upstreams that ran a call of this gateway, by call
@@ -85,6 +113,7 @@
     dependency control_dependency{"control"};
     std::map<std::uint32_t, dependency> ledger_dependencies; ///< by group
     gateway_counters counters;
+    std::set<active_call*> running_calls; ///< opened and not ended
     history_cache histories;
     recent_programs programs;
     spent_budgets budgets;
