Host replicas of the control group in gateways where the fleet has too few

What callers saw: on a fleet that has to survive the loss of two disks, three control processes form the control group. Two lost disks end it: the configuration that was acknowledged can't be read, and once every machine has lost power no gateway has a plan, so that no turn reaches an upstream (503 'no configuration yet') although each was stored.

Cause: the deploy file runs one control process in each data centre, three here, while the group needs twice the tolerated failures plus one. The ledger groups check that they have as many stores; nothing compared the control group with the failures that it must survive. Class: redundancy below what is stated, which nothing checks.

Change: a gateway whose instance has a disk, and no control process, starts a replica of the control group if the group has had too few members for 3 s. It joins as a learner and is promoted like any other. On fleets with enough control processes no gateway starts one.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -53,6 +53,8 @@
     snapshot_import_ended = 2016,
     store_admission_changed = 2017,
     content_refused = 2018,
+    control_replica_hosted = 2019,
+    control_replica_failed = 2020,
     configuration_published = 3000,
     configuration_refused = 3001,
     configuration_in_force = 3002,
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -106,8 +106,10 @@
     http::server_limits operator_limits;
     operator_limits.guard = std::make_shared<http::request_guard>(memory, make_connection_limits(settings_));
     http::log_limits(*operator_limits.guard);
-    operator_server_ = std::make_unique<http::server>(pool_.executor(), settings_.operator_listen,
-                                                      operator_limits, std::move(operator_handler));
+    if (!settings_.operator_listen.empty()) {
+        operator_server_ = std::make_unique<http::server>(pool_.executor(), settings_.operator_listen,
+                                                          operator_limits, std::move(operator_handler));
+    }
     if (!settings_.metrics_listen.empty()) {
         http::server_limits metrics_limits;
         metrics_limits.guard = std::make_shared<http::request_guard>(
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -62,7 +62,8 @@
     /// Opens the durable state. @throw storage_error.
     control_process(const fleet_settings& settings, runtime::worker_pool& pool);
     ~control_process();
-    /// Starts to serve. @param operator_handler serves HTTP requests at `operator_listen`.
+    /// Starts to serve. @param operator_handler serves HTTP requests at `operator_listen`, unless that is
+    /// empty.
     /// @throw storage_error, link_error.
     void start(http::handler operator_handler);
     /// Replaces the endpoints of the control replicas that are contacted first.
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -38,10 +38,12 @@
     std::string data_centre;            ///< data centre of this instance
     std::string link;                   ///< "tcp://IP:PORT" at which other processes reach this one's link
     std::string link_listen;            ///< address that the link binds; empty for the one in `link`
+    std::string replica_link;           ///< as `link`, of a control replica that a gateway hosts
+    std::string replica_link_listen;    ///< as `link_listen`, of that replica
     std::vector<std::string> seeds;     ///< links of control replicas to contact first; may be out of date
     std::string caller_listen;          ///< IP:PORT for callers
     std::string readiness_listen;       ///< IP:PORT for the load balancer's health check
-    std::string operator_listen;        ///< IP:PORT for upstream instances and operators
+    std::string operator_listen;        ///< IP:PORT for upstream instances and operators; empty to serve none
     std::string metrics_listen;         ///< IP:PORT of /metrics; empty to serve no metrics
     std::string data_folder;            ///< folder of the durable state
     bool bootstrap = false;             ///< the whole system starts for the first time
--- /dev/null
+++ b/src/gateway/control_host.cpp
@@ -0,0 +1,133 @@
+// Decides when a gateway runs a replica of the control group, and runs it.
+#include "gateway/control_host.hpp"
+
+#include "base/event_type.hpp"
+#include "base/failure_type.hpp"
+#include "consensus/membership_plan.hpp"
+
+#include <algorithm>
+#include <filesystem>
+
+namespace guavawick::gateway {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// For the control processes of a fleet that starts, or of an instance that returns, to join the group.
+constexpr duration vacancy_delay = 3s;
+
+std::string host_of(const std::string& endpoint)
+{
+    return endpoint.substr(0, endpoint.rfind(':'));
+}
+
+/// @return whether the group's replica keeps its state in the folder.
+bool holds_replica(const std::string& data_folder)
+{
+    return std::filesystem::exists(data_folder + "/group-" + std::to_string(core::control_group));
+}
+
+} // namespace
+
+bool needs_control_replica(const std::set<std::string>& endpoints, const std::string& own_link,
+                           std::size_t tolerated_failures)
+{
+    if (endpoints.empty()) {
+        return false; // nothing is known of the group
+    }
+    if (endpoints.contains(own_link)) {
+        return true;
+    }
+    const std::string own_host = host_of(own_link);
+    const bool has_other_replica =
+        std::any_of(endpoints.begin(), endpoints.end(),
+                    [&own_host](const std::string& endpoint) { return host_of(endpoint) == own_host; });
+    const consensus::membership_policy policy = consensus::make_membership_policy(tolerated_failures, 1);
+    return !has_other_replica && endpoints.size() < policy.voters + policy.standby_learners;
+}
+
+control_host::control_host(const core::fleet_settings& settings, runtime::worker_pool& pool)
+    : settings_(settings), pool_(pool)
+{
+    settings_.link = settings.replica_link;
+    settings_.link_listen = settings.replica_link_listen;
+    settings_.bootstrap = false;
+    settings_.operator_listen.clear();
+    settings_.metrics_listen.clear();
+}
+
+control_host::~control_host() = default;
+
+void control_host::start()
+{
+    const std::lock_guard lock(mutex_);
+    if (holds_replica(settings_.data_folder)) {
+        run_replica();
+    }
+}
+
+void control_host::run_replica()
+{
+    std::string failure_reason;
+    try {
+        replica_ = std::make_unique<core::control_process>(settings_, pool_);
+        replica_->start({});
+        log_event(event::control_replica_hosted, {{"link", settings_.link}});
+        return;
+    }
+    catch (const error& error) {
+        failure_reason = error.what();
+    }
+    // The gateway serves callers without the replica.
+    is_given_up_ = true;
+    log_event(event::control_replica_failed, {{"link", settings_.link}, {"reason", failure_reason}});
+}
+
+void control_host::consider(const std::set<std::string>& endpoints, time_point now)
+{
+    const std::unique_lock lock(mutex_, std::try_to_lock);
+    if (!lock) {
+        return; // the replica stops, and needs this thread to hand over its leadership
+    }
+    const bool is_needed = !replica_ && !is_given_up_ &&
+                           needs_control_replica(endpoints, settings_.link, settings_.tolerated_failures);
+    if (!is_needed) {
+        needed_since_ = {};
+        return;
+    }
+    if (needed_since_ == time_point{}) {
+        needed_since_ = now;
+    }
+    if (now - needed_since_ >= vacancy_delay) {
+        run_replica();
+    }
+}
+
+void control_host::set_seeds(const std::vector<std::string>& seeds)
+{
+    const std::lock_guard lock(mutex_);
+    settings_.seeds = seeds;
+    if (replica_) {
+        replica_->set_seeds(seeds);
+    }
+}
+
+void control_host::stop()
+{
+    const std::lock_guard lock(mutex_);
+    is_given_up_ = true;
+    if (replica_) {
+        replica_->stop();
+    }
+}
+
+void control_host::close()
+{
+    const std::lock_guard lock(mutex_);
+    if (replica_) {
+        replica_->close();
+    }
+}
+
+} // namespace guavawick::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -55,6 +55,9 @@
     ledger_client_ = std::make_unique<wire::group_client>(*link_, std::vector<replica_address>{});
     control_client_ = std::make_unique<wire::group_client>(*link_, std::vector<replica_address>{});
     update_control_replicas();
+    if (!settings.data_folder.empty() && !settings.replica_link.empty()) {
+        control_host_ = std::make_unique<control_host>(settings, pool_);
+    }
 }
 
 gateway_process::~gateway_process() = default;
@@ -88,6 +91,9 @@
     catch (const boost::system::system_error& error) {
         throw link_error(state_->settings.caller_listen + ": can't listen: " + error.what());
     }
+    if (control_host_) {
+        control_host_->start();
+    }
     pool_.spawn(accept_callers(acceptor_, callers_));
     pool_.spawn(subscribe_loop());
     readiness_server_ =
@@ -108,6 +114,9 @@
 
 void gateway_process::set_seeds(const std::vector<std::string>& seeds)
 {
+    if (control_host_) {
+        control_host_->set_seeds(seeds);
+    }
     asio::post(pool_.executor(), [this, seeds] {
         for (const std::string& endpoint : seeds) {
             if (std::find(state_->control_endpoints.begin(), state_->control_endpoints.end(), endpoint) ==
@@ -179,6 +188,9 @@
         recorded.set_value();
     });
     recorded.get_future().wait();
+    if (control_host_) {
+        control_host_->stop();
+    }
     running_.store(false);
     readiness_server_->drain();
 }
@@ -186,6 +198,9 @@
 void gateway_process::close()
 {
     link_->close();
+    if (control_host_) {
+        control_host_->close();
+    }
 }
 
 void gateway_process::handle_message(const wire::envelope_ptr& message)
@@ -303,6 +318,7 @@
     }
     hello_digests_[hello.sender()] = hello.digest();
     for (const std::string& endpoint : hello.control()) {
+        control_members_.insert(endpoint);
         if (std::find(state_->control_endpoints.begin(), state_->control_endpoints.end(), endpoint) ==
             state_->control_endpoints.end()) {
             state_->control_endpoints.push_back(endpoint);
@@ -391,6 +407,9 @@
             record_outage(state_->control_dependency, "no control replica answers the subscriptions", now);
         }
         state_->connections.evict_idle(now);
+        if (control_host_) {
+            control_host_->consider(control_members_, now);
+        }
         co_await runtime::wait_for(subscribe_interval);
     }
 }
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -174,6 +174,9 @@
     snapshot_if_due();
     counters_.leads.store(leads());
     counters_.applied.store(state_.applied);
+    const std::vector<consensus::member>& members = consensus::current_members(state_).members;
+    counters_.voters.store(static_cast<std::uint64_t>(std::count_if(
+        members.begin(), members.end(), [](const consensus::member& member) { return member.voter; })));
     counters_.syncs.store(store_.syncs());
     counters_.log_bytes.store(store_.log_bytes());
 }
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -79,6 +79,7 @@
 struct group_counters {
     std::atomic<bool> leads{false};
     std::atomic<std::uint64_t> applied{0}; ///< index of the last applied entry
+    std::atomic<std::uint64_t> voters{0};  ///< of the newest membership in the log
     std::atomic<std::uint64_t> proposals{0};
     std::atomic<std::uint64_t> syncs{0};
     std::atomic<std::uint64_t> log_bytes{0};
--- /dev/null
+++ b/tests/unit/control_host_test.cpp
@@ -0,0 +1,186 @@
+// The control group of a fleet that must survive the loss of two disks, with a control replica in each of
+// three data centres and a gateway with a disk beside each.
+#include "small_fleet.hpp"
+
+#include <array>
+
+namespace guavawick::tests {
+
+namespace {
+
+constexpr int max_polls = 200000;    ///< of a metric that stays as it is
+constexpr int max_publications = 20; ///< of a document that nobody acknowledges
+constexpr std::size_t data_centres = 3;
+
+/// A process with a thread of its own, so that it can end while the others run.
+template <typename Process>
+struct hosted_process {
+    std::unique_ptr<runtime::worker_pool> pool = std::make_unique<runtime::worker_pool>(1);
+    std::unique_ptr<Process> process;
+
+    void end()
+    {
+        if (!process) {
+            return;
+        }
+        process->stop();
+        pool->stop();
+        process->close();
+        process.reset();
+    }
+};
+
+struct small_control_group {
+    fs::path data_root = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
+    core::fleet_settings common;
+    std::array<hosted_process<core::control_process>, data_centres> controls;
+    std::array<hosted_process<gateway::gateway_process>, data_centres> gateways;
+    std::array<std::string, data_centres> metrics;
+
+    small_control_group()
+    {
+        common.data_centre_count = data_centres;
+        common.tolerated_failures = 2;
+        common.stop_grace = 1s;
+        std::array<std::string, data_centres> links;
+        for (std::string& link : links) {
+            link = "tcp://" + find_free_address();
+            common.seeds.push_back(link);
+        }
+        for (std::size_t i = 0; i < data_centres; ++i) {
+            start_control(i, links.at(i));
+            start_gateway(i);
+        }
+    }
+
+    ~small_control_group()
+    {
+        for (auto& gateway : gateways) {
+            gateway.end();
+        }
+        for (auto& control : controls) {
+            control.end();
+        }
+        fs::remove_all(data_root);
+    }
+
+    void start_control(std::size_t number, const std::string& link)
+    {
+        core::fleet_settings settings = common;
+        settings.node = "first-" + std::to_string(number);
+        settings.data_centre = std::to_string(number);
+        settings.link = link;
+        settings.data_folder = (data_root / settings.node).string();
+        settings.bootstrap = true;
+        settings.operator_listen = find_free_address();
+        settings.metrics_listen = find_free_address();
+        metrics.at(number) = settings.metrics_listen;
+        auto& control = controls.at(number);
+        control.process = std::make_unique<core::control_process>(settings, *control.pool);
+        control.process->start([](http::request&, http::responder& out) -> asio::awaitable<void> {
+            http::response response = http::make_response(200, "text/plain", "");
+            co_await out.send(std::move(response));
+        });
+    }
+
+    void start_gateway(std::size_t number)
+    {
+        core::fleet_settings settings = common;
+        settings.node = "second-" + std::to_string(number);
+        settings.data_centre = std::to_string(number);
+        // On loopback each address stands for a host of its own.
+        const std::string host = "127.0.1." + std::to_string(number + 1);
+        const auto find_port = [] {
+            const std::string address = find_free_address();
+            return address.substr(address.rfind(':'));
+        };
+        settings.link = "tcp://" + host + find_port();
+        settings.replica_link = "tcp://" + host + find_port();
+        settings.data_folder = (data_root / settings.node).string();
+        settings.caller_listen = find_free_address();
+        settings.readiness_listen = find_free_address();
+        gateway::platform_adapter adapter;
+        adapter.decode_plan = decode_plan;
+        auto& gateway = gateways.at(number);
+        gateway.process = std::make_unique<gateway::gateway_process>(settings, adapter, *gateway.pool);
+        gateway.process->start();
+    }
+
+    template <typename Result>
+    Result run(std::size_t number, asio::awaitable<Result> task)
+    {
+        return asio::co_spawn(controls.at(number).pool->executor(), std::move(task), asio::use_future).get();
+    }
+
+    /// Publishes as an operator does, who sends a document again until it is acknowledged.
+    bool publish(std::size_t number, std::uint64_t version)
+    {
+        for (int i = 0; i < max_publications; ++i) {
+            try {
+                run(number, controls.at(number).process->publish({version, std::to_string(version)}));
+                return true;
+            }
+            catch (const error& failure) {
+                BOOST_TEST_MESSAGE(failure.what());
+            }
+        }
+        return false;
+    }
+
+    /// @return the number of voters that the group's replicas know.
+    double read_voters(std::size_t number)
+    {
+        http::request request;
+        request.method = "GET";
+        request.target = "/metrics";
+        const std::string text =
+            run(number, http::fetch_response("http://" + metrics.at(number), request, 20s)).body;
+        const std::string name = "\nguavawick_replica_voters{name=\"0\"} ";
+        const std::size_t line = text.find(name);
+        return line == std::string::npos ? 0 : std::stod(text.substr(line + name.size()));
+    }
+
+    void lose_control(std::size_t number)
+    {
+        controls.at(number).end();
+        fs::remove_all(data_root / ("first-" + std::to_string(number)));
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(control_host_test)
+
+// Guards against a configuration that is lost with two disks, where two control replicas were a majority.
+BOOST_FIXTURE_TEST_CASE(configuration_survives_the_loss_of_as_many_disks_as_the_fleet_tolerates,
+                        small_control_group)
+{
+    BOOST_TEST_REQUIRE(publish(0, 1));
+    for (int polls = 0; polls < max_polls && read_voters(2) < 5; ++polls) {
+    }
+    BOOST_TEST(read_voters(2) == 5);
+    BOOST_TEST_REQUIRE(publish(0, 2));
+    lose_control(0);
+    lose_control(1);
+    BOOST_TEST(publish(2, 3));
+}
+
+BOOST_AUTO_TEST_CASE(instance_is_needed_until_the_group_has_its_voters_and_a_standby)
+{
+    std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
+    BOOST_TEST(gateway::needs_control_replica(members, "tcp://10.0.0.9:2", 2));
+    members.insert({"tcp://10.0.0.4:2", "tcp://10.0.0.5:2", "tcp://10.0.0.6:2"});
+    BOOST_TEST(!gateway::needs_control_replica(members, "tcp://10.0.0.9:2", 2));
+    BOOST_TEST(gateway::needs_control_replica(members, "tcp://10.0.0.6:2", 2)); // had one before
+}
+
+BOOST_AUTO_TEST_CASE(instance_with_another_replica_or_without_news_is_not_needed)
+{
+    const std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
+    BOOST_TEST(!gateway::needs_control_replica(members, "tcp://10.0.0.1:2", 2));
+    BOOST_TEST(!gateway::needs_control_replica({}, "tcp://10.0.0.9:2", 2));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
