Serve reads at a new leader only after its inherited entries are applied

A read could miss what the leader before had acknowledged: a configuration, a turn, a token that was lent. has_read_lease() holds as soon as the first entry of the leader's own term is committed. The group applies committed entries at the end of a batch, so a request in the batch of the deciding reply was answered from the state before the inherited entries. The group now also requires that the newest applied entry is of the current term.

A query for a part of a history was answered without a lease, also before the first commit of a new leader. A history that is not found there is now redirected instead of reported as gone, which callers saw as 503.

group_test/read_in_the_batch_that_commits_inherited_entries_waits_until_they_are_applied failed before: "check *applied_at_read == 1 has failed [0 != 1]". The query has no test of its own.

--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -189,6 +189,10 @@
     const turns::turn_key last{organisation_name{request.organisation()}, request_name{request.last()}};
     const std::vector<content_range> part =
         turns::select_part(turns::find_history(state_, last), request.first(), max_history_part);
+    if (part.empty() && !group_.has_read_lease()) {
+        send_reply(make_redirect(group_)); // entries that store the turn may not be applied yet
+        return;
+    }
     std::uint64_t bytes = 0;
     for (const content_range& content : part) {
         bytes += content.size;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -201,6 +201,7 @@
     }
     for (const consensus::log_entry& entry : effects.committed) {
         apply(entry);
+        applied_term_ = entry.term;
     }
     if (effects.became_leader && state_.role == consensus::role_type::leader) {
         serving_ = true;
@@ -278,7 +279,9 @@
 
 bool group::has_read_lease() const
 {
-    return consensus::has_read_lease(state_, runtime_clock::now());
+    // Entries that were committed in the current batch are applied at its end. Those that a new leader
+    // inherited may have been acknowledged by its predecessor.
+    return applied_term_ == state_.term && consensus::has_read_lease(state_, runtime_clock::now());
 }
 
 bool group::leads() const
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -217,11 +217,12 @@
     std::map<consensus::log_index, pending_proposal> pending_proposals_;
     std::map<consensus::member_id, std::string> learned_endpoints_; ///< endpoints of senders of messages
     std::map<std::string, consensus::member_id>
-        blank_peers_;                       ///< blank replicas by name, recorded while this one is blank
-    std::string data_centre_;               ///< of this replica; only with managed membership
-    bool serving_ = false;                  ///< the state machine was notified that this replica leads
-    bool managed_ = false;                  ///< a policy chooses the members
-    bool bootstraps_with_contacts_ = false; ///< the contacts become the group's initial members
+        blank_peers_;                         ///< blank replicas by name, recorded while this one is blank
+    std::string data_centre_;                 ///< of this replica; only with managed membership
+    consensus::term_number applied_term_ = 0; ///< of the newest entry that the state machine has applied
+    bool serving_ = false;                    ///< the state machine was notified that this replica leads
+    bool managed_ = false;                    ///< a policy chooses the members
+    bool bootstraps_with_contacts_ = false;   ///< the contacts become the group's initial members
     consensus::membership_policy policy_;
     std::vector<std::string> contacts_; ///< endpoints that may belong to members of the group
     std::map<std::string, consensus::member>
--- a/tests/unit/group_test.cpp
+++ b/tests/unit/group_test.cpp
@@ -26,6 +26,7 @@
     consensus::member_id self{11};
     std::unique_ptr<group> member;
     bool notified = false; ///< the state machine was notified that it leads; used on the group's thread
+    int applied = 0;       ///< commands; used on the group's thread
 
     explicit three_member_group(const std::string& other_endpoint = "")
     {
@@ -38,7 +39,10 @@
         member = std::make_unique<group>(1, settings, self, std::vector<replica_address>{}, links);
         member->enable_managed_membership(consensus::make_membership_policy(1, 3), "a");
         state_machine machine;
-        machine.apply = [](const std::string&) { return wire::envelope{}; };
+        machine.apply = [this](const std::string&) {
+            ++applied;
+            return wire::envelope{};
+        };
         machine.save = [] { return std::string(); };
         machine.restore = [](const std::string&) {};
         machine.leadership_changed = [this](bool leads) { notified = leads; };
@@ -77,6 +81,20 @@
         reply.term = term;
         member->handle(reply, "");
     }
+
+    /// Answers the member's requests for votes until its state machine is notified that it leads.
+    void elect()
+    {
+        while (!run_on_group_thread<bool>([&] { return notified; })) {
+            const group_report report = run_on_group_thread<group_report>([&] { return member->report(); });
+            if (report.role == consensus::role_type::pre_candidate) {
+                send_vote(consensus::message_kind::pre_vote_reply, report.term + 1);
+            }
+            if (report.role == consensus::role_type::candidate) {
+                send_vote(consensus::message_kind::vote_reply, report.term);
+            }
+        }
+    }
 };
 
 /// A group whose other members' endpoint is a link of the test.
@@ -154,6 +172,51 @@
     BOOST_TEST(run_on_group_thread<bool>([&] { return member->leads() == notified; }));
 }
 
+// Guards against reads that miss what the leader before acknowledged: a read in the batch that commits the
+// new leader's first entry was answered before the entries that it inherited were applied.
+BOOST_FIXTURE_TEST_CASE(read_in_the_batch_that_commits_inherited_entries_waits_until_they_are_applied,
+                        three_member_group)
+{
+    consensus::message request; // of the leader before
+    request.kind = consensus::message_kind::append_request;
+    request.from = consensus::member_id{12};
+    request.to = self;
+    request.term = 2;
+    request.index = 1;
+    request.log_term = 1;
+    request.commit = 1;
+    request.entries.push_back({2, 2, consensus::entry_kind::command, std::string("inherited")});
+    run_on_group_thread<bool>([&] { return true; }); // bootstrapped
+    member->handle(request, "");
+    while (run_on_group_thread<consensus::log_index>([&] { return member->report().last; }) < 2) {
+    }
+    std::optional<int> applied_at_read;
+    while (!applied_at_read) {
+        elect();
+        const group_report report = run_on_group_thread<group_report>([&] { return member->report(); });
+        consensus::message reply;
+        reply.kind = consensus::message_kind::append_reply;
+        reply.from = consensus::member_id{12};
+        reply.to = self;
+        reply.term = report.term;
+        reply.index = report.last;
+        std::promise<void> gate;
+        std::promise<void> read;
+        member->post([opened = gate.get_future().share()] { opened.wait(); });
+        reply.sent_at = runtime_clock::now().time_since_epoch().count();
+        member->handle(reply, "");
+        member->post([&] {
+            if (member->has_read_lease()) {
+                applied_at_read = applied;
+            }
+            read.set_value();
+        });
+        gate.set_value();
+        read.get_future().wait();
+    }
+    BOOST_TEST(*applied_at_read == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
