Release the tokens of turns whose opening was not confirmed

A program got 402 though its budget was not spent. A turn whose opening the ledger didn't confirm in time, or whose history couldn't be read, was refused with 503 and never closed, so its tokens stayed reserved if the opening had been committed or was committed later.

The gateway now closes every turn that the ledger may have opened, and repeats the closing of a turn with a budget for half a minute. A refusal that certainly opened nothing, as by an overloaded leader, causes no closing. The closing may be committed before the opening: the ledger then doesn't grant the opening. Before, the opening of a turn that had been closed was granted without a reservation, and its tokens were not charged.

unconfirmed_turn_test failed before in both cases of an opening that was not confirmed and of a history that could not be read: "check call_turn("next") == 200 has failed [402 != 200]"; turns_test/ opening_that_arrives_after_its_closing_is_not_granted_and_reserves_nothing: "check (reserve("a", 100, 100) == open_outcome::closed) has failed".

--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -19,6 +19,8 @@
         return "granted";
     case turns::open_outcome::budget_spent:
         return "budget_spent";
+    case turns::open_outcome::closed:
+        return "closed";
     case turns::open_outcome::unknown_turn:
         return "unknown_turn";
     }
--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -31,6 +31,8 @@
 constexpr duration shortage_retry_after = 200ms; ///< a shortage of upstreams may have passed after this
 constexpr duration plan_retry_after = 500ms;     ///< one subscription, by which a gateway receives its plan
 constexpr duration max_plan_wait = 1500ms;       ///< a gateway that has just started soon receives its plan
+constexpr int max_settle_attempts = 5;           ///< half a minute, far longer than an election
+constexpr duration first_settle_pause = 1s;      ///< doubled for each further attempt
 constexpr duration plan_poll_interval = 20ms;    ///< at which a waiting call checks for the plan
 
 std::string to_seconds_text(duration value)
@@ -278,10 +280,22 @@
                {"waited_ms", std::uint64_t(to_ms(now - call.started_at))}});
 }
 
-/// Closes the call's turn without keeping it.
+/// Closes the call's turn without keeping it. A budget lacks the turn's reserved tokens until then, so that
+/// the request is repeated while the ledger does not confirm it.
 asio::awaitable<void> settle_turn(std::shared_ptr<active_call> call)
 {
-    co_await close_turn(call, false);
+    call->history = std::string(); // a call that waits for the ledger holds no contents
+    call->output = std::string();
+    const int attempts = call->metadata.budget_tokens > 0 ? max_settle_attempts : 1;
+    duration pause = first_settle_pause;
+    for (int attempt = 1; attempt <= attempts; ++attempt) {
+        const bool settled = co_await close_turn(call, false);
+        if (settled || attempt == attempts) {
+            co_return;
+        }
+        co_await runtime::wait_for(pause);
+        pause *= 2;
+    }
 }
 
 /// Opens the call's turn in the ledger, binds the call to the stream that it takes up and admits a program
@@ -299,8 +313,7 @@
     else {
         cause = co_await open_turn(call);
     }
-    const bool is_open = cause.status == 0;
-    if (is_open && takes_up) {
+    if (cause.status == 0 && takes_up) {
         cause = bind_to_origin(*call);
     }
     if (cause.status == 0) {
@@ -309,7 +322,7 @@
             forget_program(call->context.state->programs, hash_bytes(call->metadata.program.value));
         }
     }
-    if (cause.status != 0 && is_open && call->is_turn) {
+    if (cause.status != 0 && call->may_be_open && call->is_turn) {
         const auto executor = co_await asio::this_coro::executor;
         asio::co_spawn(executor, settle_turn(call), asio::detached);
     }
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -49,6 +49,7 @@
     std::uint64_t request_hash = 0;   ///< of organisation, target and body
     bool starts_program = false;      ///< the first turn of a program, as far as this gateway knows
     bool is_turn = false;             ///< the ledger keeps account of the call
+    bool may_be_open = false;         ///< the ledger may have opened the turn, also without confirming it
     std::string history;              ///< bytes of the previous turns, sent in front of the body
     bool ledger_takes_offers = false; ///< a large content is offered before it is sent
     std::string warm_instance;        ///< instance that ran the previous turn; empty if unknown
@@ -104,10 +105,12 @@
 /// Sends a request to the ledger group of the call's organisation. Shortly after the gateway's start it first
 /// waits until the groups are known from control.
 /// @param mode `hold` if the leader answers when it can, `once` for a large request.
+/// @param was_resent as for group_client::call(); not set with the mode `once`.
 /// @throw link_error if the groups stayed unknown or no leader replied within the timeout.
 boost::asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call,
                                                        wire::envelope request, duration timeout,
-                                                       ledger_call_mode mode = ledger_call_mode::prompt);
+                                                       ledger_call_mode mode = ledger_call_mode::prompt,
+                                                       bool* was_resent = nullptr);
 /// Waits until the number of ledger groups is known from control.
 /// @return false if the deadline passed first.
 boost::asio::awaitable<bool> await_ledger_groups(std::shared_ptr<active_call> call, time_point deadline);
@@ -115,7 +118,8 @@
 /// turn needs neither a rate token nor the ledger; a program that loops would otherwise hold tokens that
 /// other programs of its organisation wait for.
 bool is_budget_known_spent(const active_call& call);
-/// Opens the call's turn in the ledger, which checks the program's budget and finds the previous turn.
+/// Opens the call's turn in the ledger, which checks the program's budget and finds the previous turn. Sets
+/// `may_be_open` unless the ledger certainly refused to open it.
 /// @return a refusal with status 0 if the call may proceed.
 boost::asio::awaitable<refusal> open_turn(std::shared_ptr<active_call> call);
 /// @return whether the call continues a stream that another request began.
--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -58,7 +58,7 @@
 } // namespace
 
 asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call, wire::envelope request,
-                                                duration timeout, ledger_call_mode mode)
+                                                duration timeout, ledger_call_mode mode, bool* was_resent)
 {
     const gateway_state& state = *call->context.state;
     const organisation_name organisation =
@@ -81,7 +81,7 @@
             reply = co_await client.call_once(*group, std::move(request), time_left);
         }
         else {
-            reply = co_await client.call(*group, std::move(request), time_left, hold_time);
+            reply = co_await client.call(*group, std::move(request), time_left, hold_time, was_resent);
         }
         record_reply(ledger_group, runtime_clock::now());
         co_return reply;
@@ -149,13 +149,16 @@
     body->set_run_timeout_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(time_left), 1)));
     std::string failure_reason;
     wire::envelope_ptr reply;
+    bool was_resent = false;
     try {
         reply =
-            co_await call_ledger(call, std::move(request), std::min<duration>(time_left / 2, ledger_timeout));
+            co_await call_ledger(call, std::move(request), std::min<duration>(time_left / 2, ledger_timeout),
+                                 ledger_call_mode::prompt, &was_resent);
     }
     catch (const link_error& error) {
         failure_reason = error.what();
     }
+    call->may_be_open = call->may_be_open || !reply || was_resent;
     if (!reply || !reply->has_turn_opened()) {
         std::vector<event_field> fields = call_fields(*call);
         const bool overloaded = reply && reply->has_refused();
@@ -173,6 +176,10 @@
     if (outcome == turns::open_outcome::unknown_turn) {
         co_return refusal{404, "no such turn", {}};
     }
+    if (outcome == turns::open_outcome::closed) {
+        co_return refusal{503, "the turn has been closed", ledger_retry_after};
+    }
+    call->may_be_open = true;
     call->history = opened.history().empty() ? cached_history : opened.history();
     if (opened.history_contents() > opened.history_sent()) {
         try {
--- a/src/turns/turn_cmd.cpp
+++ b/src/turns/turn_cmd.cpp
@@ -121,6 +121,11 @@
     }
     result.spent = account.spent;
     result.reserved = reserved_tokens(account);
+    if (account.settled.contains(request.request)) {
+        result.outcome = open_outcome::closed;
+        result.history.clear();
+        return result;
+    }
     if (account.reserved.contains(request.request)) {
         return result;
     }
@@ -129,9 +134,7 @@
         result.history.clear();
         return result;
     }
-    if (!account.settled.contains(request.request)) {
-        account.reserved[request.request] = request.max_tokens;
-    }
+    account.reserved[request.request] = request.max_tokens;
     return result;
 }
 
--- a/src/turns/turn_type.hpp
+++ b/src/turns/turn_type.hpp
@@ -56,7 +56,7 @@
 struct program_account {
     std::uint64_t spent = 0;                        ///< tokens of closed turns
     std::map<request_name, std::uint64_t> reserved; ///< maximum tokens of each turn that may be running
-    std::set<request_name> settled; ///< closed turns, so that a resent request charges nothing
+    std::set<request_name> settled; ///< closed turns, which are charged once and not opened again
     std::map<std::string, std::string> upstream_by_line; ///< instance that ran the latest turn of each line
     std::string last_upstream;                           ///< instance that ran the latest turn of any line
     group_time used_at{};
@@ -95,7 +95,12 @@
 };
 
 /// Whether a turn may run.
-enum class open_outcome : std::uint8_t { granted, budget_spent, unknown_turn };
+enum class open_outcome : std::uint8_t {
+    granted,
+    budget_spent,
+    unknown_turn,
+    closed ///< it was closed before; its request arrives late or again
+};
 
 /// Result of opening a turn.
 struct open_result {
--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -113,7 +113,8 @@
 }
 
 boost::asio::awaitable<envelope_ptr> group_client::call(std::uint32_t group, envelope request,
-                                                        duration timeout, duration hold_time)
+                                                        duration timeout, duration hold_time,
+                                                        bool* was_resent)
 {
     request.set_group(group);
     const time_point deadline = runtime_clock::now() + timeout;
@@ -128,6 +129,9 @@
         if (reply && !reply->has_redirect()) {
             co_return reply;
         }
+        if (was_resent != nullptr) {
+            *was_resent = true;
+        }
         if (!follow_redirect(group, endpoint, reply)) {
             co_await runtime::wait_for(retry_delay);
         }
--- a/src/wire/group_client.hpp
+++ b/src/wire/group_client.hpp
@@ -21,8 +21,10 @@
     void set_replicas(std::vector<replica_address> replicas);
     /// Sends a request to the leader of a group. @throw link_error if no leader answers within `timeout`.
     /// @param hold_time how long the leader may hold the request before it answers.
+    /// @param was_resent set if the request was sent more than once, so that a replica that did not answer
+    /// may have executed it whatever the reply says; may be nullptr.
     boost::asio::awaitable<envelope_ptr> call(std::uint32_t group, envelope request, duration timeout,
-                                              duration hold_time = {});
+                                              duration hold_time = {}, bool* was_resent = nullptr);
 
     /// Sends a large request once, to the presumed leader of a group.
     /// @throw link_error if that is no longer the leader or does not answer within `timeout`.
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -176,11 +176,12 @@
     std::unique_ptr<gateway::gateway_process> gateway_server;
     std::uint64_t next_call_number = 1;
 
-    explicit small_fleet(core::fleet_features features = {})
+    /// @param with_store false if the test brings a store of its own.
+    explicit small_fleet(core::fleet_features features = {}, bool with_store = true)
     {
         common_settings.features = features;
         try {
-            start();
+            start(with_store);
         }
         catch (...) { // the destructor does not run, and the pool's threads use the members
             stop();
@@ -192,7 +193,7 @@
     small_fleet(const small_fleet&) = delete;
     small_fleet& operator=(const small_fleet&) = delete;
 
-    void start()
+    void start(bool with_store)
     {
         start_upstream(upstream);
         start_upstream(second_upstream);
@@ -203,7 +204,9 @@
         const std::string control_link = "tcp://" + find_free_address();
         common_settings.seeds = {control_link};
         start_control(control_link);
-        start_store();
+        if (with_store) {
+            start_store();
+        }
         start_gateway();
         announce(upstream, "u1", 1);
         publish_first_document();
--- a/tests/unit/turns_test.cpp
+++ b/tests/unit/turns_test.cpp
@@ -249,6 +249,17 @@
     BOOST_TEST(state.programs.begin()->second.spent == 30U);
 }
 
+// Guards against tokens that stay reserved, and against a turn that runs free of charge: an opening that was
+// not confirmed arrives after the turn was closed.
+BOOST_FIXTURE_TEST_CASE(opening_that_arrives_after_its_closing_is_not_granted_and_reserves_nothing,
+                        two_turns_fixture)
+{
+    settle_turn("a", 0);
+    BOOST_TEST((reserve("a", 100, 100) == open_outcome::closed));
+    BOOST_TEST(state.programs.begin()->second.reserved.empty());
+    BOOST_TEST((reserve("b", 100, 100) == open_outcome::granted));
+}
+
 BOOST_FIXTURE_TEST_CASE(resent_open_request_reserves_once, two_turns_fixture)
 {
     reserve("a", 1000, 135);
--- /dev/null
+++ b/tests/unit/unconfirmed_turn_test.cpp
@@ -0,0 +1,84 @@
+// Turns whose ledger group does not confirm a request, or whose history can't be read.
+#include "scripted_ledger.hpp"
+#include "small_fleet.hpp"
+
+namespace guavawick::tests {
+
+namespace {
+
+/// A fleet whose only store is scripted. The budget of a program is 10 tokens, and each turn reserves 4.
+struct fleet_with_scripted_ledger : small_fleet {
+    scripted_ledger ledger{pool.executor()};
+
+    fleet_with_scripted_ledger() : small_fleet(core::fleet_features{}, false)
+    {
+        upstream.respond = respond_with_events;
+        second_upstream.respond = respond_with_events;
+        int status = 503;
+        while (status != 200) { // until the gateway knows the ledger group
+            ledger.report_to(common_settings.seeds.front());
+            status = call("POST", "/turn/x", {{"Deadline", "300"}}, "x").status;
+        }
+    }
+
+    ~fleet_with_scripted_ledger()
+    {
+        ledger.links.close();
+        small_fleet::stop();
+    }
+
+    int call_turn(const std::string& request, const std::string& deadline_ms = "10000")
+    {
+        return call("POST", "/turn/x", {{"Call", request}, {"Program", "p"}, {"Deadline", deadline_ms}}, "x")
+            .status;
+    }
+
+    /// Has three turns refused, which would reserve the program's whole budget.
+    void check_refused_turns()
+    {
+        for (int i = 0; i < 3; ++i) {
+            BOOST_TEST(call_turn("r" + std::to_string(i), "400") == 503);
+        }
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(unconfirmed_turn_test)
+
+// Guards against 402 for a program whose budget is not spent: tokens stayed reserved for turns that never
+// ran.
+BOOST_FIXTURE_TEST_CASE(turn_whose_opening_was_not_confirmed_leaves_no_tokens_reserved,
+                        fleet_with_scripted_ledger)
+{
+    ledger.withholds_openings = true;
+    check_refused_turns();
+    ledger.release();
+    BOOST_TEST(call_turn("next") == 200);
+}
+
+// Guards against 402 for a program whose budget is not spent: tokens stayed reserved for turns that never
+// ran.
+BOOST_FIXTURE_TEST_CASE(turn_whose_history_can_not_be_read_leaves_no_tokens_reserved,
+                        fleet_with_scripted_ledger)
+{
+    ledger.loses_history = true;
+    check_refused_turns();
+    ledger.loses_history = false;
+    BOOST_TEST(call_turn("next") == 200);
+}
+
+// Guards against more load at a ledger that is overloaded: a turn that it refused needs no closing.
+BOOST_FIXTURE_TEST_CASE(turn_that_an_overloaded_ledger_refused_is_not_closed, fleet_with_scripted_ledger)
+{
+    ledger.refuses_openings = true;
+    BOOST_TEST(call_turn("refused") == 503);
+    ledger.refuses_openings = false;
+    BOOST_TEST(call_turn("next") == 200);
+    const std::lock_guard lock(ledger.mutex);
+    BOOST_TEST(!ledger.closed.contains("refused"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
