Log why the ledger did not store a turn

A turn that was refused had one reason in the log for two causes: a full ledger, and an expired turn that it continues from. The reason now follows the failure of the reply, and a content that got no room before the deadline has its own.

--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -251,10 +251,25 @@
         : core::offer_outcome::refused;
 }
 
+/// @return why the ledger did not commit a close request, nullptr if it did.
+const char* find_close_refusal(const wire::envelope& reply)
+{
+    if (reply.has_done()) {
+        return nullptr;
+    }
+    if (!reply.has_refused()) {
+        return "the ledger's reply does not fit the request";
+    }
+    return reply.refused().failure() == static_cast<std::uint32_t>(failure::not_found)
+               ? "a turn that it continues from has expired"
+               : "the ledger has no room for the turn";
+}
+
 /// Sends a close request with a large content. It is offered again if the leader changed meanwhile.
-/// @return whether the ledger committed it. @throw link_error if no leader took it in time.
-asio::awaitable<bool> send_large_close(std::shared_ptr<active_call> call, wire::envelope request,
-                                       duration timeout)
+/// @return why the ledger did not commit it, nullptr if it did. @throw link_error if no leader took it in
+/// time.
+asio::awaitable<const char*> send_large_close(std::shared_ptr<active_call> call, wire::envelope request,
+                                              duration timeout)
 {
     const std::size_t bytes = request.close_turn().input().size() + request.close_turn().output().size();
     const time_point deadline = runtime_clock::now() + timeout;
@@ -262,7 +277,8 @@
         const core::offer_outcome outcome =
             co_await offer_content(call, bytes, deadline - runtime_clock::now());
         if (outcome != core::offer_outcome::granted) {
-            co_return outcome == core::offer_outcome::stored;
+            co_return outcome == core::offer_outcome::stored ? nullptr
+                                                             : "the ledger had no room for the turn in time";
         }
         bool is_leader_lost = false;
         try {
@@ -272,7 +288,7 @@
                 reply->has_refused() &&
                 reply->refused().failure() == static_cast<std::uint32_t>(failure::overloaded);
             if (!has_no_room) {
-                co_return reply->has_done();
+                co_return find_close_refusal(*reply);
             }
         }
         catch (const link_error&) {
@@ -299,18 +315,18 @@
     const duration timeout = completed ? std::max<duration>(time_left, min_close_timeout) : ledger_timeout;
     std::string failure_reason;
     try {
-        bool committed = false;
+        const char* refusal_reason = nullptr;
         if (is_large) {
-            committed = co_await send_large_close(call, std::move(request), timeout);
+            refusal_reason = co_await send_large_close(call, std::move(request), timeout);
         }
         else {
             const wire::envelope_ptr reply = co_await call_ledger(call, std::move(request), timeout);
-            committed = reply->has_done();
+            refusal_reason = find_close_refusal(*reply);
         }
-        if (committed) {
+        if (refusal_reason == nullptr) {
             co_return true;
         }
-        failure_reason = "the ledger has no room for the turn, or a turn that it continues from has expired";
+        failure_reason = refusal_reason;
     }
     catch (const link_error& error) {
         failure_reason = error.what();
