Start the response of a resumable stream with its first event

A caller's connection was reset after the head of a stream of which no event could be passed on: the head was forwarded before the ledger had recorded which software version began the stream, and without that record no event may follow. The head of a stream that may be taken up is now held back until its first event may be forwarded, or the stream ends. Until then another attempt, or an answer with a failure, can serve the caller.

unconfirmed_turn_test/stream_without_a_confirmed_record_is_answered_with_a_failure failed before: "check status == 502 has failed [0 != 502]".

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -121,7 +121,16 @@
     co_return true;
 }
 
-/// Processes the head of a response. Starts the response to the caller if events will be forwarded.
+/// Starts the streamed response to the caller.
+asio::awaitable<void> start_response(std::shared_ptr<active_call> call, const response_head& head)
+{
+    call->head_sent = true;
+    header_list headers = filter_response_headers(head.headers);
+    co_await call->response.start(head.status, head.reason, std::move(headers));
+}
+
+/// Processes the head of a response. Starts the response to the caller if events will be forwarded. A stream
+/// that may be taken up starts with its first event: until then another attempt may serve the caller.
 /// @return false if the caller has left.
 asio::awaitable<bool> receive_head(std::shared_ptr<active_call> call, attempt_state& state,
                                    const response_head& head)
@@ -131,10 +140,8 @@
     state.silence_timer.reset();
     const bool success = head.status >= 200 && head.status < 300;
     state.streaming = success && head.is_event_stream && head.metadata.signed_by_upstream;
-    if (state.streaming && !call->head_sent) {
-        call->head_sent = true;
-        header_list headers = filter_response_headers(head.headers);
-        co_await call->response.start(head.status, head.reason, std::move(headers));
+    if (state.streaming && !call->head_sent && !call->route->resumable) {
+        co_await start_response(call, head);
     }
     co_return !call->response.caller_left();
 }
@@ -155,6 +162,9 @@
         if (state.given_up != nullptr) {
             co_return false;
         }
+        if (!call->head_sent) {
+            co_await start_response(call, state.head);
+        }
     }
     for (stream_event& next : events) {
         state.last_event_at = runtime_clock::now();
@@ -292,6 +302,9 @@
 /// first stored in the ledger; if that fails, the response is aborted.
 asio::awaitable<attempt_result> finish_stream(std::shared_ptr<active_call> call, attempt_state& state)
 {
+    if (!call->head_sent) {
+        co_await start_response(call, state.head); // of a stream without events
+    }
     if (!state.splitter.pending.empty()) {
         // Comments and empty lines after the last event belong to the body.
         std::string remainder = std::move(state.splitter.pending);
--- a/tests/unit/unconfirmed_turn_test.cpp
+++ b/tests/unit/unconfirmed_turn_test.cpp
@@ -2,6 +2,9 @@
 #include "scripted_ledger.hpp"
 #include "small_fleet.hpp"
 
+#include <future>
+#include <thread>
+
 namespace guavawick::tests {
 
 namespace {
@@ -79,6 +82,37 @@
     BOOST_TEST(!ledger.closed.contains("refused"));
 }
 
+// Guards against a connection that is reset after the head of a stream of which no event may be passed on.
+BOOST_FIXTURE_TEST_CASE(stream_without_a_confirmed_record_is_answered_with_a_failure,
+                        fleet_with_scripted_ledger)
+{
+    ledger.records_streams = false;
+    std::uint64_t sequence = 10;
+    int status = 503;
+    while (status == 503) { // the opening was released too late
+        const std::string other = "other" + std::to_string(sequence);
+        announce(upstream, "u1", ++sequence);
+        while (call("GET", "/safe/x").status != 200) {
+        }
+        ledger.withholds_openings = true;
+        auto streaming =
+            std::async(std::launch::async, [this] { return call("POST", "/kept/x", {}, "x").status; });
+        while (ledger.count_withheld() == 0 && streaming.wait_for(0s) != std::future_status::ready) {
+            std::this_thread::yield();
+        }
+        const double known = read_metric("guavawick_gateway_instances");
+        announce(upstream, "u1", ++sequence, directory::instance_state::gone);
+        announce(second_upstream, other, 1, directory::instance_state::serving, "v2");
+        while (read_metric("guavawick_gateway_instances") == known) { // announcements arrive in order
+        }
+        ledger.release();
+        status = streaming.get();
+        announce(second_upstream, other, 2, directory::instance_state::gone, "v2");
+    }
+    BOOST_TEST(status == 502);
+    BOOST_TEST(second_upstream.calls.load() >= 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
