Record the origin of a running stream until the ledger confirms it

A stream that broke off could not be taken up: the request that records which software version began it was given up after 2.5 s, while the stream went on. A ledger group without a leader for a little longer than an election left the stream without a record, and each call that took it up was refused with 503. The request doesn't delay events, so it is now repeated until the call's deadline. A stream whose events wait for the record still waits 2.5 s at most.

unconfirmed_turn_test/origin_of_a_running_stream_is_sent_until_the_ledger_confirms_it failed before: "check call("POST", "/resumed/x", {}, "x").status == 200 has failed [0 != 200]".

--- a/src/gateway/call_stream.cpp
+++ b/src/gateway/call_stream.cpp
@@ -25,8 +25,10 @@
 constexpr int max_origin_queries = 2;             ///< after the first one
 constexpr duration origin_retry_after = 300ms;    ///< a record that is on its way has been committed by then
 
-/// Sends the origin of the call's stream to the ledger. @return whether the ledger committed it.
-asio::awaitable<bool> send_stream_origin(std::shared_ptr<active_call> call, std::string version)
+/// Sends the origin of the call's stream to the ledger, at most until the call's deadline.
+/// @return whether the ledger committed it.
+asio::awaitable<bool> send_stream_origin(std::shared_ptr<active_call> call, std::string version,
+                                         duration max_timeout)
 {
     const duration time_left = std::max<duration>(call->deadline - runtime_clock::now(), 1ms);
     wire::envelope request;
@@ -38,7 +40,7 @@
     std::string failure_reason = "the ledger refused the record";
     try {
         const wire::envelope_ptr reply =
-            co_await call_ledger(call, std::move(request), std::min<duration>(time_left, record_timeout));
+            co_await call_ledger(call, std::move(request), std::min<duration>(time_left, max_timeout));
         if (reply->has_done()) {
             co_return true;
         }
@@ -52,10 +54,10 @@
     co_return false;
 }
 
-/// Sends the origin without waiting for the ledger.
+/// Sends the origin while the events are forwarded. The stream can't be taken up without it.
 asio::awaitable<void> post_stream_origin(std::shared_ptr<active_call> call, std::string version)
 {
-    co_await send_stream_origin(std::move(call), std::move(version));
+    co_await send_stream_origin(std::move(call), std::move(version), duration::max());
 }
 
 /// Records which version begins the call's stream, if the ledger doesn't have it yet.
@@ -74,7 +76,7 @@
         co_return true;
     }
     call->origin_uncertain = true;
-    const bool recorded = co_await send_stream_origin(call, version);
+    const bool recorded = co_await send_stream_origin(call, version, record_timeout);
     if (recorded) {
         call->recorded_version = std::move(version);
         call->origin_uncertain = false;
--- a/tests/unit/unconfirmed_turn_test.cpp
+++ b/tests/unit/unconfirmed_turn_test.cpp
@@ -113,6 +113,28 @@
     BOOST_TEST(second_upstream.calls.load() >= 1);
 }
 
+// Guards against streams that can't be taken up: the request to record a stream was given up while it ran,
+// when the ledger group had no leader for longer than an election.
+BOOST_FIXTURE_TEST_CASE(origin_of_a_running_stream_is_sent_until_the_ledger_confirms_it,
+                        fleet_with_scripted_ledger)
+{
+    ledger.records_streams = false;
+    upstream.respond = [this](http::responder& responder) -> asio::awaitable<void> {
+        http::response head = http::make_response(200, "text/event-stream", "");
+        head.headers["Signature"] = "s";
+        co_await responder.start_stream(std::move(head));
+        std::string first = "id: 1\ndata: one\n\n";
+        co_await responder.write(std::move(first));
+        while (ledger.record_requests.load() < 5) {
+            co_await runtime::wait_for(20ms);
+        }
+        std::string second = "id: 2\ndata: two\n\n";
+        co_await responder.write(std::move(second));
+        co_await responder.finish();
+    };
+    BOOST_TEST(call("POST", "/resumed/x", {}, "x").status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
