--- a/src/gateway/call_turn.cpp
+++ b/src/gateway/call_turn.cpp
@@ -58,7 +58,7 @@
 } // namespace
 
 asio::awaitable<wire::envelope_ptr> call_ledger(std::shared_ptr<active_call> call, wire::envelope request,
-                                                duration timeout, ledger_call_mode mode)
+                                                duration timeout, ledger_call_mode mode, bool* was_resent)
 {
     const gateway_state& state = *call->context.state;
     const organisation_name organisation =
@@ -81,7 +81,7 @@
             reply = co_await client.call_once(*group, std::move(request), time_left);
         }
         else {
-            reply = co_await client.call(*group, std::move(request), time_left, hold_time);
+            reply = co_await client.call(*group, std::move(request), time_left, hold_time, was_resent);
         }
         record_reply(ledger_group, runtime_clock::now());
         co_return reply;
@@ -149,13 +149,16 @@
     body->set_run_timeout_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(to_ms(time_left), 1)));
     std::string failure_reason;
     wire::envelope_ptr reply;
+    bool was_resent = false;
     try {
         reply =
-            co_await call_ledger(call, std::move(request), std::min<duration>(time_left / 2, ledger_timeout));
+            co_await call_ledger(call, std::move(request), std::min<duration>(time_left / 2, ledger_timeout),
+                                 ledger_call_mode::prompt, &was_resent);
     }
     catch (const link_error& error) {
         failure_reason = error.what();
     }
+    call->may_be_open = call->may_be_open || !reply || was_resent;
     if (!reply || !reply->has_turn_opened()) {
         std::vector<event_field> fields = call_fields(*call);
         const bool overloaded = reply && reply->has_refused();
@@ -173,6 +176,10 @@
     if (outcome == turns::open_outcome::unknown_turn) {
         co_return refusal{404, "no such turn", {}};
     }
+    if (outcome == turns::open_outcome::closed) {
+        co_return refusal{503, "the turn has been closed", ledger_retry_after};
+    }
+    call->may_be_open = true;
     call->history = opened.history().empty() ? cached_history : opened.history();
     if (opened.history_contents() > opened.history_sent()) {
         try {
@@ -244,10 +251,25 @@
         : core::offer_outcome::refused;
 }
 
+/// @return why the ledger did not commit a close request, nullptr if it did.
+const char* find_close_refusal(const wire::envelope& reply)
+{
+    if (reply.has_done()) {
+        return nullptr;
+    }
+    if (!reply.has_refused()) {
+        return "the ledger's reply does not fit the request";
+    }
+    return reply.refused().failure() == static_cast<std::uint32_t>(failure::not_found)
+               ? "a turn that it continues from has expired"
+               : "the ledger has no room for the turn";
+}
+
 /// Sends a close request with a large content. It is offered again if the leader changed meanwhile.
-/// @return whether the ledger committed it. @throw link_error if no leader took it in time.
-asio::awaitable<bool> send_large_close(std::shared_ptr<active_call> call, wire::envelope request,
-                                       duration timeout)
+/// @return why the ledger did not commit it, nullptr if it did. @throw link_error if no leader took it in
+/// time.
+asio::awaitable<const char*> send_large_close(std::shared_ptr<active_call> call, wire::envelope request,
+                                              duration timeout)
 {
     const std::size_t bytes = request.close_turn().input().size() + request.close_turn().output().size();
     const time_point deadline = runtime_clock::now() + timeout;
@@ -255,7 +277,8 @@
         const core::offer_outcome outcome =
             co_await offer_content(call, bytes, deadline - runtime_clock::now());
         if (outcome != core::offer_outcome::granted) {
-            co_return outcome == core::offer_outcome::stored;
+            co_return outcome == core::offer_outcome::stored ? nullptr
+                                                             : "the ledger had no room for the turn in time";
         }
         bool is_leader_lost = false;
         try {
@@ -265,7 +288,7 @@
                 reply->has_refused() &&
                 reply->refused().failure() == static_cast<std::uint32_t>(failure::overloaded);
             if (!has_no_room) {
-                co_return reply->has_done();
+                co_return find_close_refusal(*reply);
             }
         }
         catch (const link_error&) {
@@ -292,18 +315,18 @@
     const duration timeout = completed ? std::max<duration>(time_left, min_close_timeout) : ledger_timeout;
     std::string failure_reason;
     try {
-        bool committed = false;
+        const char* refusal_reason = nullptr;
         if (is_large) {
-            committed = co_await send_large_close(call, std::move(request), timeout);
+            refusal_reason = co_await send_large_close(call, std::move(request), timeout);
         }
         else {
             const wire::envelope_ptr reply = co_await call_ledger(call, std::move(request), timeout);
-            committed = reply->has_done();
+            refusal_reason = find_close_refusal(*reply);
         }
-        if (committed) {
+        if (refusal_reason == nullptr) {
             co_return true;
         }
-        failure_reason = "the ledger has no room for the turn, or a turn that it continues from has expired";
+        failure_reason = refusal_reason;
     }
     catch (const link_error& error) {
         failure_reason = error.what();
