Promote the replacement of a voter without contact before the voter is removed

In a group of full size the learner that has caught up is now promoted first. Six voters have a quorum of four, so any two disks may be lost in each step, and each step still changes one voter, so that the quorums of two successive memberships intersect. The step commits with four voters: with two voters lost it needs the learner, which has to be in contact. A voter that answers again before its removal leaves an even number of voters; one voter of the fullest data centre is then removed.

Two tests demanded the removal before the promotion. They assumed that a voter without contact has lost its disk; they now demand the promotion first, and the removal after it. In a group below full size the order is unchanged.

--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -2,6 +2,7 @@
 #include "consensus/membership_plan.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace guavawick::consensus {
 namespace {
@@ -67,6 +68,23 @@
     return retiring;
 }
 
+/// @return a voter of the data centre with the most voters that is not the leader; among these the one
+/// without contact for longest. @pre there are at least two voters.
+const member_status* find_surplus_voter(const std::vector<member_status>& members)
+{
+    const auto voter_counts = count_voters(members, nullptr);
+    const auto rank = [&voter_counts](const member_status& status) {
+        return std::pair(voter_counts.at(status.info.data_centre), status.since_contact);
+    };
+    const member_status* surplus = nullptr;
+    for (const member_status& status : members) {
+        if (status.info.voter && !status.is_self && (surplus == nullptr || rank(status) > rank(*surplus))) {
+            surplus = &status;
+        }
+    }
+    return surplus;
+}
+
 std::size_t count_lost(const std::vector<member_status>& members, const membership_policy& policy)
 {
     return static_cast<std::size_t>(
@@ -85,12 +103,13 @@
     const member_status* departing = find_departing_voter(members, policy);
     const member_status* successor =
         departing != nullptr ? find_replacement(members, departing, policy) : nullptr;
-    const bool is_replaced = departing != nullptr && voters > policy.voters;
-    const bool takes_part = departing != nullptr && !is_lost(*departing, policy);
-    if (takes_part && voters == policy.voters && successor != nullptr) {
+    if (voters > policy.voters && departing != nullptr) {
+        return {departing->is_self ? planned_kind::hand_over : planned_kind::remove, departing->info.id};
+    }
+    if (successor != nullptr && voters == policy.voters) {
         return {planned_kind::promote, successor->info.id};
     }
-    if (is_replaced || successor != nullptr) {
+    if (successor != nullptr) {
         return {departing->is_self ? planned_kind::hand_over : planned_kind::remove, departing->info.id};
     }
     if (voters < policy.voters) {
@@ -99,6 +118,10 @@
             return {planned_kind::promote, replacement->info.id};
         }
     }
+    // A voter that answers again after its replacement was promoted leaves a group of even size.
+    if (voters > policy.voters && voters % 2 == 0) {
+        return {planned_kind::remove, find_surplus_voter(members)->info.id};
+    }
     // Removing one of an even number of voters makes the quorum smaller, so a voter lost for long is removed
     // even without a replacement.
     if (voters % 2 == 0 && departing != nullptr && departing->since_contact > policy.learner_timeout &&
--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -35,10 +35,11 @@
     member_id id; ///< the member to promote or remove
 };
 
-/// Plans the next membership change. A lost or retiring voter is removed only once a learner that can replace
-/// it has caught up. A lost one is removed before that learner is promoted: with both as voters, one more
-/// loss could break the quorum. A retiring one that takes part in a group of full size stays until the
-/// learner is a voter: without it, the loss of as many disks as the group tolerates would end the group.
+/// Plans the next membership change. A lost or retiring voter is replaced only by a learner that has caught
+/// up. In a group of full size that learner is promoted first: a voter without contact may have kept its
+/// disk, and one voter more than `voters` still has a quorum after the loss of as many disks as the group
+/// tolerates, while one voter less has not. A lost voter of a smaller group is removed first, so that it does
+/// not count towards the larger quorum.
 /// @param members status of all members, including the leader.
 /// @return the change, of kind `nothing` if none is needed or possible.
 planned_change plan_membership_change(const std::vector<member_status>& members,
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -3,6 +3,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 namespace guavawick::tests {
 
 using namespace consensus;
@@ -33,6 +35,53 @@
     [[nodiscard]] planned_change plan() const { return plan_membership_change(members, policy); }
 };
 
+/// A group with as many voters as its policy asks for, spread over three data centres.
+struct group_of_full_size : three_voters {
+    explicit group_of_full_size(std::size_t tolerated_failures)
+    {
+        policy = make_membership_policy(tolerated_failures, 3);
+        for (std::uint64_t i = 4; i <= policy.voters; ++i) {
+            add(i, "dc-" + std::to_string(i - 3), true);
+        }
+    }
+
+    [[nodiscard]] std::size_t voters() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            members.begin(), members.end(), [](const member_status& status) { return status.info.voter; }));
+    }
+
+    /// @return how many disks of voters may be lost while the others are a quorum, whoever is out of contact.
+    [[nodiscard]] std::size_t tolerated_disks() const { return (voters() - 1) / 2; }
+
+    [[nodiscard]] bool contains(member_id id) const
+    {
+        return std::any_of(members.begin(), members.end(),
+                           [id](const member_status& status) { return status.info.id == id; });
+    }
+
+    [[nodiscard]] std::size_t max_in_one_data_centre() const
+    {
+        std::map<std::string, std::size_t> counts;
+        std::size_t max = 0;
+        for (const member_status& status : members) {
+            max = std::max(max, status.info.voter ? ++counts[status.info.data_centre] : 0);
+        }
+        return max;
+    }
+
+    void carry_out(const planned_change& change)
+    {
+        if (change.kind == planned_kind::remove) {
+            std::erase_if(members, [&](const member_status& status) { return status.info.id == change.id; });
+        }
+        for (member_status& status : members) {
+            status.info.voter =
+                status.info.voter || (change.kind == planned_kind::promote && status.info.id == change.id);
+        }
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(membership_plan_test)
@@ -49,17 +98,62 @@
     BOOST_TEST((plan().kind == planned_kind::nothing));
 }
 
-BOOST_FIXTURE_TEST_CASE(inactive_voter_is_removed_before_its_replacement_is_promoted, three_voters)
+BOOST_FIXTURE_TEST_CASE(inactive_voter_is_removed_only_after_its_replacement_is_a_voter, three_voters)
 {
     members[1].since_contact = 10s;
     add(4, "dc-2", false);
     const planned_change first = plan();
-    BOOST_TEST((first.kind == planned_kind::remove));
-    BOOST_TEST(first.id.value == 2U);
-    members.erase(members.begin() + 1);
+    BOOST_TEST((first.kind == planned_kind::promote));
+    BOOST_TEST(first.id.value == 4U);
+    members.back().info.voter = true;
     const planned_change second = plan();
-    BOOST_TEST((second.kind == planned_kind::promote));
-    BOOST_TEST(second.id.value == 4U);
+    BOOST_TEST((second.kind == planned_kind::remove));
+    BOOST_TEST(second.id.value == 2U);
+}
+
+// Guards against a group that loses its quorum for good when disks are lost while a voter that kept its disk
+// is out of contact.
+BOOST_AUTO_TEST_CASE(
+    replacement_of_an_inactive_voter_tolerates_in_each_step_the_loss_of_as_many_disks_as_the_group)
+{
+    for (const std::size_t tolerated : {1U, 2U}) {
+        for (const bool retires : {false, true}) {
+            group_of_full_size group(tolerated);
+            const member_id inactive = group.members[1].info.id;
+            group.members[1].since_contact = 2s;
+            if (retires) {
+                group.policy.retiring.insert(group.members[1].info.name);
+            }
+            group.add(9, group.members[1].info.data_centre, false);
+            for (int step = 0; step < 3; ++step) {
+                BOOST_TEST_CONTEXT("tolerated " << tolerated << ", retires " << retires << ", step " << step)
+                {
+                    BOOST_TEST(group.tolerated_disks() >= tolerated);
+                }
+                group.carry_out(group.plan());
+            }
+            BOOST_TEST(group.voters() == 2 * tolerated + 1);
+            BOOST_TEST(!group.contains(inactive));
+            BOOST_TEST((group.plan().kind == planned_kind::nothing));
+        }
+    }
+}
+
+// Guards against a group that stays at an even number of voters, with more of them in one data centre than
+// it may lose, once the voter to be replaced has answered again.
+BOOST_AUTO_TEST_CASE(voter_that_answers_again_beside_its_replacement_leaves_the_group_at_full_size)
+{
+    group_of_full_size group(2);
+    group.members[1].since_contact = 2s;
+    group.add(9, group.members[1].info.data_centre, false);
+    group.carry_out(group.plan());
+    BOOST_TEST(group.voters() == 6U);
+    group.members[1].since_contact = 0s;
+    group.carry_out(group.plan());
+    BOOST_TEST(group.voters() == 5U);
+    BOOST_TEST(group.max_in_one_data_centre() <= group.policy.max_voters_per_data_centre);
+    BOOST_TEST(group.members.front().is_self);
+    BOOST_TEST((group.plan().kind == planned_kind::nothing));
 }
 
 BOOST_FIXTURE_TEST_CASE(inactive_voter_stays_until_its_replacement_has_caught_up, three_voters)
@@ -99,12 +193,14 @@
     BOOST_TEST((plan().kind == planned_kind::hand_over));
 }
 
-BOOST_FIXTURE_TEST_CASE(retiring_voter_that_is_lost_is_removed_before_its_replacement_is_promoted,
+BOOST_FIXTURE_TEST_CASE(retiring_voter_that_is_lost_is_removed_only_after_its_replacement_is_a_voter,
                         three_voters)
 {
     policy.retiring.insert("node-3");
     members[2].since_contact = 10s;
     add(4, "dc-3", false);
+    BOOST_TEST((plan().kind == planned_kind::promote));
+    members.back().info.voter = true;
     const planned_change next = plan();
     BOOST_TEST((next.kind == planned_kind::remove));
     BOOST_TEST(next.id.value == 3U);
