Tests of disks that are lost in series in a managed group

A simulated group of six or eight replicas plans its members and asks to join at the intervals of a real one, with the time-outs of a fleet and a paused clock. Two disks are lost, the oldest or random ones, while all other replicas lose power in the middle of random steps; 6 s after the return two more are, six times in a row. A second test loses two disks while a voter that kept its disk is out of contact and is being replaced.

--- a/tests/unit/consensus_cluster.cpp
+++ b/tests/unit/consensus_cluster.cpp
@@ -62,7 +62,8 @@
 
 } // namespace
 
-fake_cluster::fake_cluster(std::uint64_t random_seed, std::size_t member_count) : random(random_seed)
+fake_cluster::fake_cluster(std::uint64_t random_seed, std::size_t member_count)
+    : settings(make_options()), random(random_seed)
 {
     membership initial_members;
     for (std::size_t i = 0; i < member_count; ++i) {
@@ -80,7 +81,7 @@
         replica.disk.term = 1;
         replica.disk.newest_snapshot = initial_snapshot;
         replica.state =
-            restore_state(initial_member.id, make_options(), replica.disk, {}, now, next_random(random));
+            restore_state(initial_member.id, settings, replica.disk, {}, now, next_random(random));
         members.push_back(std::move(replica));
     }
 }
@@ -177,7 +178,9 @@
     }
     effects pending;
     consensus::tick(member.state, now, pending);
-    continue_repair(member.state, now, pending);
+    if (!is_managed) {
+        continue_repair(member.state, now, pending);
+    }
     replicate(member.state, now, pending);
     carry_out(member, pending, false);
     if (member.state.applied > member.state.base_index + 30 && random_below(4) == 0) {
@@ -214,7 +217,7 @@
 
 void fake_cluster::restart(fake_member& member)
 {
-    member.state = restore_state(member.id, make_options(), member.disk, {}, now, next_random(random));
+    member.state = restore_state(member.id, settings, member.disk, {}, now, next_random(random));
     member.applied =
         member.disk.newest_snapshot ? decode(member.disk.newest_snapshot->state) : std::vector<std::string>{};
     member.running = true;
--- a/tests/unit/consensus_cluster.hpp
+++ b/tests/unit/consensus_cluster.hpp
@@ -37,6 +37,8 @@
 struct fake_cluster {
     explicit fake_cluster(std::uint64_t random_seed, std::size_t member_count);
 
+    consensus::options settings; ///< of every member from its next restart on
+    bool is_managed = false;     ///< the test changes the members; otherwise each leader repairs its group
     std::uint64_t random;
     time_point now{std::chrono::hours(1)};
     std::vector<fake_member> members;
--- /dev/null
+++ b/tests/unit/disk_series_test.cpp
@@ -0,0 +1,119 @@
+// Disks that are lost in series, each time while every other replica loses power.
+#include "managed_cluster.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+namespace guavawick::tests {
+
+using namespace consensus;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t tolerated_disks = 2;
+constexpr duration time_to_return = 1600ms;
+constexpr duration catch_up_time = 6s; ///< after its return, a replica counts as whole
+
+struct replica_count {
+    std::size_t value;
+};
+
+/// Loses disks in series. @return the longest time from a return until two more disks may be lost.
+duration lose_disks_in_series(std::uint64_t seed, replica_count replicas, bool oldest_first)
+{
+    managed_cluster cluster(seed, replicas.value, tolerated_disks);
+    cluster.run(8s);
+    BOOST_REQUIRE(cluster.tolerates(tolerated_disks));
+    duration longest{};
+    for (int round = 0; round < 6; ++round) {
+        std::set<std::size_t> lost = cluster.oldest_disks(tolerated_disks);
+        while (!oldest_first && lost.size() < 2 * tolerated_disks) {
+            lost.insert(cluster.random_below(replicas.value));
+        }
+        while (lost.size() > tolerated_disks) {
+            lost.erase(
+                std::next(lost.begin(), static_cast<std::ptrdiff_t>(cluster.random_below(lost.size()))));
+        }
+        cluster.lose_power(lost);
+        cluster.now += time_to_return;
+        cluster.return_power();
+        const time_point returned = cluster.now;
+        duration whole_after = 1min;
+        while (cluster.now < returned + catch_up_time) {
+            cluster.run(20ms);
+            const bool is_whole =
+                cluster.find_lease_holder() != nullptr && cluster.tolerates(tolerated_disks);
+            whole_after = is_whole ? std::min(whole_after, cluster.now - returned) : 1min;
+        }
+        longest = std::max(longest, whole_after);
+        const fake_member* leader = cluster.find_lease_holder();
+        BOOST_REQUIRE_MESSAGE(leader != nullptr, "no leader in round " << round << cluster.describe());
+        BOOST_REQUIRE_MESSAGE(cluster.tolerates(tolerated_disks),
+                              "not whole in round " << round << cluster.describe());
+        BOOST_REQUIRE(leader->state.applied >= cluster.highest_acknowledged);
+        for (const auto& [index, payload] : cluster.acknowledged) {
+            BOOST_REQUIRE_MESSAGE(cluster.committed.at(index) == payload,
+                                  "entry " << index << " was replaced");
+        }
+    }
+    BOOST_TEST(cluster.acknowledged.size() > 100U);
+    return longest;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(disk_series_test)
+
+// Guards against a group that is not whole again within the time after which more disks may be lost.
+BOOST_AUTO_TEST_CASE(group_survives_the_loss_of_its_oldest_disks_in_series_while_the_others_lose_power)
+{
+    for (const std::size_t replicas : {6U, 8U}) {
+        for (const bool oldest_first : {true, false}) {
+            duration longest{};
+            for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+                BOOST_TEST_CONTEXT("seed " << seed << ", replicas " << replicas << ", oldest first "
+                                           << oldest_first)
+                {
+                    longest = std::max(longest, lose_disks_in_series(seed, {replicas}, oldest_first));
+                }
+            }
+            BOOST_TEST_MESSAGE(replicas
+                               << " replicas, oldest first " << oldest_first << ": whole after "
+                               << std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()
+                               << " ms at most");
+        }
+    }
+}
+
+// Guards against a group that ends when two disks are lost while a voter that kept its disk is replaced.
+BOOST_AUTO_TEST_CASE(group_survives_the_loss_of_two_disks_while_a_voter_out_of_contact_is_replaced)
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            managed_cluster cluster(seed, 8, tolerated_disks);
+            cluster.run(8s);
+            const std::size_t dark = cluster.random_below(5);
+            cluster.members[dark].running = false;
+            cluster.run(membership_policy{}.voter_timeout +
+                        std::chrono::milliseconds(cluster.random_below(600)));
+            std::set<std::size_t> lost;
+            while (lost.size() < tolerated_disks) {
+                lost.insert(cluster.random_below(5));
+                lost.erase(dark);
+            }
+            cluster.lose_power(lost);
+            cluster.now += time_to_return;
+            cluster.return_power();
+            cluster.run(catch_up_time);
+            const fake_member* leader = cluster.find_lease_holder();
+            BOOST_REQUIRE_MESSAGE(leader != nullptr, "no leader" << cluster.describe());
+            BOOST_TEST(leader->state.applied >= cluster.highest_acknowledged);
+            BOOST_TEST(cluster.tolerates(tolerated_disks));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
--- /dev/null
+++ b/tests/unit/managed_cluster.hpp
@@ -0,0 +1,43 @@
+// Simulated group whose members are chosen among more replicas than it needs.
+#pragma once
+
+#include "consensus/membership_plan.hpp"
+#include "consensus_cluster.hpp"
+
+namespace guavawick::tests {
+
+/// A fake cluster with a managed membership. It plans changes and asks to join at the intervals of a real
+/// group, with the time-outs of a fleet.
+struct managed_cluster : fake_cluster {
+    /// @param replicas number of replicas, in three data centres; the first ones are the voters.
+    managed_cluster(std::uint64_t random_seed, std::size_t replicas, std::size_t tolerated_failures);
+
+    std::vector<consensus::join_schedule> join_schedules; ///< by replica
+    std::vector<time_point> next_joins;                   ///< by replica
+    std::vector<time_point> next_plans;                   ///< by replica
+    std::vector<time_point> disks_since;                  ///< by replica: when it got its disk
+
+    /// Advances time. The leader proposes commands at random.
+    void run(duration span);
+    /// Cuts the power of every replica in the middle of random steps, and erases the disks of some.
+    void lose_power(const std::set<std::size_t>& lost);
+    /// Starts every replica, each within 300 ms.
+    void return_power();
+    /// @return the replicas whose disks lasted longest.
+    [[nodiscard]] std::set<std::size_t> oldest_disks(std::size_t count) const;
+    /// @return whether there is a leader, and the newest membership that each of its members knows keeps a
+    /// quorum if `lost` further disks of voters are lost.
+    [[nodiscard]] bool tolerates(std::size_t lost);
+
+private:
+    void update_members(std::size_t replica);
+    void ask_to_join(std::size_t replica);
+    void handle_join(std::size_t contact, const consensus::member& joining, bool forwarded);
+    /// @return how many voters still have the disk that they joined with.
+    [[nodiscard]] std::size_t count_intact(const consensus::group_state& state) const;
+    [[nodiscard]] consensus::member describe_replica(std::size_t replica) const;
+
+    consensus::membership_policy policy_;
+};
+
+} // namespace guavawick::tests
