Replace a voter at once when its replica returns with another disk

A group that had lost two disks waited 1.5 s for the time-out of its old voters before it admitted the new disks of the same replicas, counted from the election of its leader.

The new disk has another id, so its request to join shows that the old one is gone. A replica whose name is already a member's is now admitted without a lost voter, add_learner still refuses it while the old one is in contact, and the old voter counts as lost without the time-out.

Before the change the new test of a returning replica fails: "check (find_member(current_members(leader->state), lost.id) != nullptr) has failed". The replacement keeps its order, promotion first, so a late request of an earlier disk can't lower the number of disks that may be lost.

--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -34,6 +34,19 @@
     return change_result::proposed;
 }
 
+/// @return whether a member that joined later has the name of this one. Later members are listed last.
+bool is_succeeded(const membership& members, const member& checked)
+{
+    bool is_later = false;
+    for (const member& other : members.members) {
+        if (is_later && other.name == checked.name) {
+            return true;
+        }
+        is_later = is_later || other.id == checked.id;
+    }
+    return false;
+}
+
 } // namespace
 
 change_result add_learner(group_state& state, const member& joining, time_point now, effects& pending)
@@ -125,14 +138,17 @@
 std::vector<member_status> collect_member_status(const group_state& state, time_point now)
 {
     std::vector<member_status> statuses;
-    for (const member& other : current_members(state).members) {
+    const membership& members = current_members(state);
+    for (const member& other : members.members) {
         const auto peer = state.peers.find(other.id);
         const time_point last_contact = peer == state.peers.end()
                                             ? state.leader_since
                                             : std::max(peer->second.acked_sent_at, state.leader_since);
         const bool is_self = other.id == state.self;
-        statuses.push_back({other, is_self, is_self || has_caught_up(state, other),
-                            is_self ? duration{} : now - last_contact});
+        statuses.push_back(
+            {other, is_self, is_self || has_caught_up(state, other),
+             is_self ? duration{} : now - last_contact,
+             !is_self && !is_recently_active(state, other.id, now) && is_succeeded(members, other)});
     }
     return statuses;
 }
--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -14,7 +14,7 @@
 
 bool is_lost(const member_status& status, const membership_policy& policy)
 {
-    return !status.is_self && status.since_contact > policy.voter_timeout;
+    return !status.is_self && (status.disk_lost || status.since_contact > policy.voter_timeout);
 }
 
 /// @return the number of voters in each data centre, without `excluded`.
@@ -143,8 +143,10 @@
     if (policy.retiring.contains(joining.name)) {
         return false;
     }
-    const member_status* departing = find_departing_voter(members, policy);
-    if (departing != nullptr) {
+    const bool returns = std::any_of(members.begin(), members.end(), [&joining](const member_status& status) {
+        return status.info.name == joining.name && status.info.id != joining.id;
+    });
+    if (returns || find_departing_voter(members, policy) != nullptr) {
         return true;
     }
     const auto available =
--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -24,6 +24,7 @@
     bool is_self = false;     ///< true for the leader itself
     bool caught_up = false;   ///< its synced log has reached the commit index
     duration since_contact{}; ///< time since the leader's last contact with it
+    bool disk_lost = false;   ///< it is out of contact, and its replica has joined again with another disk
 };
 
 /// Type of a planned change.
@@ -47,7 +48,8 @@
 
 /// @return whether a candidate may join as a learner. The group keeps only `standby_learners` besides its
 /// voters: each further replica costs the same replication traffic and helps only if a lost voter can't be
-/// replaced by a standby learner.
+/// replaced by a standby learner. A replica that returns with another disk is admitted in place of its old
+/// one.
 bool admits_learner(const std::vector<member_status>& members, const member& joining,
                     const membership_policy& policy);
 /// Whom a replica has asked whether a group needs it. Members pass a request on to their leader, so it is
--- a/tests/unit/disk_series_test.cpp
+++ b/tests/unit/disk_series_test.cpp
@@ -114,6 +114,21 @@
     }
 }
 
+// Guards against a repair that begins only when the lost voter's time-out has passed, though the new disk of
+// its replica shows that the old one is gone.
+BOOST_AUTO_TEST_CASE(replica_that_returns_with_an_empty_disk_joins_before_its_old_voter_times_out)
+{
+    managed_cluster cluster(1, 8, tolerated_disks);
+    cluster.run(8s);
+    const fake_member* leader = cluster.find_lease_holder();
+    fake_member& lost = &cluster.members.front() == leader ? cluster.members[1] : cluster.members.front();
+    cluster.lose_disk(lost);
+    cluster.run(membership_policy{}.voter_timeout - 100ms);
+    BOOST_REQUIRE(cluster.find_lease_holder() == leader);
+    BOOST_TEST((find_member(current_members(leader->state), lost.id) != nullptr));
+    BOOST_TEST(cluster.tolerates(tolerated_disks));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -139,6 +139,19 @@
     }
 }
 
+BOOST_FIXTURE_TEST_CASE(voter_whose_replica_has_joined_with_another_disk_is_replaced_without_a_time_out,
+                        three_voters)
+{
+    members[1].disk_lost = true;
+    add(4, "dc-2", false);
+    const planned_change first = plan();
+    BOOST_TEST((first.kind == planned_kind::promote));
+    members.back().info.voter = true;
+    const planned_change second = plan();
+    BOOST_TEST((second.kind == planned_kind::remove));
+    BOOST_TEST(second.id.value == 2U);
+}
+
 // Guards against a group that stays at an even number of voters, with more of them in one data centre than
 // it may lose, once the voter to be replaced has answered again.
 BOOST_AUTO_TEST_CASE(voter_that_answers_again_beside_its_replacement_leaves_the_group_at_full_size)
@@ -257,6 +270,15 @@
     BOOST_TEST(!admits_learner(members, joining, policy));
 }
 
+BOOST_FIXTURE_TEST_CASE(replica_that_returns_with_another_disk_is_admitted_in_place_of_its_old_one,
+                        three_voters)
+{
+    add(4, "dc-1", false);
+    const member returned{member_id{9}, "node-2", "", false, 0, "dc-2"};
+    BOOST_TEST(admits_learner(members, returned, policy));
+    BOOST_TEST(!admits_learner(members, members[1].info, policy));
+}
+
 BOOST_AUTO_TEST_CASE(
     policy_for_two_failures_in_three_data_centres_has_five_voters_at_most_two_per_data_centre)
 {
