Sync the name of a new group's folder in the data folder

A store that created a group's folder synced the files in it, but not the data folder that holds its name, while the identity in the same data folder was synced. A power loss may drop the folder and keep the identity: the voter would then return empty under its old id, count for entries that it no longer has and could vote twice in a term. Found by reading; whether a file system loses the name of a folder that holds synced files depends on the file system.

Before the change the new test fails: "check synced_paths.contains(fs::canonical(path).string()) has failed". It records what the program syncs.

--- a/src/replica/log_store.cpp
+++ b/src/replica/log_store.cpp
@@ -143,6 +143,8 @@
 log_store::log_store(std::string folder) : folder_(std::move(folder))
 {
     create_folder(folder_);
+    // Without its name in the data folder, a group's files are lost with the power though they are synced.
+    sync_folder(std::filesystem::path(folder_).parent_path().string());
     read_snapshot();
     read_log();
     open_log();
--- a/tests/unit/log_store_test.cpp
+++ b/tests/unit/log_store_test.cpp
@@ -7,6 +7,29 @@
 
 #include <filesystem>
 #include <fstream>
+#include <mutex>
+#include <set>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace {
+
+std::mutex synced_mutex;
+std::set<std::string> synced_paths; ///< what this process has synced; guarded by synced_mutex
+
+} // namespace
+
+/// Replaces the C library's function in this program, to record what was synced.
+extern "C" int fsync(int fd)
+{
+    std::error_code error;
+    const auto path = std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(fd), error);
+    {
+        const std::lock_guard lock(synced_mutex);
+        synced_paths.insert(path.string());
+    }
+    return static_cast<int>(::syscall(SYS_fsync, fd));
+}
 
 namespace guavawick::tests {
 
@@ -63,6 +86,21 @@
     BOOST_TEST(reopened.loaded().voted_for.value == 9U);
 }
 
+// Guards against a voter that comes back from a power loss empty under its old identity, which is kept in the
+// same data folder: it could vote twice in a term and would count for entries that it no longer has.
+BOOST_FIXTURE_TEST_CASE(name_of_a_new_group_is_synced_before_the_group_is_used, temporary_folder)
+{
+    open_identity(path.string());
+    {
+        const std::lock_guard lock(synced_mutex);
+        synced_paths.clear();
+    }
+    const log_store store(group());
+    const std::lock_guard lock(synced_mutex);
+    BOOST_TEST(synced_paths.contains(fs::canonical(path).string()));
+    BOOST_TEST(synced_paths.contains(fs::canonical(group()).string()));
+}
+
 BOOST_FIXTURE_TEST_CASE(truncated_entries_are_still_absent_after_a_restart, temporary_folder)
 {
     {
