Promote a learner that keeps up while commands are committed

A learner counted as caught up only if its synced log had reached the current commit index at the moment of the check, every 200 ms. While commands are committed without a pause, a learner that answers more slowly than the fastest quorum (a longer link, less processor time, a slower disk) is always some entries behind it. It was then never promoted, the lost voter stayed, and the loss of two more disks would have ended the group: the repair waited for the end of the load.

A learner now counts as caught up once it has synced the commit index of its joining and that of up to one election timeout ago. This is safe: the membership entry that promotes it commits with a quorum of the new membership, and each of these has synced all entries before it.

--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -248,6 +248,9 @@
     state.transfer_target = member_id{};
     pending.became_leader = true;
     propose(state, entry_kind::noop, {}, pending);
+    state.settled_commit = last_index(state);
+    state.next_settled_commit = last_index(state);
+    state.settled_commit_due = now + state.settings.election_timeout / 2;
     for (const member& other : current_members(state).members) {
         if (other.id != state.self) {
             state.peers[other.id].next = last_index(state);
@@ -557,6 +560,11 @@
         become_follower(state, state.term, now, pending);
         return;
     }
+    if (now >= state.settled_commit_due) {
+        state.settled_commit = std::max(state.settled_commit, state.next_settled_commit);
+        state.next_settled_commit = state.commit;
+        state.settled_commit_due = now + state.settings.election_timeout / 2;
+    }
     if (now >= state.heartbeat_due) {
         broadcast_append(state, now, pending);
     }
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -144,8 +144,11 @@
     time_point last_leader_contact{};    ///< when the leader's last message arrived, or process start
     time_point election_due{};
     time_point heartbeat_due{};
-    time_point leader_since{}; ///< when this member became leader; start of check-quorum
-    member_id transfer_target; ///< receiver of a leadership transfer in progress
+    log_index settled_commit = 0;      ///< leader only: the commit index up to one election timeout ago
+    log_index next_settled_commit = 0; ///< leader only: the commit index when `settled_commit` was set
+    time_point settled_commit_due{};   ///< leader only: when `settled_commit` is next set
+    time_point leader_since{};         ///< when this member became leader; start of check-quorum
+    member_id transfer_target;         ///< receiver of a leadership transfer in progress
     time_point transfer_deadline{};
     std::uint64_t random_state = 1; ///< state of the random generator for election timeouts
 };
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -20,12 +20,14 @@
     return term_committed && !change_in_progress ? change_result::proposed : change_result::change_pending;
 }
 
-/// @return whether a member's synced log has reached both the current commit index and that of its joining.
+/// @return whether a member's synced log has reached the commit index of its joining and that of up to one
+/// election timeout ago. While commands are committed, a learner that is slower than the fastest quorum never
+/// reaches the current one.
 bool has_caught_up(const group_state& state, const member& learner)
 {
     const auto peer = state.peers.find(learner.id);
     const log_index synced = peer == state.peers.end() ? 0 : peer->second.match;
-    return synced >= state.commit && synced >= learner.learner_target;
+    return synced >= state.settled_commit && synced >= learner.learner_target;
 }
 
 change_result propose_members(group_state& state, const membership& changed, effects& pending)
--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -21,8 +21,8 @@
 /// The leader's view of one member, as input of the planning.
 struct member_status {
     member info;
-    bool is_self = false;     ///< true for the leader itself
-    bool caught_up = false;   ///< its synced log has reached the commit index
+    bool is_self = false;   ///< true for the leader itself
+    bool caught_up = false; ///< its synced log has reached the commit index of up to one election timeout ago
     duration since_contact{}; ///< time since the leader's last contact with it
     bool disk_lost = false;   ///< it is out of contact, and its replica has joined again with another disk
 };
--- a/tests/unit/disk_series_test.cpp
+++ b/tests/unit/disk_series_test.cpp
@@ -114,6 +114,30 @@
     }
 }
 
+// Guards against a learner that is never promoted while commands are committed, because the voters
+// acknowledge each before it does.
+BOOST_AUTO_TEST_CASE(learner_with_a_slower_link_than_the_voters_replaces_a_lost_one_under_load)
+{
+    managed_cluster cluster(1, 6, tolerated_disks);
+    cluster.run(8s);
+    cluster.slow_links = {5};
+    cluster.run(1s);
+    fake_member& lost = &cluster.members.front() == cluster.find_lease_holder() ? cluster.members[1]
+                                                                                : cluster.members.front();
+    lost.running = false;
+    const time_point end = cluster.now + catch_up_time;
+    while (cluster.now < end) {
+        for (fake_member& member : cluster.members) {
+            cluster.propose(member);
+        }
+        cluster.run(20ms);
+    }
+    const fake_member* leader = cluster.find_lease_holder();
+    BOOST_REQUIRE(leader != nullptr);
+    BOOST_TEST(find_member(current_members(leader->state), cluster.members[5].id)->voter);
+    BOOST_TEST((find_member(current_members(leader->state), lost.id) == nullptr));
+}
+
 // Guards against a repair that begins only when the lost voter's time-out has passed, though the new disk of
 // its replica shows that the old one is gone.
 BOOST_AUTO_TEST_CASE(replica_that_returns_with_an_empty_disk_joins_before_its_old_voter_times_out)
--- a/tests/unit/managed_cluster.cpp
+++ b/tests/unit/managed_cluster.cpp
@@ -11,6 +11,7 @@
 
 constexpr duration step_time = 20ms;
 constexpr duration plan_interval = 200ms; ///< of a real group
+constexpr duration slow_delay = 60ms;
 constexpr std::uint64_t max_start_delay_ms = 300;
 
 std::size_t count_voters(const group_state& state)
@@ -130,11 +131,32 @@
                 propose(members[i]);
             }
         }
+        hold_slow_messages();
         deliver_all();
         check_invariants();
     }
 }
 
+void managed_cluster::hold_slow_messages()
+{
+    std::deque<message> prompt;
+    for (message& sent : network) {
+        const bool is_slow = std::any_of(slow_links.begin(), slow_links.end(),
+                                         [&](std::size_t i) { return members[i].id == sent.to; });
+        if (is_slow) {
+            slow_messages_.emplace_back(now + slow_delay, std::move(sent));
+        }
+        else {
+            prompt.push_back(std::move(sent));
+        }
+    }
+    while (!slow_messages_.empty() && slow_messages_.front().first <= now) {
+        prompt.push_back(std::move(slow_messages_.front().second));
+        slow_messages_.pop_front();
+    }
+    network.swap(prompt);
+}
+
 void managed_cluster::lose_power(const std::set<std::size_t>& lost)
 {
     steps_per_crash = 3;
--- a/tests/unit/managed_cluster.hpp
+++ b/tests/unit/managed_cluster.hpp
@@ -17,6 +17,8 @@
     std::vector<time_point> next_plans;                   ///< by replica
     std::vector<time_point> disks_since;                  ///< by replica: when it got its disk
 
+    std::set<std::size_t> slow_links; ///< replicas that messages take 60 ms to reach
+
     /// Advances time. The leader proposes commands at random.
     void run(duration span);
     /// Cuts the power of every replica in the middle of random steps, and erases the disks of some.
@@ -30,6 +32,7 @@
     [[nodiscard]] bool tolerates(std::size_t lost);
 
 private:
+    void hold_slow_messages();
     void update_members(std::size_t replica);
     void ask_to_join(std::size_t replica);
     void handle_join(std::size_t contact, const consensus::member& joining, bool forwarded);
@@ -38,6 +41,7 @@
     [[nodiscard]] consensus::member describe_replica(std::size_t replica) const;
 
     consensus::membership_policy policy_;
+    std::deque<std::pair<time_point, consensus::message>> slow_messages_; ///< with the time of their arrival
 };
 
 } // namespace guavawick::tests
