--- a/tests/unit/log_store_test.cpp
+++ b/tests/unit/log_store_test.cpp
@@ -1,6 +1,7 @@
 // Files of a consensus group: restarts, incomplete and damaged records, identities of data folders.
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
+#include "consensus/consensus_func.hpp"
 #include "replica/log_store.hpp"
 
 #include <boost/test/unit_test.hpp>
@@ -171,6 +172,32 @@
     BOOST_TEST(reopened.loaded().entries.size() == 1U);
 }
 
+// Guards against entries that are lost, or shifted, if the power fails between the two files of a snapshot.
+BOOST_FIXTURE_TEST_CASE(snapshot_beside_the_log_that_it_was_to_shorten_keeps_the_later_entries,
+                        temporary_folder)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 8));
+        fs::copy_file(log(), path / "log-before");
+        consensus::group_state state = make_group();
+        auto snapshot = std::make_shared<consensus::snapshot>();
+        snapshot->index = 4;
+        snapshot->term = 1;
+        state.newest_snapshot = snapshot;
+        store.write_snapshot(state);
+    }
+    fs::rename(path / "log-before", log());
+    log_store reopened(group());
+    const consensus::group_state restored = consensus::restore_state(
+        consensus::member_id{9}, {}, reopened.take_loaded(), {}, runtime_clock::now(), 1);
+    BOOST_TEST(restored.base_index == 4U);
+    BOOST_TEST(consensus::last_index(restored) == 8U);
+    BOOST_TEST(restored.entries.front().payload.str() == "payload 5");
+    BOOST_TEST(restored.term == 1U);
+    BOOST_TEST(restored.voted_for.value == 9U);
+}
+
 BOOST_FIXTURE_TEST_CASE(emptied_folder_gets_a_new_identity_and_a_retained_folder_keeps_its_identity,
                         temporary_folder)
 {
