--- a/tests/unit/disk_series_test.cpp
+++ b/tests/unit/disk_series_test.cpp
@@ -114,6 +114,35 @@
     }
 }
 
+// Guards against changes of the members that lose entries, or end the group, if they meet replicas out of
+// contact, crashes, lost messages and lost disks.
+BOOST_AUTO_TEST_CASE(managed_group_keeps_acknowledged_entries_under_random_faults)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            managed_cluster cluster(seed, 6 + 2 * (seed % 2), tolerated_disks);
+            cluster.run(8s);
+            cluster.run_with_random_faults(90s, tolerated_disks);
+            for (fake_member& member : cluster.members) {
+                cluster.restart(member);
+            }
+            cluster.run(10s);
+            const fake_member* leader = cluster.find_lease_holder();
+            BOOST_REQUIRE_MESSAGE(leader != nullptr, "no leader" << cluster.describe());
+            BOOST_TEST(leader->state.applied >= cluster.highest_acknowledged);
+            BOOST_TEST(cluster.tolerates(tolerated_disks));
+            BOOST_TEST(cluster.acknowledged.size() > 100U);
+            for (const auto& [index, payload] : cluster.acknowledged) {
+                BOOST_REQUIRE(cluster.committed.at(index) == payload);
+            }
+            BOOST_TEST_MESSAGE("seed " << seed << ": " << cluster.elections << " elections, "
+                                       << cluster.lost_disks << " lost disks, " << cluster.acknowledged.size()
+                                       << " acknowledged");
+        }
+    }
+}
+
 // Guards against a learner that is never promoted while commands are committed, because the voters
 // acknowledge each before it does.
 BOOST_AUTO_TEST_CASE(learner_with_a_slower_link_than_the_voters_replaces_a_lost_one_under_load)
--- a/tests/unit/managed_cluster.cpp
+++ b/tests/unit/managed_cluster.cpp
@@ -137,6 +137,41 @@
     }
 }
 
+void managed_cluster::run_with_random_faults(duration span, std::size_t max_lost)
+{
+    const time_point until = now + span;
+    std::size_t lost = 0;
+    std::vector<time_point> returns(members.size());
+    while (now < until) {
+        steps_per_crash = 300;
+        for (int i = 0; i < 20; ++i) {
+            deliver_one(2);
+        }
+        steps_per_crash = 0;
+        run(step_time);
+        const std::size_t disturbed = random_below(members.size());
+        const bool loses_disk = random_below(100) == 0 && lost < max_lost;
+        if (loses_disk) {
+            lose_disk(members[disturbed]);
+            disks_since[disturbed] = now;
+            join_schedules[disturbed] = {};
+            ++lost;
+        }
+        if (loses_disk || random_below(100) == 0) {
+            members[disturbed].running = false;
+            returns[disturbed] = now + std::chrono::milliseconds(random_below(4000));
+        }
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            if (!members[i].running && now >= returns[i]) {
+                restart(members[i]);
+            }
+        }
+        const bool all_run =
+            std::all_of(members.begin(), members.end(), [](const fake_member& m) { return m.running; });
+        lost = all_run && tolerates(max_lost) ? 0 : lost;
+    }
+}
+
 void managed_cluster::hold_slow_messages()
 {
     std::deque<message> prompt;
--- a/tests/unit/managed_cluster.hpp
+++ b/tests/unit/managed_cluster.hpp
@@ -21,6 +21,9 @@
 
     /// Advances time. The leader proposes commands at random.
     void run(duration span);
+    /// As run(), while replicas are out of contact, restart before a sync, lose messages and lose disks. Once
+    /// `max_lost` disks are lost, the next one is lost after all replicas are back and the group is whole.
+    void run_with_random_faults(duration span, std::size_t max_lost);
     /// Cuts the power of every replica in the middle of random steps, and erases the disks of some.
     void lose_power(const std::set<std::size_t>& lost);
     /// Starts every replica, each within 300 ms.
