--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -21,9 +21,10 @@
 /// The leader's view of one member, as input of the planning.
 struct member_status {
     member info;
-    bool is_self = false;     ///< true for the leader itself
-    bool caught_up = false;   ///< its synced log has reached the commit index
+    bool is_self = false;   ///< true for the leader itself
+    bool caught_up = false; ///< its synced log has reached the commit index of up to one election timeout ago
     duration since_contact{}; ///< time since the leader's last contact with it
+    bool disk_lost = false;   ///< it is out of contact, and its replica has joined again with another disk
 };
 
 /// Type of a planned change.
@@ -35,10 +36,11 @@
     member_id id; ///< the member to promote or remove
 };
 
-/// Plans the next membership change. A lost or retiring voter is removed only once a learner that can replace
-/// it has caught up. A lost one is removed before that learner is promoted: with both as voters, one more
-/// loss could break the quorum. A retiring one that takes part in a group of full size stays until the
-/// learner is a voter: without it, the loss of as many disks as the group tolerates would end the group.
+/// Plans the next membership change. A lost or retiring voter is replaced only by a learner that has caught
+/// up. In a group of full size that learner is promoted first: a voter without contact may have kept its
+/// disk, and one voter more than `voters` still has a quorum after the loss of as many disks as the group
+/// tolerates, while one voter less has not. A lost voter of a smaller group is removed first, so that it does
+/// not count towards the larger quorum.
 /// @param members status of all members, including the leader.
 /// @return the change, of kind `nothing` if none is needed or possible.
 planned_change plan_membership_change(const std::vector<member_status>& members,
@@ -46,7 +48,8 @@
 
 /// @return whether a candidate may join as a learner. The group keeps only `standby_learners` besides its
 /// voters: each further replica costs the same replication traffic and helps only if a lost voter can't be
-/// replaced by a standby learner.
+/// replaced by a standby learner. A replica that returns with another disk is admitted in place of its old
+/// one.
 bool admits_learner(const std::vector<member_status>& members, const member& joining,
                     const membership_policy& policy);
 /// Whom a replica has asked whether a group needs it. Members pass a request on to their leader, so it is
--- a/tests/unit/log_store_test.cpp
+++ b/tests/unit/log_store_test.cpp
@@ -1,12 +1,36 @@
 // Files of a consensus group: restarts, incomplete and damaged records, identities of data folders.
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
+#include "consensus/consensus_func.hpp"
 #include "replica/log_store.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include <filesystem>
 #include <fstream>
+#include <mutex>
+#include <set>
+#include <sys/syscall.h>
+#include <unistd.h>
+
+namespace {
+
+std::mutex synced_mutex;
+std::set<std::string> synced_paths; ///< what this process has synced; guarded by synced_mutex
+
+} // namespace
+
+/// Replaces the C library's function in this program, to record what was synced.
+extern "C" int fsync(int fd)
+{
+    std::error_code error;
+    const auto path = std::filesystem::read_symlink("/proc/self/fd/" + std::to_string(fd), error);
+    {
+        const std::lock_guard lock(synced_mutex);
+        synced_paths.insert(path.string());
+    }
+    return static_cast<int>(::syscall(SYS_fsync, fd));
+}
 
 namespace guavawick::tests {
 
@@ -63,6 +87,21 @@
     BOOST_TEST(reopened.loaded().voted_for.value == 9U);
 }
 
+// Guards against a voter that comes back from a power loss empty under its old identity, which is kept in the
+// same data folder: it could vote twice in a term and would count for entries that it no longer has.
+BOOST_FIXTURE_TEST_CASE(name_of_a_new_group_is_synced_before_the_group_is_used, temporary_folder)
+{
+    open_identity(path.string());
+    {
+        const std::lock_guard lock(synced_mutex);
+        synced_paths.clear();
+    }
+    const log_store store(group());
+    const std::lock_guard lock(synced_mutex);
+    BOOST_TEST(synced_paths.contains(fs::canonical(path).string()));
+    BOOST_TEST(synced_paths.contains(fs::canonical(group()).string()));
+}
+
 BOOST_FIXTURE_TEST_CASE(truncated_entries_are_still_absent_after_a_restart, temporary_folder)
 {
     {
@@ -133,6 +172,32 @@
     BOOST_TEST(reopened.loaded().entries.size() == 1U);
 }
 
+// Guards against entries that are lost, or shifted, if the power fails between the two files of a snapshot.
+BOOST_FIXTURE_TEST_CASE(snapshot_beside_the_log_that_it_was_to_shorten_keeps_the_later_entries,
+                        temporary_folder)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 8));
+        fs::copy_file(log(), path / "log-before");
+        consensus::group_state state = make_group();
+        auto snapshot = std::make_shared<consensus::snapshot>();
+        snapshot->index = 4;
+        snapshot->term = 1;
+        state.newest_snapshot = snapshot;
+        store.write_snapshot(state);
+    }
+    fs::rename(path / "log-before", log());
+    log_store reopened(group());
+    const consensus::group_state restored = consensus::restore_state(
+        consensus::member_id{9}, {}, reopened.take_loaded(), {}, runtime_clock::now(), 1);
+    BOOST_TEST(restored.base_index == 4U);
+    BOOST_TEST(consensus::last_index(restored) == 8U);
+    BOOST_TEST(restored.entries.front().payload.str() == "payload 5");
+    BOOST_TEST(restored.term == 1U);
+    BOOST_TEST(restored.voted_for.value == 9U);
+}
+
 BOOST_FIXTURE_TEST_CASE(emptied_folder_gets_a_new_identity_and_a_retained_folder_keeps_its_identity,
                         temporary_folder)
 {
