A connection that gives way decides so when it is interrupted

Callers of a full listener lost requests: the connection that waits longest was chosen, removed from the table and cancelled by a posted handler, which didn't look whether a request had arrived or was handled since. The cancel hit a pending response write, a request that had arrived was reset, and the connection stayed marked as given up, so that a later request whose body came in two parts got 408.

Cause: one task acts on what another had seen. The interruption now only cancels a pending read, if no bytes wait, and the connection confirms it when the read returns: if bytes have arrived it keeps its place. The table keeps asked connections as closing until they are removed, so they still count; a listener that is beyond its limit accepts no other before one more has been asked. At most a eighth of the limit, and 16, are closing at a time.

A displaced connection gets its refusal without waiting for its send buffer, so that the descriptor closes at once (503 instead of 408, the same promise). GW1207 and its counter count what was closed.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -185,6 +185,10 @@
     if (outcome == http::read_outcome::closed) {
         co_return false;
     }
+    if (connection.displaced()) {
+        http::refuse_connection(stream.socket()); // doesn't wait, so that the descriptor closes at once
+        co_return false;
+    }
     const bool supports_chunked = parser->get().version() >= 11;
     responder response(
         connection, outcome == http::read_outcome::complete && parser->get().keep_alive() && !server.draining,
--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -14,6 +14,8 @@
 constexpr std::uint64_t reserve_divisor = 20; ///< 205 of 4,100
 constexpr std::uint64_t min_reserve = 32;
 constexpr std::uint64_t min_connections = 16;
+constexpr std::uint64_t closing_divisor = 8; ///< share of connections that may be closing at a time
+constexpr std::uint64_t max_closing = 16;    ///< what the reserve of a small process bears
 
 std::uint64_t reserved_descriptors(std::uint64_t max_descriptors)
 {
@@ -42,6 +44,14 @@
     return found;
 }
 
+void release_place(connection_table& table, const std::string& address)
+{
+    const auto count = table.count_by_address.find(address);
+    if (--count->second == 0) {
+        table.count_by_address.erase(count);
+    }
+}
+
 } // namespace
 
 connection_decision admit_connection(connection_table& table, const std::string& address,
@@ -50,15 +60,24 @@
 {
     connection_decision decision;
     const auto count = table.count_by_address.find(address);
-    const bool share_used =
-        count != table.count_by_address.end() && count->second >= table.limits.per_address;
+    const std::uint64_t of_address = count == table.count_by_address.end() ? 0 : count->second;
+    const bool share_used = of_address >= table.limits.per_address;
     if (share_used || table.open.size() >= table.limits.total) {
-        decision.closed = find_longest_waiting(table, share_used ? address : std::string(), now);
-        if (decision.closed == 0) {
-            decision.accepted = false;
+        const bool has_room = table.closing.size() <
+                              std::clamp<std::uint64_t>(table.limits.total / closing_divisor, 1, max_closing);
+        decision.closed =
+            has_room ? find_longest_waiting(table, share_used ? address : std::string(), now) : 0;
+        // Beyond a limit, one that gives way only makes good for another that kept its place.
+        decision.accepted = decision.closed != 0 && of_address <= table.limits.per_address &&
+                            table.open.size() <= table.limits.total;
+        if (decision.closed != 0) {
+            auto record = table.open.extract(decision.closed);
+            release_place(table, record.mapped().address);
+            table.closing.insert(std::move(record));
+        }
+        if (!decision.accepted) {
             return decision;
         }
-        remove_connection(table, decision.closed);
     }
     decision.id = table.next_id++;
     table.open[decision.id] = {address, activity};
@@ -66,17 +85,22 @@
     return decision;
 }
 
-void remove_connection(connection_table& table, std::uint64_t id)
+void keep_connection(connection_table& table, std::uint64_t id)
 {
-    const auto found = table.open.find(id);
-    if (found == table.open.end()) {
-        return;
+    auto record = table.closing.extract(id);
+    if (!record.empty()) {
+        ++table.count_by_address[record.mapped().address];
+        table.open.insert(std::move(record));
     }
-    const auto count = table.count_by_address.find(found->second.address);
-    if (--count->second == 0) {
-        table.count_by_address.erase(count);
+}
+
+void remove_connection(connection_table& table, std::uint64_t id)
+{
+    table.closing.erase(id);
+    const auto record = table.open.extract(id);
+    if (!record.empty()) {
+        release_place(table, record.mapped().address);
     }
-    table.open.erase(found);
 }
 
 connection_limits derive_connection_limits(std::uint64_t memory_limit, std::uint64_t max_descriptors)
--- a/src/http/connection_table.hpp
+++ b/src/http/connection_table.hpp
@@ -32,26 +32,31 @@
     std::shared_ptr<const connection_activity> activity;
 };
 
-/// The open connections of a listener. Thread safety: none.
+/// The connections of a listener. Thread safety: none.
 struct connection_table {
     connection_limits limits;
     std::uint64_t next_id = 1;
     std::map<std::uint64_t, connection_record> open;
-    std::map<std::string, std::uint64_t> count_by_address;
+    std::map<std::uint64_t, connection_record> closing;    ///< asked to give way, and not closed yet
+    std::map<std::string, std::uint64_t> count_by_address; ///< of the open ones
 };
 
 /// Whether a new connection is accepted.
 struct connection_decision {
     bool accepted = true;
     std::uint64_t id = 0;     ///< of the new connection
-    std::uint64_t closed = 0; ///< connection to close in its place; 0 for none
+    std::uint64_t closed = 0; ///< connection that is to give way; 0 for none
 };
 
 /// Adds a connection. If the listener's or the address's limit is reached, the connection that waits for
-/// bytes longest gives way; first those from which no request was ever read.
+/// bytes longest is asked to give way; first those from which no request was ever read. It counts as closing
+/// until it is removed or keeps its place, in which case the limit is exceeded and no other is accepted until
+/// one more connection has been asked. At most an eighth of the connections, and 16, are closing at a time.
 connection_decision admit_connection(connection_table& table, const std::string& address,
                                      const std::shared_ptr<const connection_activity>& activity,
                                      time_point now);
+/// Keeps the place of a connection that was asked to give way and isn't waiting any more.
+void keep_connection(connection_table& table, std::uint64_t id);
 /// Removes a connection, if it is still in the table.
 void remove_connection(connection_table& table, std::uint64_t id);
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -307,6 +307,11 @@
     if (outcome == read_outcome::closed) {
         co_return false;
     }
+    if (connection.displaced()) {
+        refuse_connection(
+            connection.stream().socket()); // doesn't wait, so that the descriptor closes at once
+        co_return false;
+    }
     const unsigned version = parser->get().version() == 0 ? 11 : parser->get().version();
     const bool keep_alive =
         outcome == read_outcome::complete && parser->get().keep_alive() && !state.draining.load();
--- a/src/http/request_guard.cpp
+++ b/src/http/request_guard.cpp
@@ -164,20 +164,12 @@
         const std::lock_guard lock(mutex_);
         decision = admit_connection(table_, address, activity, runtime_clock::now());
         if (decision.closed != 0) {
-            const auto found = streams_.find(decision.closed);
-            found->second->given_up.store(true);
-            found->second->displaced.store(true);
-            interrupt_stream(found->second);
-            streams_.erase(found);
+            ask_to_give_way(decision.closed, streams_.at(decision.closed));
         }
         if (decision.accepted) {
             streams_[decision.id] = stream;
         }
     }
-    if (decision.closed != 0) {
-        budget_->counters().connections_closed.fetch_add(1);
-        log_event(event::connection_closed_for_another, {{"address", address}});
-    }
     if (!decision.accepted) {
         budget_->counters().connections_refused.fetch_add(1);
         log_event(event::connection_refused, {{"address", address}});
@@ -185,6 +177,28 @@
     return decision.id;
 }
 
+void request_guard::ask_to_give_way(std::uint64_t id, const std::shared_ptr<interruptible_stream>& shared)
+{
+    asio::post(shared->executor, [this, id, shared] {
+        if (shared->stream == nullptr) {
+            return; // the connection has ended, and `this` may have
+        }
+        boost::system::error_code error;
+        if (!shared->reading || shared->stream->socket().available(error) > 0) {
+            keep_place(id);
+            return;
+        }
+        shared->asked = true;
+        shared->stream->cancel();
+    });
+}
+
+void request_guard::keep_place(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    keep_connection(table_, id);
+}
+
 void request_guard::remove(std::uint64_t id)
 {
     const std::lock_guard lock(mutex_);
@@ -207,7 +221,7 @@
 std::uint64_t request_guard::connections() const
 {
     const std::lock_guard lock(mutex_);
-    return table_.open.size();
+    return table_.open.size() + table_.closing.size();
 }
 
 guarded_connection::guarded_connection(std::shared_ptr<request_guard> guard, boost::beast::tcp_stream& stream,
@@ -236,6 +250,28 @@
                                    std::memory_order_relaxed);
 }
 
+bool guarded_connection::end_read(std::size_t received)
+{
+    shared_->reading = false;
+    if (received > 0) {
+        mark_waiting();
+    }
+    if (!shared_->asked) {
+        return false;
+    }
+    shared_->asked = false;
+    boost::system::error_code error;
+    const bool arrived = received > 0 || shared_->stream->socket().available(error) > 0;
+    if (arrived) {
+        guard_->keep_place(id_);
+        return received == 0;
+    }
+    shared_->displaced = true;
+    guard_->budget().counters().connections_closed.fetch_add(1);
+    log_event(event::connection_closed_for_another, {{"address", address_}});
+    return false;
+}
+
 void guarded_connection::mark_busy()
 {
     activity_->waiting_since.store(0, std::memory_order_relaxed);
--- a/src/http/request_guard.hpp
+++ b/src/http/request_guard.hpp
@@ -34,9 +34,11 @@
     boost::beast::tcp_stream* stream =
         nullptr; ///< used on `executor` only; nullptr once the connection ended
     boost::asio::any_io_executor executor;
-    bool idle = false;                  ///< waits for the first byte of a request; used on `executor` only
-    std::atomic<bool> given_up{false};  ///< its bytes or its place were needed elsewhere
-    std::atomic<bool> displaced{false}; ///< its place was needed: the descriptor must close at once
+    bool idle = false;      ///< waits for the first byte of a request; used on `executor` only
+    bool reading = false;   ///< a read of a client's bytes is pending; used on `executor` only
+    bool asked = false;     ///< the read was cancelled for the connection's place; used on `executor` only
+    bool displaced = false; ///< gave its place: the descriptor must close at once; used on `executor` only
+    std::atomic<bool> given_up{false}; ///< its bytes were needed elsewhere
 };
 
 /// The byte budget of a process. Thread safety: every function from any thread.
@@ -97,11 +99,14 @@
 public:
     /// @param budget of the process, shared by its listeners.
     request_guard(std::shared_ptr<memory_budget> budget, const connection_limits& limits);
-    /// Admits a connection; interrupts the one that gives way. @return its id, 0 if it is refused.
+    /// Admits a connection; asks another one to give way, if there is no room. That one keeps its place if
+    /// bytes arrive before it is interrupted. @return its id, 0 if it is refused.
     std::uint64_t admit(const std::string& address,
                         const std::shared_ptr<const connection_activity>& activity,
                         const std::shared_ptr<interruptible_stream>& stream);
     void remove(std::uint64_t id);
+    /// Keeps the place of a connection that was asked to give way.
+    void keep_place(std::uint64_t id);
     /// Interrupts the connections that wait for the first byte of a request. A request that has arrived at
     /// the same moment is not interrupted, so that it can be answered.
     void interrupt_idle();
@@ -110,6 +115,8 @@
     [[nodiscard]] const connection_limits& limits() const { return table_.limits; }
 
 private:
+    void ask_to_give_way(std::uint64_t id, const std::shared_ptr<interruptible_stream>& shared);
+
     std::shared_ptr<memory_budget> budget_;
     mutable std::mutex mutex_; ///< guards `table_` and `streams_`; no other lock is taken while it is held
     connection_table table_;
@@ -134,6 +141,14 @@
     void mark_busy();
     /// Records whether the connection waits for the first byte of a request.
     void set_idle(bool idle) { shared_->idle = idle; }
+    /// Records that a read of the client's bytes is pending, so that the connection can give way.
+    void begin_read() { shared_->reading = true; }
+    /// Records that the read has ended. A connection that was asked to give way meanwhile keeps its place if
+    /// bytes have arrived, and gives it otherwise.
+    /// @param received bytes. @return whether the read must be repeated, since it was cancelled in vain.
+    bool end_read(std::size_t received);
+    /// @return whether the connection gave its place to another one.
+    [[nodiscard]] bool displaced() const { return shared_->displaced; }
     [[nodiscard]] bool given_up() const { return shared_->given_up.load(std::memory_order_relaxed); }
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::shared_ptr<interruptible_stream>& shared() const { return shared_; }
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -44,7 +44,7 @@
     if (!has_started) {
         return read_outcome::closed;
     }
-    if (connection.given_up()) {
+    if (connection.given_up() || connection.displaced()) {
         return read_outcome::given_up;
     }
     return error == beast::error::timeout ? read_outcome::timed_out : read_outcome::closed;
@@ -62,6 +62,21 @@
     }
 }
 
+/// Reads bytes of a request. @return how many were received.
+asio::awaitable<std::size_t> read_some(guarded_connection& connection, asio::mutable_buffer space,
+                                       boost::system::error_code& error)
+{
+    std::size_t received = 0;
+    bool repeated = true;
+    while (repeated) {
+        connection.begin_read();
+        received = co_await connection.stream().async_read_some(
+            space, asio::redirect_error(asio::use_awaitable, error));
+        repeated = connection.end_read(received);
+    }
+    co_return received;
+}
+
 /// @return bytes to read next; 0 if the buffer is full.
 std::size_t next_read_size(const beast::flat_buffer& buffer)
 {
@@ -169,10 +184,8 @@
         }
         boost::system::error_code error;
         const asio::mutable_buffer space = buffer.prepare(size);
-        const std::size_t received =
-            co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t received = co_await read_some(connection, space, error);
         buffer.commit(received);
-        connection.mark_waiting();
         if (error) {
             co_return classify_read_error(connection, error, has_started);
         }
@@ -228,10 +241,8 @@
             co_return read_outcome::malformed; // the head of a chunk has no end
         }
         const asio::mutable_buffer space = buffer.prepare(size);
-        const std::size_t received =
-            co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+        const std::size_t received = co_await read_some(connection, space, error);
         buffer.commit(received);
-        connection.mark_waiting();
         lease.record_transfer(received);
         if (error || connection.given_up()) {
             co_return classify_read_error(connection, error, true);
@@ -277,7 +288,7 @@
 {
     beast::tcp_stream& stream = connection.stream();
     boost::system::error_code error;
-    if (connection.shared()->displaced.load()) {
+    if (connection.displaced()) {
         co_return;
     }
     stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, error);
@@ -285,7 +296,7 @@
     const asio::mutable_buffer space = asio::buffer(discarded);
     stream.expires_after(drain_timeout);
     for (std::size_t drained = 0; !error && drained < max_drained_bytes;) {
-        drained += co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, error));
+        drained += co_await read_some(connection, space, error);
     }
 }
 
--- a/tests/unit/request_limits_test.cpp
+++ b/tests/unit/request_limits_test.cpp
@@ -220,6 +220,65 @@
     BOOST_TEST(admit_connection(table, "a", busy.activity, start).accepted);
 }
 
+// A connection that was asked to give way and keeps its place takes the listener beyond its limit by one.
+BOOST_AUTO_TEST_CASE(connection_that_keeps_its_place_is_made_good_by_another)
+{
+    connection_table table;
+    table.limits = {2, 2, 100ms};
+    const open_connection first(start);
+    const open_connection second(start + 1s);
+    const open_connection young(start + 2s);
+    const std::uint64_t first_id = admit_connection(table, "a", first.activity, start).id;
+    const std::uint64_t second_id = admit_connection(table, "a", second.activity, start).id;
+    BOOST_TEST(admit_connection(table, "a", young.activity, start + 2s).closed == first_id);
+    BOOST_TEST(!admit_connection(table, "a", young.activity, start + 2s).accepted);
+    keep_connection(table, first_id);
+    BOOST_TEST(table.open.size() == 3U);
+    first.activity->waiting_since = 0;
+    const connection_decision beyond = admit_connection(table, "a", young.activity, start + 2s);
+    BOOST_TEST(beyond.closed == second_id);
+    BOOST_TEST(!beyond.accepted);
+    remove_connection(table, second_id);
+    BOOST_TEST(table.open.size() + table.closing.size() == 2U);
+    BOOST_TEST(admit_connection(table, "a", young.activity, start + 3s).accepted);
+}
+
+// The limit on descriptors must hold whichever connections keep their places.
+BOOST_AUTO_TEST_CASE(connections_stay_within_the_limit_and_the_share_that_may_be_closing)
+{
+    BOOST_TEST(rc::check([] {
+        connection_table table;
+        table.limits = {128, 96, 0ms};
+        std::vector<std::uint64_t> ids;
+        const int steps = *rc::gen::inRange(1, 600);
+        for (int i = 0; i < steps; ++i) {
+            const int action = *rc::gen::inRange(0, 8);
+            if (action > 2 || ids.empty()) {
+                const auto activity = std::make_shared<connection_activity>();
+                activity->waiting_since = *rc::gen::inRange(0, 3);
+                const std::string address = *rc::gen::element<std::string>("a", "b");
+                const std::uint64_t id = admit_connection(table, address, activity, start).id;
+                ids.insert(ids.end(), id != 0 ? 1U : 0U, id);
+            }
+            else if (action == 0) {
+                remove_connection(table, *rc::gen::elementOf(ids));
+            }
+            else {
+                const std::uint64_t id =
+                    table.closing.empty() ? *rc::gen::elementOf(ids) : table.closing.begin()->first;
+                keep_connection(table, id);
+            }
+            RC_ASSERT(table.open.size() + table.closing.size() <= 128U + 16U);
+            RC_ASSERT(table.closing.size() <= 16U);
+            std::map<std::string, std::uint64_t> by_address;
+            for (const auto& [id, record] : table.open) {
+                ++by_address[record.address];
+            }
+            RC_ASSERT(by_address == table.count_by_address);
+        }
+    }));
+}
+
 // The smallest gateway has room for one request of the largest size, and keeps descriptors for other uses.
 BOOST_AUTO_TEST_CASE(limits_of_the_smallest_gateway)
 {
