A transfer that gives way is interrupted only while it lasts

Under pressure on the byte budget a slow request or response was cancelled by a posted handler and its connection marked as given up. If the transfer had ended meanwhile, the cancel hit whatever the connection did next, and the mark stayed: the next request got 408, or its response was cut off. On the servers with several threads a request could also be given up between the last check and the mark that it has arrived; then it was handled without bytes, and the cancel hit its response.

The interruption names the lease and applies only while a read or write of that lease is pending; whether a lease was given up is asked of the budget, under its lock, and so is the end of the transfer. A request whose bytes were given away before it had arrived whole is refused with 503 (it hasn't run).

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -73,6 +73,12 @@
     return request;
 }
 
+/// @return whether the bytes that wait behind a running call may be held. They are not given up then.
+bool hold_pipelined_bytes(http::memory_lease& pipelined)
+{
+    return pipelined.resize(pipelined_bytes) == http::byte_answer::granted && pipelined.end_transfer();
+}
+
 /// State shared by watch_caller() and the coroutine that responds to the request.
 struct caller_watch {
     bool active = true; ///< watch_caller() has not returned yet
@@ -93,8 +99,7 @@
         char byte = 0;
         const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
         const bool closed = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        const bool refused = !closed && pipelined.resize(pipelined_bytes) != http::byte_answer::granted;
-        pipelined.set_in_transfer(false);
+        const bool refused = !closed && !hold_pipelined_bytes(pipelined);
         if (refused) {
             response.abort();
         }
@@ -211,12 +216,11 @@
     }
     else {
         watch->active = false; // not watched: a pipelined request has been received already
-        if (pipelined.resize(pipelined_bytes) != http::byte_answer::granted) {
+        if (!hold_pipelined_bytes(pipelined)) {
             response.disable_keep_alive();
             co_await refuse_unread(connection, response, http::read_outcome::budget_used);
             co_return false;
         }
-        pipelined.set_in_transfer(false);
     }
     co_await handle_request(server, request, response);
     watch->stop_requested = true;
@@ -303,6 +307,7 @@
 {
     http::memory_lease lease(connection_.guard().budget(), connection_.address(), connection_.shared());
     lease.force(bytes.size());
+    const http::transfer_scope transfer(lease);
     stream_.expires_after(write_timeout);
     boost::system::error_code error;
     for (std::size_t sent = 0; !error && sent < bytes.size(); sent += response_piece_bytes) {
@@ -310,9 +315,12 @@
             asio::buffer(bytes.data() + sent, std::min(response_piece_bytes, bytes.size() - sent));
         co_await asio::async_write(stream_, piece, asio::redirect_error(asio::use_awaitable, error));
         lease.record_transfer(piece.size());
+        if (!error && sent + piece.size() < bytes.size() && lease.given_up()) {
+            error = asio::error::operation_aborted; // the interruption found no pending write
+        }
     }
     stream_.expires_never();
-    if (connection_.given_up()) {
+    if (error && lease.given_up()) {
         log_event(event::reader_given_up, {{"address", connection_.address()}});
     }
     if (error) {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -85,6 +85,7 @@
         if (message.body().size() > max_unleased_response) {
             lease.force(message.body().size());
         }
+        const transfer_scope transfer(lease);
         stream_.expires_after(limits_.write_timeout);
         boost::system::error_code error;
         co_await beast::http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
--- a/src/http/request_guard.cpp
+++ b/src/http/request_guard.cpp
@@ -21,10 +21,11 @@
 constexpr std::uint64_t min_retry_ms = 300;
 constexpr std::uint64_t retry_spread_ms = 1000;
 
-void interrupt_stream(const std::shared_ptr<interruptible_stream>& shared)
+/// Interrupts a transfer, unless it has ended by the time at which the connection is interrupted.
+void interrupt_transfer(const std::shared_ptr<interruptible_stream>& shared, std::uint64_t lease)
 {
-    asio::post(shared->executor, [shared] {
-        if (shared->stream != nullptr) {
+    asio::post(shared->executor, [shared, lease] {
+        if (shared->stream != nullptr && shared->transfer == lease) {
             shared->stream->cancel();
         }
     });
@@ -50,8 +51,7 @@
     for (const std::uint64_t id : given_up) {
         const auto found = streams_.find(id);
         if (found != streams_.end()) {
-            found->second->given_up.store(true);
-            interrupt_stream(found->second);
+            interrupt_transfer(found->second, id);
             counters_.given_up.fetch_add(1);
         }
     }
@@ -80,14 +80,21 @@
     }
 }
 
-void memory_budget::set_in_transfer(std::uint64_t id, bool in_transfer)
+bool memory_budget::end_transfer(std::uint64_t id)
 {
     const std::lock_guard lock(mutex_);
     const auto found = budget_.leases.find(id);
-    if (found != budget_.leases.end()) {
-        found->second.in_transfer = in_transfer;
-        found->second.progress.started_at = runtime_clock::now();
+    if (found == budget_.leases.end()) {
+        return false;
     }
+    found->second.in_transfer = false;
+    return true;
+}
+
+bool memory_budget::holds(std::uint64_t id) const
+{
+    const std::lock_guard lock(mutex_);
+    return budget_.leases.contains(id);
 }
 
 void memory_budget::close(std::uint64_t id)
@@ -142,11 +149,9 @@
     }
 }
 
-void memory_lease::set_in_transfer(bool in_transfer)
+bool memory_lease::end_transfer()
 {
-    if (id_ != 0) {
-        budget_.set_in_transfer(id_, in_transfer);
-    }
+    return id_ == 0 || budget_.end_transfer(id_);
 }
 
 request_guard::request_guard(std::shared_ptr<memory_budget> budget, const connection_limits& limits)
--- a/src/http/request_guard.hpp
+++ b/src/http/request_guard.hpp
@@ -38,7 +38,8 @@
     bool reading = false;   ///< a read of a client's bytes is pending; used on `executor` only
     bool asked = false;     ///< the read was cancelled for the connection's place; used on `executor` only
     bool displaced = false; ///< gave its place: the descriptor must close at once; used on `executor` only
-    std::atomic<bool> given_up{false}; ///< its bytes were needed elsewhere
+    std::uint64_t transfer =
+        0; ///< lease whose bytes a pending read or write moves, 0 for none; used on `executor` only
 };
 
 /// The byte budget of a process. Thread safety: every function from any thread.
@@ -51,8 +52,11 @@
     /// As force_lease(); interrupts the connections that were given up.
     void force(std::uint64_t id, std::uint64_t bytes);
     void record_transfer(std::uint64_t id, std::uint64_t bytes);
-    /// @param in_transfer false while the request is handled.
-    void set_in_transfer(std::uint64_t id, bool in_transfer);
+    /// Marks the request as arrived, after which its bytes are not given up.
+    /// @return false if they were given up before.
+    bool end_transfer(std::uint64_t id);
+    /// @return false if the lease was given up or closed.
+    [[nodiscard]] bool holds(std::uint64_t id) const;
     void close(std::uint64_t id);
     [[nodiscard]] std::uint64_t used() const;
     [[nodiscard]] std::uint64_t limit() const { return limit_; }
@@ -83,9 +87,14 @@
     /// Holds that many bytes in any case.
     void force(std::uint64_t bytes);
     void record_transfer(std::uint64_t bytes);
-    void set_in_transfer(bool in_transfer);
+    /// Marks the request as arrived, after which its bytes are not given up.
+    /// @return false if they were given up before; then the request must be refused.
+    [[nodiscard]] bool end_transfer();
+    /// @return whether the bytes were needed elsewhere. The lease holds none any more.
+    [[nodiscard]] bool given_up() const { return id_ != 0 && !budget_.holds(id_); }
 
 private:
+    friend class transfer_scope;
     void open();
 
     memory_budget& budget_;
@@ -94,6 +103,22 @@
     std::uint64_t id_ = 0;
 };
 
+/// While it exists, reads and writes of the stream are interrupted if the lease is given up. Thread safety:
+/// the connection's coroutine.
+class transfer_scope {
+public:
+    explicit transfer_scope(const memory_lease& lease) : stream_(lease.stream_)
+    {
+        stream_->transfer = lease.id_;
+    }
+    ~transfer_scope() { stream_->transfer = 0; }
+    transfer_scope(const transfer_scope&) = delete;
+    transfer_scope& operator=(const transfer_scope&) = delete;
+
+private:
+    std::shared_ptr<interruptible_stream> stream_;
+};
+
 /// The connections of one listener. Thread safety: every function from any thread.
 class request_guard {
 public:
@@ -149,7 +174,6 @@
     bool end_read(std::size_t received);
     /// @return whether the connection gave its place to another one.
     [[nodiscard]] bool displaced() const { return shared_->displaced; }
-    [[nodiscard]] bool given_up() const { return shared_->given_up.load(std::memory_order_relaxed); }
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::shared_ptr<interruptible_stream>& shared() const { return shared_; }
     [[nodiscard]] request_guard& guard() { return *guard_; }
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -38,13 +38,13 @@
     return error == beast::http::error::body_limit ? read_outcome::body_too_large : read_outcome::malformed;
 }
 
-read_outcome classify_read_error(const guarded_connection& connection, const boost::system::error_code& error,
-                                 bool has_started)
+read_outcome classify_read_error(const guarded_connection& connection, const memory_lease& lease,
+                                 const boost::system::error_code& error, bool has_started)
 {
     if (!has_started) {
         return read_outcome::closed;
     }
-    if (connection.given_up() || connection.displaced()) {
+    if (lease.given_up() || connection.displaced()) {
         return read_outcome::given_up;
     }
     return error == beast::error::timeout ? read_outcome::timed_out : read_outcome::closed;
@@ -184,10 +184,11 @@
         }
         boost::system::error_code error;
         const asio::mutable_buffer space = buffer.prepare(size);
+        const transfer_scope transfer(lease);
         const std::size_t received = co_await read_some(connection, space, error);
         buffer.commit(received);
-        if (error) {
-            co_return classify_read_error(connection, error, has_started);
+        if (error || lease.given_up()) {
+            co_return classify_read_error(connection, lease, error, has_started);
         }
     }
 }
@@ -197,8 +198,7 @@
                                         memory_lease& lease)
 {
     if (parser.is_done()) {
-        lease.set_in_transfer(false);
-        co_return read_outcome::complete;
+        co_return lease.end_transfer() ? read_outcome::complete : read_outcome::budget_used;
     }
     beast::tcp_stream& stream = connection.stream();
     const std::uint64_t length = parser.content_length().value_or(0);
@@ -241,18 +241,18 @@
             co_return read_outcome::malformed; // the head of a chunk has no end
         }
         const asio::mutable_buffer space = buffer.prepare(size);
+        const transfer_scope transfer(lease);
         const std::size_t received = co_await read_some(connection, space, error);
         buffer.commit(received);
         lease.record_transfer(received);
-        if (error || connection.given_up()) {
-            co_return classify_read_error(connection, error, true);
+        if (error || lease.given_up()) {
+            co_return classify_read_error(connection, lease, error, true);
         }
     }
     if (buffer.size() == 0 && buffer.capacity() >= body_read_bytes) {
         buffer.shrink_to_fit(); // an idle connection doesn't keep it
     }
-    lease.set_in_transfer(false);
-    co_return read_outcome::complete;
+    co_return lease.end_transfer() ? read_outcome::complete : read_outcome::budget_used;
 }
 
 void record_refusal(guarded_connection& connection, read_outcome outcome)
--- a/tests/unit/connection_pressure_test.cpp
+++ b/tests/unit/connection_pressure_test.cpp
@@ -196,6 +196,46 @@
     }
 }
 
+// Guards against a request that is cut off since the response before it was slow.
+BOOST_AUTO_TEST_CASE(request_after_a_response_that_gave_way_at_its_end_is_read)
+{
+    leased_connection connection;
+    {
+        http::memory_lease response(*connection.budget, connection.connection->address(),
+                                    connection.connection->shared());
+        response.force(60'000);
+        connection.use_whole_budget();
+    }
+    http::memory_lease lease(*connection.budget, connection.connection->address(),
+                             connection.connection->shared());
+    http::read_outcome outcome = http::read_outcome::closed;
+    asio::co_spawn(connection.context, connection.read(lease),
+                   [&outcome](const std::exception_ptr&, http::read_outcome read) { outcome = read; });
+    connection.context.poll();
+    send_all(connection.client, whole_request.substr(0, whole_request.size() - 1));
+    connection.context.poll();
+    send_all(connection.client, whole_request.substr(whole_request.size() - 1));
+    connection.context.poll();
+    BOOST_TEST((outcome == http::read_outcome::complete));
+}
+
+// Guards against a request that is passed on although its bytes were given to others, and then cut off.
+BOOST_AUTO_TEST_CASE(request_whose_bytes_were_given_to_others_is_refused)
+{
+    leased_connection connection;
+    http::memory_lease lease(*connection.budget, connection.connection->address(),
+                             connection.connection->shared());
+    BOOST_TEST((lease.resize(60'000) == http::byte_answer::granted));
+    connection.buffer.commit(
+        asio::buffer_copy(connection.buffer.prepare(whole_request.size()), asio::buffer(whole_request)));
+    connection.use_whole_budget();
+    http::read_outcome outcome = http::read_outcome::closed;
+    asio::co_spawn(connection.context, connection.read(lease),
+                   [&outcome](const std::exception_ptr&, http::read_outcome read) { outcome = read; });
+    connection.context.poll();
+    BOOST_TEST((outcome == http::read_outcome::budget_used));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
