A running call is answered when bytes behind it may not be held

A caller that sent a further request while its call ran was reset if the byte budget had no room for what the kernel holds unread: the call was passed on, and its connection closed without an answer. Now the bytes are discarded, the kernel's receive buffer shrinks to its minimum, and the connection closes after the response, which says so if its head was not sent yet. What the connection holds unread is then one smallest window; discarding ends after 256 KiB, so that a client that keeps sending costs no more time.

connection_pressure_test on: 'check response.starts_with("HTTP/1.1 200 OK") has failed', end of the connection 104 (reset) instead of 2 (end of file). Passes with the change.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -34,6 +34,10 @@
 constexpr std::size_t response_piece_bytes = 64U << 10U;  ///< of a large response, whose progress is measured
 constexpr std::uint64_t pipelined_bytes = 64U << 10U;     ///< that the kernel holds unread while a call runs
 
+/// Discarded behind a running call. By then the kernel offers its smallest window, so that what waits unread
+/// is part of what a connection may cost.
+constexpr std::size_t max_discarded_bytes = 256U << 10U;
+
 using http::request_parser;
 
 /// @return the headers of a response that the gateway generates itself.
@@ -85,30 +89,43 @@
     bool stop_requested = false;
 };
 
+/// @return whether the caller has closed its connection. @pre the socket is readable.
+bool has_closed(tcp::socket& socket)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /// Records that the caller left and calls `on_caller_left` if the caller closes the connection while its
 /// request is in progress.
-/// @param pipelined holds the bytes that the caller sends meanwhile; the connection is reset if they may not
-/// be held.
+/// @param pipelined holds the bytes that the caller sends meanwhile. If they may not be held they are
+/// discarded, and the connection closes after the response.
 asio::awaitable<void> watch_caller(beast::tcp_stream& stream, responder& response,
                                    std::shared_ptr<caller_watch> watch, http::memory_lease& pipelined)
 {
-    boost::system::error_code error;
-    co_await stream.socket().async_wait(tcp::socket::wait_read,
-                                        asio::redirect_error(asio::use_awaitable, error));
-    if (!error && !watch->stop_requested) {
-        char byte = 0;
-        const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool closed = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        const bool refused = !closed && !hold_pipelined_bytes(pipelined);
-        if (refused) {
-            response.abort();
+    std::size_t discarded = 0;
+    bool watched = true;
+    while (watched) {
+        boost::system::error_code error;
+        co_await stream.socket().async_wait(tcp::socket::wait_read,
+                                            asio::redirect_error(asio::use_awaitable, error));
+        if (error || watch->stop_requested) {
+            break;
         }
-        if (closed || refused) {
+        if (has_closed(stream.socket())) {
             response.set_left(departure::caller_closed);
             if (response.on_caller_left) {
                 response.on_caller_left();
             }
+            break;
+        }
+        if (discarded == 0 && hold_pipelined_bytes(pipelined)) {
+            break;
         }
+        response.disable_keep_alive();
+        discarded += http::discard_unread_bytes(stream.socket());
+        watched = discarded < max_discarded_bytes;
     }
     watch->active = false;
 }
--- a/src/gateway/caller_connection.hpp
+++ b/src/gateway/caller_connection.hpp
@@ -38,7 +38,7 @@
     boost::asio::awaitable<void> finish();
     /// Resets the connection, so that the caller can't mistake a partial response for a complete one.
     void abort();
-    /// Closes the connection after this response. @pre nothing was sent yet.
+    /// Closes the connection after this response, which says so if its head was not sent yet.
     void disable_keep_alive() { keep_alive_ = false; }
 
     [[nodiscard]] bool started() const { return started_; }
--- a/src/http/request_guard.cpp
+++ b/src/http/request_guard.cpp
@@ -17,6 +17,7 @@
 
 constexpr int receive_buffer_bytes =
     32 << 10; ///< the kernel doubles it; a larger one lets unread bytes of 2,000 connections fill a machine
+constexpr std::size_t max_unread_bytes = 64U << 10U; ///< that the kernel holds with that size
 constexpr int send_buffer_bytes = 64 << 10;
 constexpr std::uint64_t min_retry_ms = 300;
 constexpr std::uint64_t retry_spread_ms = 1000;
@@ -291,6 +292,20 @@
     acceptor.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
 }
 
+std::size_t discard_unread_bytes(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::receive_buffer_size(0), ignored);
+    std::array<char, 16U << 10U> discarded{};
+    std::size_t total = 0;
+    ssize_t received = 1;
+    while (received > 0 && total < max_unread_bytes) {
+        received = ::recv(socket.native_handle(), discarded.data(), discarded.size(), MSG_DONTWAIT);
+        total += received > 0 ? static_cast<std::size_t>(received) : 0;
+    }
+    return total;
+}
+
 void refuse_connection(tcp::socket& socket)
 {
     const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + make_retry_after() +
--- a/src/http/request_guard.hpp
+++ b/src/http/request_guard.hpp
@@ -189,6 +189,9 @@
 
 /// Bounds what the kernel buffers for each connection that the listener accepts. @pre the acceptor is open.
 void limit_socket_buffers(boost::asio::ip::tcp::acceptor& acceptor);
+/// Discards the bytes that wait in a socket, and has the kernel hold as few as possible from now on.
+/// @return how many were discarded.
+std::size_t discard_unread_bytes(boost::asio::ip::tcp::socket& socket);
 /// Sends a short refusal without waiting, for a connection that isn't accepted.
 void refuse_connection(boost::asio::ip::tcp::socket& socket);
 /// @return seconds for Retry-After, spread over a second so that refused clients don't return at once.
--- a/tests/unit/connection_pressure_test.cpp
+++ b/tests/unit/connection_pressure_test.cpp
@@ -236,6 +236,31 @@
     BOOST_TEST((outcome == http::read_outcome::budget_used));
 }
 
+// Guards against a running call that is aborted since its caller sends more bytes than may be held.
+BOOST_AUTO_TEST_CASE(running_call_is_answered_when_bytes_behind_it_may_not_be_held)
+{
+    http::byte_limits limits;
+    limits.total = 100;
+    limits.per_address = 100;
+    connected_caller connection(limits);
+    const std::string other_address = "192.0.2.1";
+    http::memory_lease other(connection.server->guard->budget(), other_address,
+                             make_other_stream(connection.context));
+    other.force(100);
+    connection.held = true;
+    connection.send(whole_request);
+    connection.context.poll();
+    connection.send(whole_request);
+    connection.context.poll();
+    connection.gate.cancel();
+    const std::string response = connection.receive_all();
+    BOOST_TEST(response.starts_with("HTTP/1.1 200 OK"));
+    BOOST_TEST(response.find("Connection: close") != std::string::npos);
+    BOOST_TEST(response.ends_with("done"));
+    BOOST_TEST(connection.end == asio::error::eof);
+    BOOST_TEST(connection.handled == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
