A call whose handling failed gets its response without a reset

After an exception that escaped the handling of a call, the gateway sent 500 and reset the connection. A reset discards what is still on its way, so the caller could lose the 500, or a complete response that had been sent before the exception. Only an incomplete response is reset now, since an ordinary close could be taken for its end.

connection_pressure_test on: the connection ended with 104 (reset) instead of 2 (end of file) in both cases. Passes with the change.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -141,10 +141,13 @@
     }
     if (!failure.empty()) {
         log_event(event::internal_fault, {{"target", request.target}, {"reason", failure}});
+        response.disable_keep_alive();
         if (!response.started()) {
             co_await response.send(500, "Internal Server Error", plain_text(), "internal fault\n");
         }
-        response.abort();
+        if (response.aborted()) {
+            response.abort(); // a reset could destroy a complete response that is on its way
+        }
     }
 }
 
--- a/tests/unit/connection_pressure_test.cpp
+++ b/tests/unit/connection_pressure_test.cpp
@@ -261,6 +261,26 @@
     BOOST_TEST(connection.handled == 2);
 }
 
+// Guards against a complete response that is lost by a reset.
+BOOST_AUTO_TEST_CASE(connection_of_a_call_whose_handling_failed_is_closed_in_order)
+{
+    for (const bool is_answered : {false, true}) {
+        connected_caller connection;
+        connection.server->handle = [is_answered](gateway::raw_request&,
+                                                  gateway::responder& response) -> asio::awaitable<void> {
+            if (is_answered) {
+                std::string body = "done";
+                co_await response.send(200, "OK", {}, std::move(body));
+            }
+            throw std::runtime_error("a fault");
+        };
+        connection.send(last_request);
+        const std::string response = connection.receive_all();
+        BOOST_TEST(response.starts_with(is_answered ? "HTTP/1.1 200" : "HTTP/1.1 500"));
+        BOOST_TEST(connection.end == asio::error::eof);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
