A replica that stops answers the operators' requests that run

A control replica or a ledger's replica that got SIGTERM drained its operators' server and went on to end its group and its threads. A request that had been read, and was being handled, lost its response.

Replicas now wait up to 3 s until the connections of that server have ended, while the group still works, and hand their leadership over after that; with the 3 s that a transfer may take, this fits in the grace of 8 s.

control_stop_test on: 'response.starts_with("HTTP/1.1 200") has failed'. Passes with the change.

--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -142,10 +142,10 @@
 
 void control_process::stop()
 {
-    running_.store(false);
     if (operator_server_) {
-        operator_server_->drain();
+        operator_server_->drain_within(http::operator_drain_limit); // running requests need the group
     }
+    running_.store(false);
     group_->stop();
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
+#include <thread>
 
 namespace guavawick::http {
 
@@ -52,6 +53,7 @@
 
 constexpr std::size_t max_unleased_response = 16U << 10U; ///< part of what a connection may cost
 constexpr duration accept_retry_interval = std::chrono::milliseconds(20);
+constexpr duration drain_poll_interval = std::chrono::milliseconds(10);
 
 tcp::endpoint parse_address(const std::string& address)
 {
@@ -414,6 +416,15 @@
     state_->limits.guard->interrupt_idle();
 }
 
+void server::drain_within(duration limit)
+{
+    drain();
+    const time_point deadline = runtime_clock::now() + limit;
+    while (connections() != 0 && runtime_clock::now() < deadline) {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+}
+
 std::uint64_t server::connections() const
 {
     return state_->open.load();
--- a/src/http/http_type.hpp
+++ b/src/http/http_type.hpp
@@ -89,6 +89,10 @@
 
 struct server_state;
 
+/// Longest wait for operators' requests when a replica stops. With the transfer of its leadership, which may
+/// take 3 s, it fits in the 8 s until the process is killed.
+constexpr duration operator_drain_limit = std::chrono::seconds(3);
+
 /// An HTTP/1.1 server. Thread safety: every function from any thread.
 class server {
 public:
@@ -102,6 +106,9 @@
     /// Accepts no further connections and closes idle ones. Running requests are completed before their
     /// connections close; a request that still arrives is answered with `Connection: close`.
     void drain();
+    /// Drains and waits until all connections have ended. @param limit of the wait.
+    /// @pre not called by a thread that serves the connections.
+    void drain_within(duration limit);
     /// @return the number of connections that are not closed yet, and one more while others are accepted.
     [[nodiscard]] std::uint64_t connections() const;
     /// @return the number of requests that are being handled.
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -57,7 +57,7 @@
 void replica_process::stop()
 {
     if (operator_server_) {
-        operator_server_->drain();
+        operator_server_->drain_within(http::operator_drain_limit); // running requests need the groups
     }
     for (const auto& group : groups_) {
         group->stop();
--- a/tests/unit/small_fleet.hpp
+++ b/tests/unit/small_fleet.hpp
@@ -277,14 +277,20 @@
         control->start([](http::request&, http::responder& responder) { return respond_ok(responder); });
     }
 
-    /// Stops the control replica and starts it again from its disk.
-    void restart_control()
+    /// Stops the control replica and closes its connections.
+    void end_control()
     {
         control->stop();
         control_pool->stop();
         control->close();
         control.reset();
         control_pool = std::make_unique<runtime::worker_pool>(1);
+    }
+
+    /// Stops the control replica and starts it again from its disk.
+    void restart_control()
+    {
+        end_control();
         start_control(common_settings.seeds.front());
     }
 
