Calls that run when a gateway ends get a complete response

A response that has begun goes on. The estimate of a route's calls counts answered calls only, since the end of a call is known now.

stop_window_test on: 'check status == 504 has failed [200 != 504]': the call still ran after the stop. call_end_test's case of calls that run when the process stops used a call without a response, which now ends in 504 and counts as failed; the case keeps its checks with a stream that has begun, and a new one checks the ended call.

--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -250,6 +250,15 @@
     co_await refuse(call, cause);
 }
 
+/// Cancels the attempt in progress, since the deadline has passed.
+void cancel_at_deadline(active_call& call)
+{
+    call.cancellation = cancel_reason::deadline;
+    if (call.current_connection) {
+        close_connection(*call.current_connection);
+    }
+}
+
 /// Cancels the attempt in progress when the deadline has passed.
 void start_deadline_timer(const std::shared_ptr<active_call>& call,
                           asio::basic_waitable_timer<runtime_clock>& timer)
@@ -260,10 +269,7 @@
         if (error || !locked_call) {
             return;
         }
-        locked_call->cancellation = cancel_reason::deadline;
-        if (locked_call->current_connection) {
-            close_connection(*locked_call->current_connection);
-        }
+        cancel_at_deadline(*locked_call);
     });
 }
 
@@ -377,7 +383,7 @@
         co_await run_attempts(call);
     }
     timer.cancel();
-    if (call->attempts > 0 && !response.aborted() && !response.caller_left()) {
+    if (call->end == call_end::answered) {
         record_duration(call->context.state->route_timings[call->route->name],
                         runtime_clock::now() - call->started_at);
     }
@@ -411,6 +417,17 @@
     }
 }
 
+void end_running_calls(gateway_state& state)
+{
+    const time_point now = runtime_clock::now();
+    for (active_call* call : state.running_calls) {
+        if (!call->response.started() && call->cancellation == cancel_reason::none) {
+            call->deadline = std::min(call->deadline, now);
+            cancel_at_deadline(*call);
+        }
+    }
+}
+
 call_handler make_call_handler(call_context context)
 {
     return [context = std::move(context)](raw_request& request, responder& response) {
--- a/src/gateway/call_run.hpp
+++ b/src/gateway/call_run.hpp
@@ -151,6 +151,9 @@
 void record_cut(active_call& call, cut_cause cause, const std::vector<event_field>& details);
 /// Records a response that was written: as `how` if the caller took all of it, otherwise as cut.
 void record_response(active_call& call, call_end how, const std::vector<event_field>& details);
+/// Ends the calls that run when a planned stop leaves no more time, so that they get a complete response. A
+/// response that has begun goes on.
+void end_running_calls(gateway_state& state);
 /// Records the calls that run when the process ends.
 void record_stopped_calls(gateway_state& state);
 
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -149,9 +149,10 @@
 {
     const time_point stop_started_at = runtime_clock::now();
     const time_point deadline = stop_started_at + state_->settings.stop_grace - stop_margin;
-    asio::post(pool_.executor(), [this, deadline] {
+    const time_point responses_due_at = deadline - response_margin;
+    asio::post(pool_.executor(), [this, responses_due_at] {
         state_->draining = true;
-        state_->stop_ends_at = deadline - response_margin;
+        state_->stop_ends_at = responses_due_at;
         callers_->draining = true;
     });
     // New connections arrive, and are served, until the load balancer has detected the failed health checks.
@@ -160,12 +161,15 @@
         std::promise<std::size_t> open_connections;
         const bool close_acceptor =
             !acceptor_closed && runtime_clock::now() - stop_started_at > balancer_detection_time;
-        asio::post(pool_.executor(), [this, close_acceptor, &open_connections] {
+        asio::post(pool_.executor(), [this, close_acceptor, responses_due_at, &open_connections] {
             if (close_acceptor) {
                 boost::system::error_code ignored;
                 acceptor_->close(ignored);
                 close_idle_connections(*callers_);
             }
+            if (runtime_clock::now() >= responses_due_at) {
+                end_running_calls(*state_);
+            }
             open_connections.set_value(callers_->open);
         });
         const std::size_t remaining = open_connections.get_future().get();
--- a/tests/unit/call_end_test.cpp
+++ b/tests/unit/call_end_test.cpp
@@ -114,6 +114,30 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(calls_that_run_when_the_process_stops_have_an_end, counted_calls)
+{
+    upstream.respond = [](http::responder& responder) -> asio::awaitable<void> {
+        http::response head = http::make_response(200, "text/event-stream", "");
+        head.headers["Signature"] = "s";
+        co_await responder.start_stream(std::move(head));
+        std::string event = "id: 1\ndata: one\n\n";
+        co_await responder.write(std::move(event));
+        co_await respond_once_left(responder);
+    };
+    asio::io_context context;
+    tcp::socket caller(context);
+    caller.connect(caller_endpoint());
+    asio::write(caller,
+                asio::buffer(std::string("POST /turn/x HTTP/1.1\r\nHost: h\r\nKey: key\r\nCall: cut\r\n"
+                                         "Content-Length: 1\r\n\r\ny")));
+    std::string response;
+    asio::read_until(caller, asio::dynamic_buffer(response), "data: one");
+    gateway_server->stop(); // after the grace period of one second
+    BOOST_TEST(await_ends() == 1);
+    BOOST_TEST(read_cut("stopped") == 1);
+}
+
+// A call whose response has not begun is ended by the stop, so that its caller gets a response.
+BOOST_FIXTURE_TEST_CASE(call_that_the_stop_ends_before_its_response_has_failed, counted_calls)
 {
     upstream.respond = respond_once_left;
     asio::io_context context;
@@ -123,9 +147,9 @@
                             std::string("GET /safe/x HTTP/1.1\r\nHost: h\r\nKey: key\r\nCall: cut\r\n\r\n")));
     while (upstream.calls.load() == 0) {
     }
-    gateway_server->stop(); // after the grace period of one second
+    gateway_server->stop();
     BOOST_TEST(await_ends() == 1);
-    BOOST_TEST(read_cut("stopped") == 1);
+    BOOST_TEST(read_ended("failed") == 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/unit/stop_window_test.cpp
+++ b/tests/unit/stop_window_test.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 namespace guavawick::tests {
 
 namespace {
@@ -74,6 +76,27 @@
     BOOST_TEST(upstream.calls.load() == 0);
 }
 
+// Guards against a call that runs when the gateway stops and is cut off when the process ends.
+BOOST_FIXTURE_TEST_CASE(call_that_runs_when_the_gateway_is_about_to_end_gets_a_complete_response, small_fleet)
+{
+    std::atomic<bool> released{false};
+    upstream.respond = [&released](http::responder& responder) -> asio::awaitable<void> {
+        while (!released) {
+            co_await runtime::wait_for(1ms);
+        }
+        co_await respond_ok(responder);
+    };
+    int status = 0;
+    std::thread caller([this, &status] { status = call("GET", "/safe/x", {{"Deadline", "20000"}}).status; });
+    while (upstream.calls.load() == 0) {
+        std::this_thread::yield();
+    }
+    gateway_server->stop();
+    released = true;
+    caller.join();
+    BOOST_TEST(status == 504);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
