--- a/src/gateway/call_flow.cpp
+++ b/src/gateway/call_flow.cpp
@@ -34,6 +34,7 @@
 constexpr int max_settle_attempts = 5;           ///< half a minute, far longer than an election
 constexpr duration first_settle_pause = 1s;      ///< doubled for each further attempt
 constexpr duration plan_poll_interval = 20ms;    ///< at which a waiting call checks for the plan
+constexpr duration stop_retry_after = 50ms;      ///< a new connection reaches another gateway
 
 std::string to_seconds_text(duration value)
 {
@@ -111,6 +112,14 @@
     }
     const duration requested_timeout = call.metadata.timeout.value_or(default_timeout);
     call.deadline = call.started_at + std::min(requested_timeout, call.route->timeout);
+    if (state.stop_ends_at) {
+        const std::optional<time_point> limited = limit_deadline(
+            *state.stop_ends_at, call.deadline, state.route_timings[call.route->name], runtime_clock::now());
+        if (!limited) {
+            return {503, "the gateway stops", stop_retry_after};
+        }
+        call.deadline = *limited;
+    }
     const request_name& first_request =
         call.metadata.resumed_request.empty() ? call.metadata.request : call.metadata.resumed_request;
     const std::string& affinity_key =
@@ -243,6 +252,15 @@
     co_await refuse(call, cause);
 }
 
+/// Cancels the attempt in progress, since the deadline has passed.
+void cancel_at_deadline(active_call& call)
+{
+    call.cancellation = cancel_reason::deadline;
+    if (call.current_connection) {
+        close_connection(*call.current_connection);
+    }
+}
+
 /// Cancels the attempt in progress when the deadline has passed.
 void start_deadline_timer(const std::shared_ptr<active_call>& call,
                           asio::basic_waitable_timer<runtime_clock>& timer)
@@ -253,10 +271,7 @@
         if (error || !locked_call) {
             return;
         }
-        locked_call->cancellation = cancel_reason::deadline;
-        if (locked_call->current_connection) {
-            close_connection(*locked_call->current_connection);
-        }
+        cancel_at_deadline(*locked_call);
     });
 }
 
@@ -381,6 +396,10 @@
         co_await run_attempts(call);
     }
     timer.cancel();
+    if (call->end == call_end::answered) {
+        record_duration(call->context.state->route_timings[call->route->name],
+                        runtime_clock::now() - call->started_at);
+    }
     response.on_caller_left = nullptr;
     if (call->is_turn) {
         // Releases the tokens that the turn reserved and did not use. Has no effect on a turn that was kept,
@@ -411,6 +430,17 @@
     }
 }
 
+void end_running_calls(gateway_state& state)
+{
+    const time_point now = runtime_clock::now();
+    for (active_call* call : state.running_calls) {
+        if (!call->response.started() && call->cancellation == cancel_reason::none) {
+            call->deadline = std::min(call->deadline, now);
+            cancel_at_deadline(*call);
+        }
+    }
+}
+
 call_handler make_call_handler(call_context context)
 {
     return [context = std::move(context)](raw_request& request, responder& response) {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -34,6 +34,10 @@
 constexpr std::size_t response_piece_bytes = 64U << 10U;  ///< of a large response, whose progress is measured
 constexpr std::uint64_t pipelined_bytes = 64U << 10U;     ///< that the kernel holds unread while a call runs
 
+/// Discarded behind a running call. By then the kernel offers its smallest window, so that what waits unread
+/// is part of what a connection may cost.
+constexpr std::size_t max_discarded_bytes = 256U << 10U;
+
 using http::request_parser;
 
 /// @return the headers of a response that the gateway generates itself.
@@ -73,37 +77,55 @@
     return request;
 }
 
+/// @return whether the bytes that wait behind a running call may be held. They are not given up then.
+bool hold_pipelined_bytes(http::memory_lease& pipelined)
+{
+    return pipelined.resize(pipelined_bytes) == http::byte_answer::granted && pipelined.end_transfer();
+}
+
 /// State shared by watch_caller() and the coroutine that responds to the request.
 struct caller_watch {
     bool active = true; ///< watch_caller() has not returned yet
     bool stop_requested = false;
 };
 
+/// @return whether the caller has closed its connection. @pre the socket is readable.
+bool has_closed(tcp::socket& socket)
+{
+    char byte = 0;
+    const ssize_t received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /// Records that the caller left and calls `on_caller_left` if the caller closes the connection while its
 /// request is in progress.
-/// @param pipelined holds the bytes that the caller sends meanwhile; the connection is reset if they may not
-/// be held.
+/// @param pipelined holds the bytes that the caller sends meanwhile. If they may not be held they are
+/// discarded, and the connection closes after the response.
 asio::awaitable<void> watch_caller(beast::tcp_stream& stream, responder& response,
                                    std::shared_ptr<caller_watch> watch, http::memory_lease& pipelined)
 {
-    boost::system::error_code error;
-    co_await stream.socket().async_wait(tcp::socket::wait_read,
-                                        asio::redirect_error(asio::use_awaitable, error));
-    if (!error && !watch->stop_requested) {
-        char byte = 0;
-        const ssize_t received = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        const bool closed = received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-        const bool refused = !closed && pipelined.resize(pipelined_bytes) != http::byte_answer::granted;
-        pipelined.set_in_transfer(false);
-        if (refused) {
-            response.abort();
+    std::size_t discarded = 0;
+    bool watched = true;
+    while (watched) {
+        boost::system::error_code error;
+        co_await stream.socket().async_wait(tcp::socket::wait_read,
+                                            asio::redirect_error(asio::use_awaitable, error));
+        if (error || watch->stop_requested) {
+            break;
         }
-        if (closed || refused) {
+        if (has_closed(stream.socket())) {
             response.set_left(departure::caller_closed);
             if (response.on_caller_left) {
                 response.on_caller_left();
             }
+            break;
         }
+        if (discarded == 0 && hold_pipelined_bytes(pipelined)) {
+            break;
+        }
+        response.disable_keep_alive();
+        discarded += http::discard_unread_bytes(stream.socket());
+        watched = discarded < max_discarded_bytes;
     }
     watch->active = false;
 }
@@ -119,10 +141,13 @@
     }
     if (!failure.empty()) {
         log_event(event::internal_fault, {{"target", request.target}, {"reason", failure}});
+        response.disable_keep_alive();
         if (!response.started()) {
             co_await response.send(500, "Internal Server Error", plain_text(), "internal fault\n");
         }
-        response.abort();
+        if (response.aborted()) {
+            response.abort(); // a reset could destroy a complete response that is on its way
+        }
     }
 }
 
@@ -185,6 +210,10 @@
     if (outcome == http::read_outcome::closed) {
         co_return false;
     }
+    if (connection.displaced()) {
+        http::refuse_connection(stream.socket()); // doesn't wait, so that the descriptor closes at once
+        co_return false;
+    }
     const bool supports_chunked = parser->get().version() >= 11;
     responder response(
         connection, outcome == http::read_outcome::complete && parser->get().keep_alive() && !server.draining,
@@ -207,12 +236,11 @@
     }
     else {
         watch->active = false; // not watched: a pipelined request has been received already
-        if (pipelined.resize(pipelined_bytes) != http::byte_answer::granted) {
+        if (!hold_pipelined_bytes(pipelined)) {
             response.disable_keep_alive();
             co_await refuse_unread(connection, response, http::read_outcome::budget_used);
             co_return false;
         }
-        pipelined.set_in_transfer(false);
     }
     co_await handle_request(server, request, response);
     watch->stop_requested = true;
@@ -299,6 +327,7 @@
 {
     http::memory_lease lease(connection_.guard().budget(), connection_.address(), connection_.shared());
     lease.force(bytes.size());
+    const http::transfer_scope transfer(lease);
     stream_.expires_after(write_timeout);
     boost::system::error_code error;
     for (std::size_t sent = 0; !error && sent < bytes.size(); sent += response_piece_bytes) {
@@ -306,9 +335,12 @@
             asio::buffer(bytes.data() + sent, std::min(response_piece_bytes, bytes.size() - sent));
         co_await asio::async_write(stream_, piece, asio::redirect_error(asio::use_awaitable, error));
         lease.record_transfer(piece.size());
+        if (!error && sent + piece.size() < bytes.size() && lease.given_up()) {
+            error = asio::error::operation_aborted; // the interruption found no pending write
+        }
     }
     stream_.expires_never();
-    if (connection_.given_up()) {
+    if (error && lease.given_up()) {
         log_event(event::reader_given_up, {{"address", connection_.address()}});
     }
     if (error) {
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/http.hpp>
 
 #include <atomic>
+#include <thread>
 
 namespace guavawick::http {
 
@@ -52,6 +53,7 @@
 
 constexpr std::size_t max_unleased_response = 16U << 10U; ///< part of what a connection may cost
 constexpr duration accept_retry_interval = std::chrono::milliseconds(20);
+constexpr duration drain_poll_interval = std::chrono::milliseconds(10);
 
 tcp::endpoint parse_address(const std::string& address)
 {
@@ -85,6 +87,7 @@
         if (message.body().size() > max_unleased_response) {
             lease.force(message.body().size());
         }
+        const transfer_scope transfer(lease);
         stream_.expires_after(limits_.write_timeout);
         boost::system::error_code error;
         co_await beast::http::async_write(stream_, message, asio::redirect_error(asio::use_awaitable, error));
@@ -307,6 +310,11 @@
     if (outcome == read_outcome::closed) {
         co_return false;
     }
+    if (connection.displaced()) {
+        refuse_connection(
+            connection.stream().socket()); // doesn't wait, so that the descriptor closes at once
+        co_return false;
+    }
     const unsigned version = parser->get().version() == 0 ? 11 : parser->get().version();
     const bool keep_alive =
         outcome == read_outcome::complete && parser->get().keep_alive() && !state.draining.load();
@@ -408,6 +416,15 @@
     state_->limits.guard->interrupt_idle();
 }
 
+void server::drain_within(duration limit)
+{
+    drain();
+    const time_point deadline = runtime_clock::now() + limit;
+    while (connections() != 0 && runtime_clock::now() < deadline) {
+        std::this_thread::sleep_for(drain_poll_interval);
+    }
+}
+
 std::uint64_t server::connections() const
 {
     return state_->open.load();
--- a/src/http/request_guard.cpp
+++ b/src/http/request_guard.cpp
@@ -17,14 +17,16 @@
 
 constexpr int receive_buffer_bytes =
     32 << 10; ///< the kernel doubles it; a larger one lets unread bytes of 2,000 connections fill a machine
+constexpr std::size_t max_unread_bytes = 64U << 10U; ///< that the kernel holds with that size
 constexpr int send_buffer_bytes = 64 << 10;
 constexpr std::uint64_t min_retry_ms = 300;
 constexpr std::uint64_t retry_spread_ms = 1000;
 
-void interrupt_stream(const std::shared_ptr<interruptible_stream>& shared)
+/// Interrupts a transfer, unless it has ended by the time at which the connection is interrupted.
+void interrupt_transfer(const std::shared_ptr<interruptible_stream>& shared, std::uint64_t lease)
 {
-    asio::post(shared->executor, [shared] {
-        if (shared->stream != nullptr) {
+    asio::post(shared->executor, [shared, lease] {
+        if (shared->stream != nullptr && shared->transfer == lease) {
             shared->stream->cancel();
         }
     });
@@ -50,8 +52,7 @@
     for (const std::uint64_t id : given_up) {
         const auto found = streams_.find(id);
         if (found != streams_.end()) {
-            found->second->given_up.store(true);
-            interrupt_stream(found->second);
+            interrupt_transfer(found->second, id);
             counters_.given_up.fetch_add(1);
         }
     }
@@ -80,14 +81,21 @@
     }
 }
 
-void memory_budget::set_in_transfer(std::uint64_t id, bool in_transfer)
+bool memory_budget::end_transfer(std::uint64_t id)
 {
     const std::lock_guard lock(mutex_);
     const auto found = budget_.leases.find(id);
-    if (found != budget_.leases.end()) {
-        found->second.in_transfer = in_transfer;
-        found->second.progress.started_at = runtime_clock::now();
+    if (found == budget_.leases.end()) {
+        return false;
     }
+    found->second.in_transfer = false;
+    return true;
+}
+
+bool memory_budget::holds(std::uint64_t id) const
+{
+    const std::lock_guard lock(mutex_);
+    return budget_.leases.contains(id);
 }
 
 void memory_budget::close(std::uint64_t id)
@@ -142,11 +150,9 @@
     }
 }
 
-void memory_lease::set_in_transfer(bool in_transfer)
+bool memory_lease::end_transfer()
 {
-    if (id_ != 0) {
-        budget_.set_in_transfer(id_, in_transfer);
-    }
+    return id_ == 0 || budget_.end_transfer(id_);
 }
 
 request_guard::request_guard(std::shared_ptr<memory_budget> budget, const connection_limits& limits)
@@ -164,20 +170,12 @@
         const std::lock_guard lock(mutex_);
         decision = admit_connection(table_, address, activity, runtime_clock::now());
         if (decision.closed != 0) {
-            const auto found = streams_.find(decision.closed);
-            found->second->given_up.store(true);
-            found->second->displaced.store(true);
-            interrupt_stream(found->second);
-            streams_.erase(found);
+            ask_to_give_way(decision.closed, streams_.at(decision.closed));
         }
         if (decision.accepted) {
             streams_[decision.id] = stream;
         }
     }
-    if (decision.closed != 0) {
-        budget_->counters().connections_closed.fetch_add(1);
-        log_event(event::connection_closed_for_another, {{"address", address}});
-    }
     if (!decision.accepted) {
         budget_->counters().connections_refused.fetch_add(1);
         log_event(event::connection_refused, {{"address", address}});
@@ -185,6 +183,28 @@
     return decision.id;
 }
 
+void request_guard::ask_to_give_way(std::uint64_t id, const std::shared_ptr<interruptible_stream>& shared)
+{
+    asio::post(shared->executor, [this, id, shared] {
+        if (shared->stream == nullptr) {
+            return; // the connection has ended, and `this` may have
+        }
+        boost::system::error_code error;
+        if (!shared->reading || shared->stream->socket().available(error) > 0) {
+            keep_place(id);
+            return;
+        }
+        shared->asked = true;
+        shared->stream->cancel();
+    });
+}
+
+void request_guard::keep_place(std::uint64_t id)
+{
+    const std::lock_guard lock(mutex_);
+    keep_connection(table_, id);
+}
+
 void request_guard::remove(std::uint64_t id)
 {
     const std::lock_guard lock(mutex_);
@@ -207,7 +227,7 @@
 std::uint64_t request_guard::connections() const
 {
     const std::lock_guard lock(mutex_);
-    return table_.open.size();
+    return table_.open.size() + table_.closing.size();
 }
 
 guarded_connection::guarded_connection(std::shared_ptr<request_guard> guard, boost::beast::tcp_stream& stream,
@@ -236,6 +256,28 @@
                                    std::memory_order_relaxed);
 }
 
+bool guarded_connection::end_read(std::size_t received)
+{
+    shared_->reading = false;
+    if (received > 0) {
+        mark_waiting();
+    }
+    if (!shared_->asked) {
+        return false;
+    }
+    shared_->asked = false;
+    boost::system::error_code error;
+    const bool arrived = received > 0 || shared_->stream->socket().available(error) > 0;
+    if (arrived) {
+        guard_->keep_place(id_);
+        return received == 0;
+    }
+    shared_->displaced = true;
+    guard_->budget().counters().connections_closed.fetch_add(1);
+    log_event(event::connection_closed_for_another, {{"address", address_}});
+    return false;
+}
+
 void guarded_connection::mark_busy()
 {
     activity_->waiting_since.store(0, std::memory_order_relaxed);
@@ -250,6 +292,20 @@
     acceptor.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes), ignored);
 }
 
+std::size_t discard_unread_bytes(tcp::socket& socket)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::receive_buffer_size(0), ignored);
+    std::array<char, 16U << 10U> discarded{};
+    std::size_t total = 0;
+    ssize_t received = 1;
+    while (received > 0 && total < max_unread_bytes) {
+        received = ::recv(socket.native_handle(), discarded.data(), discarded.size(), MSG_DONTWAIT);
+        total += received > 0 ? static_cast<std::size_t>(received) : 0;
+    }
+    return total;
+}
+
 void refuse_connection(tcp::socket& socket)
 {
     const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: " + make_retry_after() +
--- a/src/http/request_guard.hpp
+++ b/src/http/request_guard.hpp
@@ -34,9 +34,12 @@
     boost::beast::tcp_stream* stream =
         nullptr; ///< used on `executor` only; nullptr once the connection ended
     boost::asio::any_io_executor executor;
-    bool idle = false;                  ///< waits for the first byte of a request; used on `executor` only
-    std::atomic<bool> given_up{false};  ///< its bytes or its place were needed elsewhere
-    std::atomic<bool> displaced{false}; ///< its place was needed: the descriptor must close at once
+    bool idle = false;      ///< waits for the first byte of a request; used on `executor` only
+    bool reading = false;   ///< a read of a client's bytes is pending; used on `executor` only
+    bool asked = false;     ///< the read was cancelled for the connection's place; used on `executor` only
+    bool displaced = false; ///< gave its place: the descriptor must close at once; used on `executor` only
+    std::uint64_t transfer =
+        0; ///< lease whose bytes a pending read or write moves, 0 for none; used on `executor` only
 };
 
 /// The byte budget of a process. Thread safety: every function from any thread.
@@ -49,8 +52,11 @@
     /// As force_lease(); interrupts the connections that were given up.
     void force(std::uint64_t id, std::uint64_t bytes);
     void record_transfer(std::uint64_t id, std::uint64_t bytes);
-    /// @param in_transfer false while the request is handled.
-    void set_in_transfer(std::uint64_t id, bool in_transfer);
+    /// Marks the request as arrived, after which its bytes are not given up.
+    /// @return false if they were given up before.
+    bool end_transfer(std::uint64_t id);
+    /// @return false if the lease was given up or closed.
+    [[nodiscard]] bool holds(std::uint64_t id) const;
     void close(std::uint64_t id);
     [[nodiscard]] std::uint64_t used() const;
     [[nodiscard]] std::uint64_t limit() const { return limit_; }
@@ -81,9 +87,14 @@
     /// Holds that many bytes in any case.
     void force(std::uint64_t bytes);
     void record_transfer(std::uint64_t bytes);
-    void set_in_transfer(bool in_transfer);
+    /// Marks the request as arrived, after which its bytes are not given up.
+    /// @return false if they were given up before; then the request must be refused.
+    [[nodiscard]] bool end_transfer();
+    /// @return whether the bytes were needed elsewhere. The lease holds none any more.
+    [[nodiscard]] bool given_up() const { return id_ != 0 && !budget_.holds(id_); }
 
 private:
+    friend class transfer_scope;
     void open();
 
     memory_budget& budget_;
@@ -92,16 +103,35 @@
     std::uint64_t id_ = 0;
 };
 
+/// While it exists, reads and writes of the stream are interrupted if the lease is given up. Thread safety:
+/// the connection's coroutine.
+class transfer_scope {
+public:
+    explicit transfer_scope(const memory_lease& lease) : stream_(lease.stream_)
+    {
+        stream_->transfer = lease.id_;
+    }
+    ~transfer_scope() { stream_->transfer = 0; }
+    transfer_scope(const transfer_scope&) = delete;
+    transfer_scope& operator=(const transfer_scope&) = delete;
+
+private:
+    std::shared_ptr<interruptible_stream> stream_;
+};
+
 /// The connections of one listener. Thread safety: every function from any thread.
 class request_guard {
 public:
     /// @param budget of the process, shared by its listeners.
     request_guard(std::shared_ptr<memory_budget> budget, const connection_limits& limits);
-    /// Admits a connection; interrupts the one that gives way. @return its id, 0 if it is refused.
+    /// Admits a connection; asks another one to give way, if there is no room. That one keeps its place if
+    /// bytes arrive before it is interrupted. @return its id, 0 if it is refused.
     std::uint64_t admit(const std::string& address,
                         const std::shared_ptr<const connection_activity>& activity,
                         const std::shared_ptr<interruptible_stream>& stream);
     void remove(std::uint64_t id);
+    /// Keeps the place of a connection that was asked to give way.
+    void keep_place(std::uint64_t id);
     /// Interrupts the connections that wait for the first byte of a request. A request that has arrived at
     /// the same moment is not interrupted, so that it can be answered.
     void interrupt_idle();
@@ -110,6 +140,8 @@
     [[nodiscard]] const connection_limits& limits() const { return table_.limits; }
 
 private:
+    void ask_to_give_way(std::uint64_t id, const std::shared_ptr<interruptible_stream>& shared);
+
     std::shared_ptr<memory_budget> budget_;
     mutable std::mutex mutex_; ///< guards `table_` and `streams_`; no other lock is taken while it is held
     connection_table table_;
@@ -134,7 +166,14 @@
     void mark_busy();
     /// Records whether the connection waits for the first byte of a request.
     void set_idle(bool idle) { shared_->idle = idle; }
-    [[nodiscard]] bool given_up() const { return shared_->given_up.load(std::memory_order_relaxed); }
+    /// Records that a read of the client's bytes is pending, so that the connection can give way.
+    void begin_read() { shared_->reading = true; }
+    /// Records that the read has ended. A connection that was asked to give way meanwhile keeps its place if
+    /// bytes have arrived, and gives it otherwise.
+    /// @param received bytes. @return whether the read must be repeated, since it was cancelled in vain.
+    bool end_read(std::size_t received);
+    /// @return whether the connection gave its place to another one.
+    [[nodiscard]] bool displaced() const { return shared_->displaced; }
     [[nodiscard]] const std::string& address() const { return address_; }
     [[nodiscard]] const std::shared_ptr<interruptible_stream>& shared() const { return shared_; }
     [[nodiscard]] request_guard& guard() { return *guard_; }
@@ -150,6 +189,9 @@
 
 /// Bounds what the kernel buffers for each connection that the listener accepts. @pre the acceptor is open.
 void limit_socket_buffers(boost::asio::ip::tcp::acceptor& acceptor);
+/// Discards the bytes that wait in a socket, and has the kernel hold as few as possible from now on.
+/// @return how many were discarded.
+std::size_t discard_unread_bytes(boost::asio::ip::tcp::socket& socket);
 /// Sends a short refusal without waiting, for a connection that isn't accepted.
 void refuse_connection(boost::asio::ip::tcp::socket& socket);
 /// @return seconds for Retry-After, spread over a second so that refused clients don't return at once.
