Gateway: an answer whose status is invalid, or only an interim one, is no answer

Callers got whatever status an upstream sent: 000, 099, 600 and 999 were passed on as the call's answer, and so was an interim one (100, 102, 103) although the final answer followed on the connection, which was then used for the next call. An answer that claimed not to have run was retried on routes that may not be repeated, and sent as 503.

Cause: exchange() took the first head that the parser accepts for the response. Beast accepts every three digits, and reads a 1xx head as a whole response. Nothing between the parser and the caller looked at the range.

classify_status() decides (RFC 9110, section 15): 100 to 199 but 101 is interim, 200 to 599 final, all else invalid; the gateway never asks for an upgrade, so 101 is invalid. read_final_head() skips up to 64 interim heads, whose headers no callback sees; the timer for the beginning of the answer runs on. Anything else ends the exchange as if the connection had ended without an answer: the upstream is suspected, the connection closed, the call retried where the route allows it and otherwise answered 502, also if the answer claims "not run". `attempt_failed` has the status, and its reason names it ("invalid status 000", "no final answer after status 103").

The two-digit and four-digit statuses were rejected by the parser before, too.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -51,6 +51,7 @@
     bool has_head = false;
     bool streaming = false; ///< events are forwarded as they arrive
     bool unusable = false;  ///< an event was missing or a duplicate
+    exchange_report exchange;
     const char* given_up =
         nullptr; ///< why the gateway ended a response that the upstream may have sent correctly
     directory::instance_record target; ///< the instance, as it was known when the attempt began
@@ -267,8 +268,8 @@
 }
 
 /// @param status of the response, 0 if there was none.
-void log_failed_attempt(const active_call& call, const directory::instance_record& target, const char* reason,
-                        int status)
+void log_failed_attempt(const active_call& call, const directory::instance_record& target,
+                        const std::string& reason, int status)
 {
     std::vector<event_field> fields = call_fields(call);
     fields.push_back({"to", target.id.value});
@@ -363,12 +364,14 @@
         co_return call->head_sent ? attempt_result::stream_interrupted : attempt_result::maybe_executed;
     }
     const bool cancelled = call->cancellation != cancel_reason::none;
+    const std::optional<int> rejected_status = state.exchange.last_head.rejected_status;
     log_failed_attempt(*call, target,
                        cancelled                   ? "stopped"
                        : state.given_up != nullptr ? state.given_up
                        : state.has_head            ? "the answer broke off"
+                       : rejected_status           ? state.exchange.last_head.describe()
                                                    : "no answer",
-                       state.has_head ? state.head.status : 0);
+                       state.has_head ? state.head.status : rejected_status.value_or(0));
     co_return call->head_sent ? attempt_result::stream_interrupted : attempt_result::maybe_executed;
 }
 
@@ -416,18 +419,17 @@
     const std::uint64_t own_tokens = count_own_tokens(*call);
     load.own_tokens += own_tokens;
     const auto request = std::make_shared<const std::string>(serialise_request(*call, target));
-    bool reusable = false;
     const time_point sent_at = runtime_clock::now();
     state.times.sent_at = sent_at;
     const auto executor = co_await asio::this_coro::executor;
     start_silence_timer(executor, call, connection, target.id, state);
     exchange_result result =
         co_await exchange(connection, request, call->metadata.request.value, call->request.method == "HEAD",
-                          gateway.adapter, sink, reusable);
+                          gateway.adapter, sink, state.exchange);
     state.silence_timer.reset();
     if (result == exchange_result::complete && state.streaming && is_inside_event(state.splitter)) {
         result = exchange_result::truncated_body; // whatever its framing says
-        reusable = false;
+        state.exchange.reusable = false;
     }
     --load.own_running;
     load.own_tokens -= own_tokens;
@@ -450,7 +452,7 @@
               (call->cancellation == cancel_reason::deadline && !state.has_head))) {
         suspect_instance(target, load, now);
     }
-    if (reusable) {
+    if (state.exchange.reusable) {
         gateway.connections.release(connection,
                                     state.head.metadata.idle_timeout.value_or(default_idle_timeout), now);
     }
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -183,26 +183,29 @@
 asio::awaitable<exchange_result> exchange(connection_ptr connection,
                                           std::shared_ptr<const std::string> request, std::string request_id,
                                           bool head_only, const platform_adapter& adapter,
-                                          response_sink& sink, bool& reusable)
+                                          response_sink& sink, exchange_report& report)
 {
-    reusable = false;
+    report = exchange_report();
     remember_request(*connection, request_id);
     const auto executor = co_await asio::this_coro::executor;
     auto sending = std::make_shared<send_state>();
     asio::co_spawn(executor, send_request(connection, request, sending), asio::detached);
     std::vector<char> buffer(read_buffer_bytes);
-    for (int foreign = 0; foreign <= max_foreign_responses; ++foreign) {
-        response_parser parser;
+    const auto prepare = [head_only](response_parser& parser) {
         parser.header_limit(max_head_bytes);
         parser.body_limit(boost::none);
         parser.skip(head_only);
-        boost::system::error_code error;
-        co_await beast::http::async_read_header(connection->socket, connection->buffer, parser,
-                                                asio::redirect_error(asio::use_awaitable, error));
-        if (error) {
+    };
+    for (int foreign = 0; foreign <= max_foreign_responses; ++foreign) {
+        std::optional<response_parser> next_parser;
+        report.last_head =
+            co_await http::read_final_head(connection->socket, connection->buffer, next_parser, prepare);
+        if (!report.last_head.is_final) {
             co_return connection->socket.is_open() ? exchange_result::no_response
                                                    : exchange_result::cancelled;
         }
+        response_parser& parser = *next_parser;
+        boost::system::error_code error;
         const response_head head = read_head(parser, adapter);
         if (was_sent_on(*connection, head.metadata.request)) {
             sink.on_authentic_head(head);
@@ -234,8 +237,8 @@
         if (own) {
             // Surplus bytes of the response, or missing bytes of the request, would corrupt the next exchange
             // on this connection.
-            reusable = sending->done && parser.keep_alive() && !head.ends_with_connection &&
-                       connection->buffer.size() == 0;
+            report.reusable = sending->done && parser.keep_alive() && !head.ends_with_connection &&
+                              connection->buffer.size() == 0;
             co_return exchange_result::complete;
         }
         if (!parser.keep_alive()) {
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -3,6 +3,7 @@
 
 #include "gateway/dialect_type.hpp"
 #include "http/buffer_limit.hpp"
+#include "http/response_reader.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -66,7 +67,7 @@
 /// How an exchange ended.
 enum class exchange_result : std::uint8_t {
     complete,       ///< the response was read completely
-    no_response,    ///< the connection ended without a response, or the response head was invalid
+    no_response,    ///< no final response has begun; an invalid or interim one is none
     truncated_body, ///< the response ended early
     cancelled,      ///< a callback returned false, or the gateway closed the connection
 };
@@ -80,14 +81,20 @@
     std::function<boost::asio::awaitable<bool>(std::string part)> on_body;
 };
 
-/// Sends a request and reads its response. Responses to other requests are read and discarded.
+/// What is known about a connection after an exchange.
+struct exchange_report {
+    bool reusable = false;          ///< the connection may be used for another call
+    http::head_outcome last_head{}; ///< tells why there was no response
+};
+
+/// Sends a request and reads its response. Responses to other requests are read and discarded, and so are
+/// interim ones, whose headers no callback gets.
 /// @param request the complete request, head and body.
 /// @param request_id accepted are responses with this id or none.
 /// @param head_only the request is HEAD, so the response has no body.
-/// @param reusable set to whether the connection may be used for another call.
 boost::asio::awaitable<exchange_result>
 exchange(connection_ptr connection, std::shared_ptr<const std::string> request, std::string request_id,
-         bool head_only, const platform_adapter& adapter, response_sink& sink, bool& reusable);
+         bool head_only, const platform_adapter& adapter, response_sink& sink, exchange_report& report);
 
 /// Closes a connection's socket, which cancels its pending operations.
 void close_connection(upstream_connection& connection);
