--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,7 @@
 // HTTP/1.1 client on Boost.Beast: a new connection for each request.
 #include "http/buffer_limit.hpp"
 #include "http/http_error_type.hpp"
+#include "http/response_reader.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -63,15 +64,17 @@
 asio::awaitable<int> read_body(const std::string& base_url, beast::tcp_stream& stream,
                                const chunk_handler& on_chunk)
 {
+    using response_parser = beast::http::response_parser<beast::http::buffer_body>;
     beast::flat_buffer buffer{max_unparsed_bytes};
-    beast::http::response_parser<beast::http::buffer_body> parser;
-    parser.body_limit(max_response_bytes);
-    boost::system::error_code error;
-    co_await beast::http::async_read_header(stream, buffer, parser,
-                                            asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        fail(base_url, error, sent_state::maybe_sent);
+    std::optional<response_parser> last_parser;
+    const auto prepare = [](response_parser& next) { next.body_limit(max_response_bytes); };
+    const head_outcome head = co_await read_final_head(stream, buffer, last_parser, prepare);
+    if (!head.is_final) {
+        throw client_error(base_url + ": " + head.describe(), sent_state::maybe_sent,
+                           head.error == beast::error::timeout);
     }
+    response_parser& parser = *last_parser;
+    boost::system::error_code error;
     const int status = static_cast<int>(parser.get().result_int());
     const std::string content_type(parser.get()[beast::http::field::content_type]);
     std::vector<char> chunk_buffer(chunk_buffer_bytes);
--- a/src/http/http_type.hpp
+++ b/src/http/http_type.hpp
@@ -138,7 +138,8 @@
 /// Sends a request and passes the chunks of the response's body to `on_chunk`.
 /// @param base_url "http://IP:PORT". @param timeout applies from the end of connecting to the end of the
 /// response; connecting may take as long again, but at most 2 s. @param cancel_token may be null.
-/// @return the HTTP status. @throw client_error if the request failed or timed out.
+/// @return the HTTP status, which is that of a final response. @throw client_error if the request failed or
+/// timed out, or the response's status is invalid.
 boost::asio::awaitable<int> fetch(std::string base_url, request outgoing, duration timeout,
                                   std::shared_ptr<cancellation> cancel_token, chunk_handler on_chunk);
 /// Sends a request and collects the response's body. Parameters and errors as for fetch().
