Servers: a status that is not a final one is never sent

A handler's response was sent with whatever status it had: "HTTP/1.1 0", "HTTP/1.1 -1", or an interim one as the only response, after which the caller waits for the final one.

http::server and the gateway's responder now send 502 in its place, without the response's headers and body, and log `internal_fault` with the status. 502 doesn't promise that the request has not run. An assertion would end all calls of a process for the fault of one.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -3,6 +3,7 @@
 
 #include "base/event_type.hpp"
 #include "http/request_reader.hpp"
+#include "http/response_status.hpp"
 #include "runtime/worker_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -42,6 +43,19 @@
     return {{"Content-Type", "text/plain"}};
 }
 
+/// Replaces the head of a response whose status can't be sent. @return whether it was replaced.
+bool replace_invalid(int& status, std::string& reason, header_list& headers)
+{
+    const int checked_status = http::check_sent_status(status);
+    if (checked_status == status) {
+        return false;
+    }
+    status = checked_status;
+    reason = "Bad Gateway";
+    headers = plain_text();
+    return true;
+}
+
 /// Ambiguous framing would allow request smuggling: bytes of a body could be taken for another request.
 /// @return whether the body has exactly one possible length.
 bool is_framing_unambiguous(const request_parser& parser)
@@ -319,7 +333,10 @@
 asio::awaitable<void> responder::send(int status, std::string reason, header_list headers, std::string body)
 {
     started_ = true;
-    const bool bodiless = status == 204 || status == 304 || (status >= 100 && status < 200);
+    if (replace_invalid(status, reason, headers)) {
+        body.clear();
+    }
+    const bool bodiless = status == 204 || status == 304;
     const std::string length = bodiless ? "" : "Content-Length: " + std::to_string(body.size()) + "\r\n";
     std::string bytes = make_head(status, reason, headers, length);
     if (!head_only && !bodiless) {
@@ -333,6 +350,7 @@
 asio::awaitable<void> responder::start(int status, std::string reason, header_list headers)
 {
     started_ = true;
+    replace_invalid(status, reason, headers);
     if (!supports_chunked_) {
         keep_alive_ = false;
     }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include "base/failure_type.hpp"
 #include "http/http_type.hpp"
 #include "http/request_reader.hpp"
+#include "http/response_status.hpp"
 #include "runtime/worker_pool.hpp"
 
 #include <boost/asio/co_spawn.hpp>
@@ -76,6 +77,7 @@
     asio::awaitable<void> send(response complete_response) override
     {
         started_ = true;
+        replace_invalid(complete_response);
         beast::http::response<beast::http::string_body> message{
             static_cast<beast::http::status>(complete_response.status), version_};
         fill_head(message, complete_response);
@@ -95,6 +97,7 @@
     {
         started_ = true;
         streaming_ = true;
+        replace_invalid(head);
         beast::http::response<beast::http::empty_body> message{static_cast<beast::http::status>(head.status),
                                                                version_};
         fill_head(message, head);
@@ -153,6 +156,14 @@
     }
 
 private:
+    static void replace_invalid(response& head)
+    {
+        const int status = check_sent_status(head.status);
+        if (status != head.status) {
+            head = make_response(status, "text/plain", "");
+        }
+    }
+
     template <typename Message>
     void fill_head(Message& message, const response& head)
     {
--- a/src/http/response_status.hpp
+++ b/src/http/response_status.hpp
@@ -25,4 +25,8 @@
 /// life during a long call.
 constexpr int max_interim_responses = 64;
 
+/// Logs a status that no server may send as its final one.
+/// @return the status, or 502 in its place, which doesn't promise that the request has not run.
+int check_sent_status(int status);
+
 } // namespace guavawick::http
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -33,7 +33,7 @@
     event_row{event::settings_refused, "settings_refused", severity::error,
               "The settings file has faults; the process exits."},
     event_row{event::internal_fault, "internal_fault", severity::error,
-              "An unexpected exception ended one request; please report it."},
+              "An unexpected exception or an invalid status ended one request; please report it."},
     event_row{event::link_silent, "link_silent", severity::warning,
               "Nothing arrived on a connection within the silence limit; a new one is opened."},
     event_row{event::link_refused_peer, "link_refused_peer", severity::warning,
--- a/tests/unit/response_status_test.cpp
+++ b/tests/unit/response_status_test.cpp
@@ -1,9 +1,13 @@
-// Statuses of HTTP responses: their classes and the client that reads them.
+// Statuses of HTTP responses: their classes, the client that reads them and the servers that send them.
+#include "free_address.hpp"
+#include "gateway/caller_connection.hpp"
 #include "http/http_error_type.hpp"
 #include "http/response_status.hpp"
 #include "raw_upstream.hpp"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -75,6 +79,79 @@
     }
 };
 
+/// Servers whose handlers choose a status.
+struct sending_servers {
+    asio::io_context context{1};
+    int status = 200;
+    bool streams = false;
+
+    asio::awaitable<void> respond(http::responder& out) const
+    {
+        http::response response = http::make_response(status, "text/plain", streams ? "" : "body");
+        if (!streams) {
+            co_await out.send(std::move(response));
+            co_return;
+        }
+        co_await out.start_stream(std::move(response));
+        co_await out.finish();
+    }
+
+    asio::awaitable<void> respond_to_caller(gateway::responder& out) const
+    {
+        std::string body = "body";
+        gateway::header_list headers{{"Secret", "x"}};
+        if (!streams) {
+            co_await out.send(status, "Reason", std::move(headers), std::move(body));
+            co_return;
+        }
+        co_await out.start(status, "Reason", std::move(headers));
+        co_await out.finish();
+    }
+
+    /// @return the first line of the response and the rest of it.
+    std::string exchange(const tcp::endpoint& server)
+    {
+        std::string response;
+        tcp::socket caller(context);
+        caller.connect(server);
+        asio::write(caller,
+                    asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+        bool ended = false;
+        asio::async_read(caller, asio::dynamic_buffer(response),
+                         [&ended](boost::system::error_code, std::size_t) { ended = true; });
+        while (!ended) {
+            context.run_one();
+        }
+        return response;
+    }
+
+    std::string call_server()
+    {
+        const std::string address = find_free_address();
+        const std::size_t colon = address.rfind(':');
+        http::server server(context.get_executor(), address, http::server_limits{},
+                            [this](http::request&, http::responder& out) { return respond(out); });
+        return exchange(tcp::endpoint(asio::ip::make_address(address.substr(0, colon)),
+                                      static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))));
+    }
+
+    std::string call_gateway()
+    {
+        auto server = std::make_shared<gateway::caller_server>();
+        server->guard = std::make_shared<http::request_guard>(
+            std::make_shared<http::memory_budget>(http::byte_limits{}), http::connection_limits{});
+        server->handle = [this](gateway::raw_request&, gateway::responder& out) {
+            return respond_to_caller(out);
+        };
+        auto acceptor =
+            std::make_shared<tcp::acceptor>(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+        asio::co_spawn(context, gateway::accept_callers(acceptor, server), asio::detached);
+        const std::string response = exchange(acceptor->local_endpoint());
+        acceptor->close();
+        return response;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(response_status_test)
@@ -125,6 +202,30 @@
                    .ends_with(": no final answer after status 103"));
 }
 
+BOOST_FIXTURE_TEST_CASE(status_that_is_not_final_is_not_sent, sending_servers)
+{
+    for (const bool is_stream : {false, true}) {
+        streams = is_stream;
+        for (const int invalid : {0, 99, 100, 101, 199, 600, 999, 1000, -1}) {
+            status = invalid;
+            BOOST_TEST_CONTEXT(invalid << (streams ? " stream" : ""))
+            {
+                BOOST_TEST(call_server().starts_with("HTTP/1.1 502 "));
+                const std::string response = call_gateway();
+                BOOST_TEST(response.starts_with("HTTP/1.1 502 Bad Gateway\r\n"));
+                BOOST_TEST(response.find("Secret") == std::string::npos);
+                BOOST_TEST(response.find("body") == std::string::npos);
+            }
+        }
+        for (const int valid : {200, 404, 599}) {
+            status = valid;
+            const std::string expected = "HTTP/1.1 " + std::to_string(valid) + " ";
+            BOOST_TEST(call_server().starts_with(expected));
+            BOOST_TEST(call_gateway().starts_with(expected));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
