Entry: the status of a response without a body is not lost

A caller of an entry got status 200 for every upstream's response without a body (409 and 500 in the scenario), and for an answer with status 000, and the ledger stored the call as done.

Cause: an entry learns the status with the chunks of the body. Without a chunk it stayed 0, "no status yet", which send_stored() sends as 200. The end of an attempt has the status as well, but it was not read.

The entry takes status and content type from the end of the attempt. An attempt without a final status, which a sidecar of an older version may still report, counts as lost: 502, outcome unknown, or another attempt if the route is repeatable.

The scenario invalid_status, with the binary before: expect z1 status=502 failure=outcome_unknown: status 200, {} expect e1 status=409: status 200 expect e3 status=500: status 200 expect c1 status=502 failure=upstream_lost: status 200, {} With the change it holds.

--- a/src/entry/answer_writer.cpp
+++ b/src/entry/answer_writer.cpp
@@ -32,8 +32,7 @@
     if (number < next_chunk_) {
         co_return; // duplicate
     }
-    status_ = status;
-    content_type_ = content_type;
+    set_head(status, content_type);
     pending_chunks_[number] = data;
     while (!pending_chunks_.empty() && pending_chunks_.begin()->first == next_chunk_) {
         const std::string chunk = std::move(pending_chunks_.begin()->second);
@@ -44,6 +43,12 @@
     }
 }
 
+void response_writer::set_head(int status, const std::string& content_type)
+{
+    status_ = status;
+    content_type_ = content_type;
+}
+
 asio::awaitable<void> response_writer::process_chunk(const std::string& data)
 {
     if (!is_event_stream()) {
--- a/src/entry/answer_writer.hpp
+++ b/src/entry/answer_writer.hpp
@@ -21,6 +21,8 @@
     /// @param number index of the chunk, from 0.
     boost::asio::awaitable<void> add_chunk(std::uint64_t number, int status, const std::string& content_type,
                                            const std::string& data);
+    /// Sets status and content type of a response, which has no chunks if its body is empty.
+    void set_head(int status, const std::string& content_type);
     /// @return whether all chunks arrived and their checksum matches.
     [[nodiscard]] bool is_complete(std::uint64_t count, std::uint32_t checksum) const;
     /// Sends the end of the response. @pre is_complete() was true and the call is closed.
--- a/src/entry/call_run.cpp
+++ b/src/entry/call_run.cpp
@@ -3,6 +3,7 @@
 #include "base/failure_type.hpp"
 #include "base/hash_func.hpp"
 #include "entry/call_state.hpp"
+#include "http/response_status.hpp"
 #include "scheduling/attempt_type.hpp"
 #include "sidecar/attempt_record.hpp"
 #include "wire.pb.h"
@@ -20,6 +21,12 @@
 constexpr double min_weighted_rate =
     0.01; ///< requests a second; used for calls without an API key, which have no rate
 
+/// A sidecar of an older version passes on any status.
+bool has_final_status(const wire::run_chunk& chunk)
+{
+    return http::classify_status(static_cast<int>(chunk.status())) == http::response_kind::final_response;
+}
+
 } // namespace
 
 wire::envelope make_run_request(const active_call& call, const std::vector<std::string>& history,
@@ -143,8 +150,15 @@
             if (!call.writer.is_complete(chunk.count(), chunk.checksum())) {
                 continue; // missing chunks are sent again over a new connection
             }
+            if (!has_final_status(chunk)) {
+                co_return attempt_result{attempt_outcome::lost, failure::upstream_lost, 0};
+            }
+            call.writer.set_head(static_cast<int>(chunk.status()), chunk.content_type());
             co_return attempt_result{attempt_outcome::finished, failure::none, 0};
         case sidecar::chunk_kind::part:
+            if (!has_final_status(chunk)) {
+                co_return attempt_result{attempt_outcome::lost, failure::upstream_lost, 0};
+            }
             co_await call.writer.add_chunk(chunk.number(), static_cast<int>(chunk.status()),
                                            chunk.content_type(), chunk.data());
             continue;
--- a/tests/fakes/fake_server.cpp
+++ b/tests/fakes/fake_server.cpp
@@ -12,6 +12,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iomanip>
 #include <iostream>
 #include <sstream>
 
@@ -28,7 +29,7 @@
 std::string make_head(const http::response& head, const std::string& framing)
 {
     std::ostringstream text;
-    text << "HTTP/1.1 " << head.status << ' '
+    text << "HTTP/1.1 " << std::setw(3) << std::setfill('0') << head.status << ' '
          << beast::http::obsolete_reason(static_cast<beast::http::status>(head.status))
          << "\r\nContent-Type: " << head.content_type << "\r\n";
     for (const auto& [name, value] : head.headers) {
--- a/tests/fakes/fake_upstream.cpp
+++ b/tests/fakes/fake_upstream.cpp
@@ -3,9 +3,10 @@
 //
 // Markers in a request's text select its behaviour: [crash] ends the process, [hang] never responds, [slow:N]
 // generates N tokens or, for a service, responds after N milliseconds, [cut] ends the stream's connection
-// after half of its tokens, [reset] resets it there, [fail] responds with status 500. [unframed] sends a
-// response that has neither a length nor chunks and ends with its connection; --unframed_share does so for a
-// share of the responses, chosen by --seed. With [cut], such a response ends inside an event.
+// after half of its tokens, [reset] resets it there, [fail] responds with status 500, [status:N] with status
+// N, and with [empty] such a response has no body. [unframed] sends a response that has neither a length nor
+// chunks and ends with its connection; --unframed_share does so for a share of the responses, chosen by
+// --seed. With [cut], such a response ends inside an event.
 #include "base/event_type.hpp"
 #include "base/hash_func.hpp"
 #include "fakes/engine_model.hpp"
@@ -103,6 +104,16 @@
     return response;
 }
 
+bool has_status_marker(const std::string& text)
+{
+    return text.find("[status:") != std::string::npos;
+}
+
+http::response make_marked_response(const std::string& text)
+{
+    return make_json(static_cast<int>(read_marker(text, "status", 0)), has_marker(text, "empty") ? "" : "{}");
+}
+
 asio::awaitable<void> wait_for_disconnect(fake_responder& responder)
 {
     while (!responder.caller_left()) {
@@ -160,6 +171,10 @@
         co_await wait_for_disconnect(responder);
         co_return;
     }
+    if (has_status_marker(text)) {
+        co_await responder.send(make_marked_response(text));
+        co_return;
+    }
     if (has_marker(text, "fail")) {
         co_await responder.send(make_json(500, R"({"error":{"message":"asked to fail"}})"));
         co_return;
@@ -240,6 +255,10 @@
         co_await wait_for_disconnect(responder);
         co_return;
     }
+    if (has_status_marker(request.body)) {
+        co_await responder.send(make_marked_response(request.body));
+        co_return;
+    }
     co_await runtime::wait_for(std::chrono::milliseconds(read_marker(request.body, "slow", 1)));
     std::uint64_t run_number = 0;
     {
