Gateway: an upstream's Upgrade header is not passed on

The header belongs to the connection with the upstream, and the Connection header that must go with it (RFC 9110, 7.8) is dropped. Callers were offered an upgrade that the gateway doesn't make.

status_test/upgrade_that_an_upstream_offers_is_not_passed_on fails with the code before (response.find("Upgrade") is 21).

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -37,7 +37,8 @@
     for (const auto& [name, value] : headers) {
         const bool hop_by_hop =
             boost::beast::iequals(name, "connection") || boost::beast::iequals(name, "keep-alive") ||
-            boost::beast::iequals(name, "transfer-encoding") || boost::beast::iequals(name, "content-length");
+            boost::beast::iequals(name, "transfer-encoding") ||
+            boost::beast::iequals(name, "content-length") || boost::beast::iequals(name, "upgrade");
         if (!hop_by_hop) {
             forwarded.emplace_back(name, value);
         }
--- a/tests/unit/status_test.cpp
+++ b/tests/unit/status_test.cpp
@@ -297,6 +297,15 @@
     BOOST_TEST(has_logged("instance_suspected", "instance=raw3"));
 }
 
+// Guards against callers that are offered an upgrade of a connection which is not theirs.
+BOOST_FIXTURE_TEST_CASE(upgrade_that_an_upstream_offers_is_not_passed_on, status_fleet)
+{
+    const std::string response =
+        call_raw("/once/x", status_line("426") + "Connection: Upgrade\r\nUpgrade: h2c\r\n" + plain_fields);
+    BOOST_TEST(has_status(response, 426));
+    BOOST_TEST(response.find("Upgrade") == std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
