--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -55,6 +55,8 @@
     content_refused = 2018,
     control_replica_hosted = 2019,
     control_replica_failed = 2020,
+    group_lacks_voters = 2021,
+    group_has_voters = 2022,
     configuration_published = 3000,
     configuration_refused = 3001,
     configuration_in_force = 3002,
--- a/src/base/settings_type.hpp
+++ b/src/base/settings_type.hpp
@@ -70,6 +70,7 @@
     std::uint64_t snapshot_log_bytes =
         64U << 20U; ///< bytes of log after which a snapshot is written; a quarter stays for lagging members
     std::vector<std::string> operator_keys; ///< "NAME:SHA256HEX" of each operator's key
+    bool exits_on_storage_failure = true;   ///< false: only the group ends, as its process serves others too
 };
 
 /// The contents of a settings file.
--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -2,7 +2,7 @@
 #include "consensus/membership_plan.hpp"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace guavawick::consensus {
 namespace {
@@ -68,13 +68,18 @@
     return retiring;
 }
 
-/// @return a voter of the data centre with the most voters that is not the leader; among these the one
-/// without contact for longest. @pre there are at least two voters.
+/// @return a voter that is not the leader: one whose instance has another replica, otherwise one of the data
+/// centre with the most voters; among these the one without contact for longest. @pre there are at least two
+/// voters.
 const member_status* find_surplus_voter(const std::vector<member_status>& members)
 {
     const auto voter_counts = count_voters(members, nullptr);
-    const auto rank = [&voter_counts](const member_status& status) {
-        return std::pair(voter_counts.at(status.info.data_centre), status.since_contact);
+    const auto rank = [&](const member_status& status) {
+        const auto replicas =
+            std::count_if(members.begin(), members.end(), [&status](const member_status& other) {
+                return other.info.name == status.info.name;
+            });
+        return std::tuple(replicas, voter_counts.at(status.info.data_centre), status.since_contact);
     };
     const member_status* surplus = nullptr;
     for (const member_status& status : members) {
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -173,8 +173,8 @@
 
 void control_process::receive(const wire::reply_target& from, const wire::envelope_ptr& message)
 {
-    if (dispatch_to_group(*group_, *message)) {
-        return;
+    if (group_->has_failed() || dispatch_to_group(*group_, *message)) {
+        return; // what a failed replica knows is out of date
     }
     if (message->has_subscribe()) {
         handle_subscription(message->subscribe());
--- a/src/core/fleet_settings.hpp
+++ b/src/core/fleet_settings.hpp
@@ -55,6 +55,7 @@
     std::uint64_t max_descriptors = 0; ///< descriptors that this process may open; 0 if unknown
     std::uint64_t request_memory = 0;  ///< bytes that requests and responses may hold; 0: from `memory_limit`
     std::uint64_t max_connections = 0; ///< of clients; 0: from `memory_limit` and `max_descriptors`
+    bool hosts_replica = false;        ///< a gateway hosts this replica and outlives its storage failure
     std::uint64_t disk_limit = 0;      ///< bytes that the data folder may hold; 0 if unknown
     duration stop_grace = 8s;          ///< from the stop signal until the process is killed
     fleet_features features;
@@ -80,6 +81,7 @@
     settings.snapshot_log_bytes = fleet_snapshot_log_bytes;
     settings.election_timeout = fleet_election_timeout;
     settings.heartbeat = fleet_heartbeat_interval;
+    settings.exits_on_storage_failure = !fleet.hosts_replica;
     return settings;
 }
 
--- a/src/gateway/control_host.cpp
+++ b/src/gateway/control_host.cpp
@@ -25,7 +25,8 @@
 /// @return whether the group's replica keeps its state in the folder.
 bool holds_replica(const std::string& data_folder)
 {
-    return std::filesystem::exists(data_folder + "/group-" + std::to_string(core::control_group));
+    std::error_code ignored; // a folder that can't be read holds none
+    return std::filesystem::exists(data_folder + "/group-" + std::to_string(core::control_group), ignored);
 }
 
 } // namespace
@@ -36,25 +37,28 @@
     if (endpoints.empty()) {
         return false; // nothing is known of the group
     }
-    if (endpoints.contains(own_link)) {
-        return true;
-    }
     const std::string own_host = host_of(own_link);
     const bool has_other_replica =
-        std::any_of(endpoints.begin(), endpoints.end(),
-                    [&own_host](const std::string& endpoint) { return host_of(endpoint) == own_host; });
+        std::any_of(endpoints.begin(), endpoints.end(), [&](const std::string& endpoint) {
+            return endpoint != own_link && host_of(endpoint) == own_host;
+        });
+    if (has_other_replica) {
+        return false;
+    }
     const consensus::membership_policy policy = consensus::make_membership_policy(tolerated_failures, 1);
-    return !has_other_replica && endpoints.size() < policy.voters + policy.standby_learners;
+    return endpoints.contains(own_link) || endpoints.size() < policy.voters + policy.standby_learners;
 }
 
 control_host::control_host(const core::fleet_settings& settings, runtime::worker_pool& pool)
-    : settings_(settings), pool_(pool)
+    : settings_(settings), pool_(pool),
+      is_ended_(settings.data_folder.empty() || settings.replica_link.empty())
 {
     settings_.link = settings.replica_link;
     settings_.link_listen = settings.replica_link_listen;
     settings_.bootstrap = false;
     settings_.operator_listen.clear();
     settings_.metrics_listen.clear();
+    settings_.hosts_replica = true;
 }
 
 control_host::~control_host() = default;
@@ -62,7 +66,7 @@
 void control_host::start()
 {
     const std::lock_guard lock(mutex_);
-    if (holds_replica(settings_.data_folder)) {
+    if (!is_ended_ && holds_replica(settings_.data_folder)) {
         run_replica();
     }
 }
@@ -76,12 +80,15 @@
         log_event(event::control_replica_hosted, {{"link", settings_.link}});
         return;
     }
-    catch (const error& error) {
+    catch (const std::exception& error) {
         failure_reason = error.what();
     }
-    // The gateway serves callers without the replica.
-    is_given_up_ = true;
     log_event(event::control_replica_failed, {{"link", settings_.link}, {"reason", failure_reason}});
+    if (replica_) {
+        replica_->stop(); // a replica that can't be reached must not join the group
+        is_ended_ = true;
+    }
+    needed_since_ = {};
 }
 
 void control_host::consider(const std::set<std::string>& endpoints, time_point now)
@@ -90,7 +97,7 @@
     if (!lock) {
         return; // the replica stops, and needs this thread to hand over its leadership
     }
-    const bool is_needed = !replica_ && !is_given_up_ &&
+    const bool is_needed = !replica_ && !is_ended_ &&
                            needs_control_replica(endpoints, settings_.link, settings_.tolerated_failures);
     if (!is_needed) {
         needed_since_ = {};
@@ -99,7 +106,9 @@
     if (needed_since_ == time_point{}) {
         needed_since_ = now;
     }
-    if (now - needed_since_ >= vacancy_delay) {
+    // A former replica of this instance is a voter without a disk until it is replaced.
+    const bool returns = endpoints.contains(settings_.link);
+    if (returns || now - needed_since_ >= vacancy_delay) {
         run_replica();
     }
 }
@@ -116,7 +125,7 @@
 void control_host::stop()
 {
     const std::lock_guard lock(mutex_);
-    is_given_up_ = true;
+    is_ended_ = true;
     if (replica_) {
         replica_->stop();
     }
--- a/src/gateway/control_host.hpp
+++ b/src/gateway/control_host.hpp
@@ -22,15 +22,16 @@
 /// Thread safety: consider() on the pool's thread, the rest by the thread that owns the gateway.
 class control_host {
 public:
-    /// @param settings of the gateway. @pre they name a data folder and a replica link.
+    /// @param settings of the gateway. Without a data folder or a replica link nothing is hosted.
     control_host(const core::fleet_settings& settings, runtime::worker_pool& pool);
     ~control_host();
     /// Starts the replica if the data folder holds one.
     void start();
-    /// Starts the replica if the group has needed it for some time. @param endpoints as reported by control.
+    /// Starts the replica if the group has needed it for some time, or has a former one of this instance.
+    /// @param endpoints as reported by control.
     void consider(const std::set<std::string>& endpoints, time_point now);
     void set_seeds(const std::vector<std::string>& seeds);
-    /// Transfers leadership, then stops.
+    /// Transfers leadership, then stops for good.
     void stop();
     /// Closes the links. @pre stop() returned and the pool's threads have stopped.
     void close();
@@ -41,9 +42,10 @@
     core::fleet_settings settings_;
     runtime::worker_pool& pool_;
     time_point needed_since_{};
-    std::mutex mutex_; ///< guards the members below; held while the replica starts and stops
+    std::mutex mutex_; ///< guards the members below; held while the replica starts and stops. The locks of
+                       ///< the replica are taken while it is held.
     std::unique_ptr<core::control_process> replica_;
-    bool is_given_up_ = false; ///< the replica could not start, or the gateway stops
+    bool is_ended_; ///< no replica starts any more, or the instance has no disk
 };
 
 } // namespace guavawick::gateway
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -56,9 +56,7 @@
     ledger_client_ = std::make_unique<wire::group_client>(*link_, std::vector<replica_address>{});
     control_client_ = std::make_unique<wire::group_client>(*link_, std::vector<replica_address>{});
     update_control_replicas();
-    if (!settings.data_folder.empty() && !settings.replica_link.empty()) {
-        control_host_ = std::make_unique<control_host>(settings, pool_);
-    }
+    control_host_ = std::make_unique<control_host>(settings, pool_);
 }
 
 gateway_process::~gateway_process() = default;
@@ -92,9 +90,7 @@
     catch (const boost::system::system_error& error) {
         throw link_error(state_->settings.caller_listen + ": can't listen: " + error.what());
     }
-    if (control_host_) {
-        control_host_->start();
-    }
+    control_host_->start();
     pool_.spawn(accept_callers(acceptor_, callers_));
     pool_.spawn(subscribe_loop());
     readiness_server_ =
@@ -115,9 +111,7 @@
 
 void gateway_process::set_seeds(const std::vector<std::string>& seeds)
 {
-    if (control_host_) {
-        control_host_->set_seeds(seeds);
-    }
+    control_host_->set_seeds(seeds);
     asio::post(pool_.executor(), [this, seeds] {
         for (const std::string& endpoint : seeds) {
             if (std::find(state_->control_endpoints.begin(), state_->control_endpoints.end(), endpoint) ==
@@ -186,6 +180,9 @@
             break;
         }
         acceptor_closed = acceptor_closed || close_acceptor;
+        if (close_acceptor) {
+            control_host_->stop(); // while there is time to hand over its leadership
+        }
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
     }
     std::promise<void> recorded;
@@ -194,9 +191,7 @@
         recorded.set_value();
     });
     recorded.get_future().wait();
-    if (control_host_) {
-        control_host_->stop();
-    }
+    control_host_->stop();
     running_.store(false);
     readiness_server_->drain();
 }
@@ -204,9 +199,7 @@
 void gateway_process::close()
 {
     link_->close();
-    if (control_host_) {
-        control_host_->close();
-    }
+    control_host_->close();
 }
 
 void gateway_process::handle_message(const wire::envelope_ptr& message)
@@ -413,7 +406,7 @@
             record_outage(state_->control_dependency, "no control replica answers the subscriptions", now);
         }
         state_->connections.evict_idle(now);
-        if (control_host_) {
+        if (!state_->draining) {
             control_host_->consider(control_members_, now);
         }
         co_await runtime::wait_for(subscribe_interval);
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -175,8 +175,8 @@
     http::metric_set metrics_;
     std::unique_ptr<http::server> readiness_server_;
     std::unique_ptr<http::server> metrics_server_;
-    std::unique_ptr<control_host> control_host_; ///< nullptr on an instance without a disk
-    std::set<std::string> control_members_;      ///< links of the control group's members, as reported
+    std::unique_ptr<control_host> control_host_;
+    std::set<std::string> control_members_; ///< links of the control group's members, as reported
     std::map<std::string, std::uint64_t> hello_digests_; ///< of the last hello, by control replica
     std::map<std::string, std::map<std::string, std::string>>
         reported_stores_; ///< by control replica: store names by endpoint
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -76,7 +76,7 @@
         finished->store(!started);
     });
     const time_point deadline = runtime_clock::now() + handover_timeout;
-    while (!finished->load() && runtime_clock::now() < deadline) {
+    while (!finished->load() && !failed_.load() && runtime_clock::now() < deadline) {
         post([this, finished] { finished->store(finished->load() || !leads()); });
         std::this_thread::sleep_for(handover_poll_interval);
     }
@@ -90,6 +90,9 @@
 
 void group::post(std::function<void()> task)
 {
+    if (failed_.load()) {
+        return;
+    }
     {
         const std::lock_guard lock(mutex_);
         inbox_.push_back(std::move(task));
@@ -127,7 +130,11 @@
         catch (const storage_error& error) {
             // A replica whose disk has failed must stop at once: entries that it acknowledged could be lost.
             log_event(event::storage_failed, {{"group", std::uint64_t{number_}}, {"reason", error.what()}});
-            std::_Exit(3);
+            if (settings_.exits_on_storage_failure) {
+                std::_Exit(3);
+            }
+            failed_.store(true);
+            return;
         }
         tasks.clear();
     }
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -135,7 +135,9 @@
     void start(state_machine machine);
     /// Transfers leadership if this replica leads, then stops the thread.
     void stop();
-    /// Runs a function on the group's thread. Thread-safe.
+    /// @return whether the disk has failed, so that the replica no longer takes part. Thread-safe.
+    [[nodiscard]] bool has_failed() const { return failed_.load(); }
+    /// Runs a function on the group's thread, unless the replica has failed. Thread-safe.
     void post(std::function<void()> task);
     /// Handles a message of another member. Thread-safe. @param endpoint the sender's link endpoint.
     void handle(consensus::message received, const std::string& endpoint);
@@ -204,6 +206,7 @@
     void bootstrap_from_settings(const std::map<std::string, consensus::member_id>& ids);
     void create_group(const consensus::membership& members);
     void bootstrap_or_join_managed(time_point now);
+    void check_voters(time_point now);
     void update_membership(time_point now);
     [[nodiscard]] std::string endpoint_of(consensus::member_id id) const;
 
@@ -232,6 +235,8 @@
     consensus::join_schedule join_schedule_;
     time_point next_machine_tick_{};
     time_point next_membership_check_{};
+    time_point lacks_voters_since_{}; ///< as the leader sees it; unset while the group has enough
+    bool lack_of_voters_logged_ = false;
     consensus::log_index last_snapshot_index_ = 0;
     std::uint64_t log_bytes_at_snapshot_ = 0;
     std::optional<snapshot_import> import_;
@@ -241,6 +246,7 @@
     std::mutex mutex_; ///< guards `inbox_` and `stopping_`; no other mutex is locked while it is held
     std::vector<std::function<void()>> inbox_;
     bool stopping_ = false;
+    std::atomic<bool> failed_{false}; ///< the thread has ended, since the disk has failed
     std::condition_variable wake_;
     std::thread thread_;
 };
--- a/src/replica/group_membership.cpp
+++ b/src/replica/group_membership.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr duration join_request_interval = 300ms;
+constexpr duration lack_of_voters_delay = 5s; ///< longer than the replacement of a voter takes
 
 } // namespace
 
@@ -103,6 +104,29 @@
                    {"members", std::uint64_t{consensus::current_members(state_).members.size()}},
                    {"commit", state_.commit}});
     }
+    check_voters(now);
+}
+
+void group::check_voters(time_point now)
+{
+    const std::vector<consensus::member>& members = consensus::current_members(state_).members;
+    const auto voters = static_cast<std::size_t>(std::count_if(
+        members.begin(), members.end(), [](const consensus::member& member) { return member.voter; }));
+    const bool lacks_voters = voters < policy_.voters;
+    const bool was_logged = lack_of_voters_logged_;
+    if (lacks_voters && lacks_voters_since_ == time_point{}) {
+        lacks_voters_since_ = now;
+    }
+    if (!lacks_voters) {
+        lacks_voters_since_ = {};
+    }
+    lack_of_voters_logged_ = lacks_voters && now - lacks_voters_since_ >= lack_of_voters_delay;
+    if (lack_of_voters_logged_ != was_logged) {
+        log_event(lacks_voters ? event::group_lacks_voters : event::group_has_voters,
+                  {{"group", std::uint64_t{number_}},
+                   {"voters", std::uint64_t{voters}},
+                   {"needed", std::uint64_t{policy_.voters}}});
+    }
 }
 
 void group::bootstrap_or_join_managed(time_point now)
--- a/tests/unit/control_host_test.cpp
+++ b/tests/unit/control_host_test.cpp
@@ -174,6 +174,66 @@
     BOOST_TEST(gateway::needs_control_replica(members, "tcp://10.0.0.6:2", 2)); // had one before
 }
 
+// Guards against a second replica beside the control process of an instance.
+BOOST_AUTO_TEST_CASE(former_replica_is_not_needed_beside_another_one_of_the_instance)
+{
+    const std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.1:2"};
+    BOOST_TEST(!gateway::needs_control_replica(members, "tcp://10.0.0.1:2", 2));
+}
+
+struct hosting_instance {
+    fs::path data_folder = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
+    runtime::worker_pool pool{1};
+    core::fleet_settings settings;
+    std::unique_ptr<gateway::control_host> host;
+
+    hosting_instance()
+    {
+        settings.node = "node";
+        settings.data_centre = "a";
+        settings.tolerated_failures = 2;
+        settings.data_folder = data_folder.string();
+        settings.replica_link = "tcp://" + find_free_address();
+        host = std::make_unique<gateway::control_host>(settings, pool);
+    }
+
+    ~hosting_instance()
+    {
+        host->stop();
+        pool.stop();
+        host->close();
+        host.reset();
+        fs::remove_all(data_folder);
+    }
+
+    [[nodiscard]] bool hosts() const { return fs::exists(data_folder / "group-0"); }
+};
+
+// Guards against a group that waits for a replica whose disk was lost until two more disks may be lost.
+BOOST_FIXTURE_TEST_CASE(replica_that_lost_its_disk_returns_without_a_delay, hosting_instance)
+{
+    const std::set<std::string> members{"tcp://10.0.0.1:1", settings.replica_link};
+    host->consider(members, runtime_clock::now());
+    BOOST_TEST(hosts());
+}
+
+BOOST_FIXTURE_TEST_CASE(further_replica_starts_only_after_the_delay, hosting_instance)
+{
+    const std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1"};
+    const time_point now = runtime_clock::now();
+    host->consider(members, now);
+    BOOST_TEST(!hosts());
+    host->consider(members, now + 10s);
+    BOOST_TEST(hosts());
+}
+
+BOOST_FIXTURE_TEST_CASE(stopped_host_starts_no_replica, hosting_instance)
+{
+    host->stop();
+    host->consider({"tcp://10.0.0.1:1", settings.replica_link}, runtime_clock::now());
+    BOOST_TEST(!hosts());
+}
+
 BOOST_AUTO_TEST_CASE(instance_with_another_replica_or_without_news_is_not_needed)
 {
     const std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
--- a/tests/unit/group_test.cpp
+++ b/tests/unit/group_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <filesystem>
+#include <fstream>
 #include <future>
 
 namespace guavawick::tests {
@@ -217,6 +218,35 @@
     BOOST_TEST(*applied_at_read == 1);
 }
 
+// Guards against a gateway that ends with all its calls because the disk of the replica that it hosts fails.
+BOOST_AUTO_TEST_CASE(disk_failure_of_a_hosted_replica_ends_only_its_group)
+{
+    const fs::path path = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
+    runtime::worker_pool pool{1};
+    wire::link links{pool.executor(), link_settings{}, incarnation_id{1}};
+    replica_settings settings;
+    settings.name = "self";
+    settings.link = "tcp://127.0.0.1:1";
+    settings.data_folder = path.string();
+    settings.exits_on_storage_failure = false;
+    group member(1, settings, consensus::member_id{11}, std::vector<replica_address>{}, links);
+    state_machine machine;
+    machine.save = [] { return std::string(); };
+    machine.leadership_changed = [](bool) {};
+    machine.tick = [](time_point) {};
+    member.start(std::move(machine));
+    fs::remove_all(path / "group-1");
+    std::ofstream(path / "group-1") << "not a folder";
+    consensus::membership members;
+    members.members.push_back({consensus::member_id{11}, "self", settings.link, true, 0, "a"});
+    member.bootstrap(members);
+    while (!member.has_failed()) {
+    }
+    member.stop();
+    links.close();
+    fs::remove_all(path);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -328,6 +328,18 @@
     BOOST_TEST(choose_join_contacts(schedule, {"self"}, "self").empty());
 }
 
+// Guards against an instance whose loss takes two voters.
+BOOST_AUTO_TEST_CASE(surplus_voter_is_the_one_whose_instance_has_another_replica)
+{
+    group_of_full_size group(2);
+    group.add(9, "dc-9", true);
+    group.members.back().info.name = group.members[2].info.name;
+    const planned_change change = group.plan();
+    BOOST_TEST((change.kind == planned_kind::remove));
+    const bool is_one_of_both = change.id == member_id{9} || change.id == group.members[2].info.id;
+    BOOST_TEST(is_one_of_both);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
