--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -20,7 +20,7 @@
 
 using namespace std::chrono_literals;
 
-using member_id = strong_number<struct member_tag>; ///< random id of a replica's data folder
+using member_id = strong_number<struct member_id_tag>; ///< random id of a replica's data folder
 using term_number = std::uint64_t;
 using log_index = std::uint64_t;
 
--- a/tests/unit/call_end_test.cpp
+++ b/tests/unit/call_end_test.cpp
@@ -21,6 +21,7 @@
         while (status == 503) {
             status = call("POST", "/turn/x", {}, "y").status;
         }
+        upstream.calls = 0;
         return status;
     }
 
