Log what a replica without a leader knows, whom a client of a group asked and whence a plan came

- GW2023 after 1 s without a leader and every 5 s: role, term, vote, last index, commit, voters, those that can't be reached, votes, join rounds; GW2024 once there is one.
Metrics: guavawick_replica_knows_leader, guavawick_replica_term.
- A redirect states the sender's term, role, last index and how many voters it reaches; the error of a client names each replica that it asked and what it said last.
Four copies of the redirect are one function.
- configuration_in_force names the sender, whether it was confirmed, and the time since the start. plan_confirmed_ms_ago counts confirmed views only.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -57,6 +57,8 @@
     control_replica_failed = 2020,
     group_lacks_voters = 2021,
     group_has_voters = 2022,
+    group_without_leader = 2023,
+    group_has_leader = 2024,
     configuration_published = 3000,
     configuration_refused = 3001,
     configuration_in_force = 3002,
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -76,6 +76,7 @@
     group_->enable_managed_membership(
         consensus::make_membership_policy(settings_.tolerated_failures, settings_.data_centre_count),
         settings_.data_centre);
+    group_->expect_membership();
     client_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
 }
 
@@ -323,6 +324,7 @@
     body->set_revision(view.revision);
     body->set_version(view.document_version);
     body->set_confirmed(confirmed);
+    body->set_sender(settings_.link);
     body->set_has_document(known_version < view.document_version);
     if (body->has_document()) {
         body->set_document(view.document);
--- a/src/core/group_metrics.cpp
+++ b/src/core/group_metrics.cpp
@@ -15,6 +15,10 @@
                  [&counters] { return static_cast<double>(counters.proposals.load()); }, group_number});
     metrics.add({"guavawick_replica_voters", "Voters of the group, as far as this replica knows.", false,
                  [&counters] { return static_cast<double>(counters.voters.load()); }, group_number});
+    metrics.add({"guavawick_replica_term", "Newest term that this replica knows.", false,
+                 [&counters] { return static_cast<double>(counters.term.load()); }, group_number});
+    metrics.add({"guavawick_replica_knows_leader", "0 while this replica knows no leader of the group.",
+                 false, [&counters] { return counters.knows_leader.load() ? 1.0 : 0.0; }, group_number});
     metrics.add({"guavawick_replica_syncs_total", "Number of times the log was synced.", true,
                  [&counters] { return static_cast<double>(counters.syncs.load()); }, group_number});
     metrics.add({"guavawick_replica_log_bytes", "Size of the log file.", false,
--- a/src/core/group_serving.cpp
+++ b/src/core/group_serving.cpp
@@ -7,13 +7,6 @@
 
 namespace guavawick::core {
 
-wire::envelope make_redirect(const replica::group& group)
-{
-    wire::envelope reply;
-    reply.mutable_redirect()->set_leader_endpoint(group.leads() ? "" : group.leader_endpoint());
-    return reply;
-}
-
 bool dispatch_to_group(replica::group& group, const wire::envelope& message)
 {
     if (message.has_consensus()) {
--- a/src/core/group_serving.hpp
+++ b/src/core/group_serving.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "replica/group.hpp"
+#include "replica/redirect_func.hpp"
 #include "wire.pb.h"
 
 #include <functional>
@@ -13,9 +14,7 @@
 /// Sends the reply to a request. Called at most once, from any thread.
 using reply_function = std::function<void(wire::envelope)>;
 
-/// @return a reply that redirects the client to the group's leader. The endpoint is empty if no leader is
-/// known or this replica leads itself. @pre called on the group's thread.
-wire::envelope make_redirect(const replica::group& group);
+using replica::make_redirect;
 /// Passes a consensus message or a join request to the group if it is addressed to that group.
 /// @return whether the message was of one of these kinds.
 bool dispatch_to_group(replica::group& group, const wire::envelope& message);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -222,15 +222,18 @@
 
 void gateway_process::handle_view(const wire::control_view& view)
 {
-    state_->plan_confirmed_at = runtime_clock::now();
-    record_reply(state_->control_dependency, state_->plan_confirmed_at);
+    const time_point now = runtime_clock::now();
+    record_reply(state_->control_dependency, now);
+    if (view.confirmed()) {
+        state_->plan_confirmed_at = now;
+    }
     if (view.revision() <= state_->revision) {
         return;
     }
     // A replica that has just started or is partitioned may send an outdated view. A gateway without a plan
     // therefore waits up to confirmation_timeout for a view that a quorum confirmed. A gateway with a plan
     // rejects outdated views by their revision.
-    const bool awaits_confirmation = runtime_clock::now() - started_at_ < confirmation_timeout;
+    const bool awaits_confirmation = now - started_at_ < confirmation_timeout;
     if (!state_->plan && !view.confirmed() && awaits_confirmation) {
         return;
     }
@@ -251,18 +254,21 @@
         state_->counters.plan_version.store(view.version());
     }
     state_->revision = view.revision();
-    set_rollouts(*state_, view, state_->plan_confirmed_at);
+    set_rollouts(*state_, view, now);
     const std::set<std::string> previously_evacuated = state_->evacuated_data_centres;
     state_->evacuated_data_centres = {view.evacuated().begin(), view.evacuated().end()};
     for (const std::string& data_centre : previously_evacuated) {
         if (!state_->evacuated_data_centres.contains(data_centre)) {
-            state_->evacuation_ended_at[data_centre] = runtime_clock::now();
+            state_->evacuation_ended_at[data_centre] = now;
         }
     }
     log_event(event::configuration_in_force,
               {{"revision", view.revision()},
                {"version", view.version()},
                {"before", current_version},
+               {"source", view.sender()},
+               {"confirmed", view.confirmed() ? "yes" : "no"},
+               {"ms_since_start", std::uint64_t(to_ms(runtime_clock::now() - started_at_))},
                {"evacuated", std::uint64_t{state_->evacuated_data_centres.size()}}});
 }
 
--- a/src/replica/control_service.cpp
+++ b/src/replica/control_service.cpp
@@ -6,6 +6,7 @@
 #include "configuration/configuration_codec.hpp"
 #include "configuration/directory_codec.hpp"
 #include "replica/consensus_codec.hpp"
+#include "replica/redirect_func.hpp"
 #include "wire.pb.h"
 
 namespace guavawick::replica {
@@ -45,7 +46,7 @@
 {
     const bool local = request->has_status();
     if (!local && !group_.has_read_lease()) {
-        send_reply(make_redirect());
+        send_reply(make_redirect(group_));
         return;
     }
     switch (request->body_case()) {
@@ -78,13 +79,6 @@
     send_reply(std::move(refused));
 }
 
-wire::envelope control_service::make_redirect() const
-{
-    wire::envelope reply;
-    reply.mutable_redirect()->set_leader_endpoint(group_.leads() ? "" : group_.leader_endpoint());
-    return reply;
-}
-
 std::chrono::milliseconds control_service::group_time() const
 {
     return group_time_base_ + std::chrono::milliseconds(to_ms(runtime_clock::now() - leader_since_));
@@ -98,7 +92,7 @@
     processes_.clear();
     if (!leads) {
         for (const pending_poll& pending : pending_polls_) {
-            pending.send_reply(make_redirect());
+            pending.send_reply(make_redirect(group_));
         }
         pending_polls_.clear();
         return;
@@ -138,7 +132,7 @@
     }
     group_.propose(command.SerializeAsString(),
                    [this, send_reply = std::move(send_reply)](const wire::envelope* reply) {
-                       send_reply(reply == nullptr ? make_redirect() : *reply);
+                       send_reply(reply == nullptr ? make_redirect(group_) : *reply);
                    });
 }
 
@@ -302,7 +296,7 @@
     // The read lease is checked last: the reply is current only if the lease is still valid after the state
     // was read.
     if (!group_.has_read_lease()) {
-        pending.send_reply(make_redirect());
+        pending.send_reply(make_redirect(group_));
         return;
     }
     body->set_held_ms(static_cast<std::uint32_t>(to_ms(runtime_clock::now() - pending.received_at)));
--- a/src/replica/control_service.hpp
+++ b/src/replica/control_service.hpp
@@ -57,7 +57,6 @@
     void tick(time_point now);
     void handle_leadership_change(bool leads);
     void update_shared_tables();
-    [[nodiscard]] wire::envelope make_redirect() const;
     [[nodiscard]] wire::envelope make_audit_reply(const wire::envelope& request) const;
     [[nodiscard]] wire::envelope make_configuration_reply() const;
     [[nodiscard]] wire::envelope make_status_reply(time_point now) const;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -179,7 +179,10 @@
     std::swap(effects, pending_effects_);
     execute_effects(effects);
     snapshot_if_due();
+    check_leader(now);
     counters_.leads.store(leads());
+    counters_.term.store(state_.term);
+    counters_.knows_leader.store(leaderless_since_ == time_point{});
     counters_.applied.store(state_.applied);
     const std::vector<consensus::member>& members = consensus::current_members(state_).members;
     counters_.voters.store(static_cast<std::uint64_t>(std::count_if(
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -75,11 +75,30 @@
     std::vector<member_report> members;
 };
 
+/// What a replica knows of its group, whether it has a leader or not.
+struct group_contact {
+    consensus::role_type role = consensus::role_type::follower;
+    consensus::term_number term = 0;
+    consensus::log_index last = 0;
+    bool is_member = false;
+    std::size_t voters = 0;           ///< of the newest membership in the log
+    std::size_t reachable_voters = 0; ///< this replica and those from which something arrived lately
+    std::string unreachable;          ///< link endpoints of the other voters, separated by commas
+    consensus::member_id voted_for;   ///< in this term
+    std::size_t granted_votes = 0;    ///< of a candidate
+    std::size_t refused_votes = 0;    ///< of a candidate
+};
+
+/// @return the role's name in logs and in redirects.
+const char* name_of(consensus::role_type role);
+
 /// Values of a group's metrics. Written by the group's thread, read by any thread.
 struct group_counters {
     std::atomic<bool> leads{false};
     std::atomic<std::uint64_t> applied{0}; ///< index of the last applied entry
     std::atomic<std::uint64_t> voters{0};  ///< of the newest membership in the log
+    std::atomic<std::uint64_t> term{0};
+    std::atomic<bool> knows_leader{false};
     std::atomic<std::uint64_t> proposals{0};
     std::atomic<std::uint64_t> syncs{0};
     std::atomic<std::uint64_t> log_bytes{0};
@@ -131,6 +150,9 @@
     /// Bootstraps the group with all contacts as its members as soon as each of them has reported that it is
     /// blank. Only the contact with the smallest endpoint does so. Thread-safe.
     void bootstrap_with_contacts();
+    /// Makes this replica log that it has no leader also while it is not a member. @pre called before
+    /// start().
+    void expect_membership() { expects_membership_ = true; }
     /// Starts the thread. @pre called once.
     void start(state_machine machine);
     /// Transfers leadership if this replica leads, then stops the thread.
@@ -168,6 +190,8 @@
     [[nodiscard]] std::size_t pending_proposals() const { return pending_proposals_.size(); }
     /// @return the group's status. @pre called on the group's thread.
     [[nodiscard]] group_report report() const;
+    /// @return what this replica knows of the group. @pre called on the group's thread.
+    [[nodiscard]] group_contact contact() const;
     /// @return the values of the group's metrics. Thread-safe.
     [[nodiscard]] const group_counters& counters() const { return counters_; }
     /// @return the group's number; 0 is the control group. Thread-safe.
@@ -207,6 +231,7 @@
     void create_group(const consensus::membership& members);
     void bootstrap_or_join_managed(time_point now);
     void check_voters(time_point now);
+    void check_leader(time_point now);
     void update_membership(time_point now);
     [[nodiscard]] std::string endpoint_of(consensus::member_id id) const;
 
@@ -237,6 +262,9 @@
     time_point next_membership_check_{};
     time_point lacks_voters_since_{}; ///< as the leader sees it; unset while the group has enough
     bool lack_of_voters_logged_ = false;
+    bool expects_membership_ = false;
+    time_point leaderless_since_{};     ///< unset while a leader is known
+    time_point leaderless_logged_at_{}; ///< unset until it was logged
     consensus::log_index last_snapshot_index_ = 0;
     std::uint64_t log_bytes_at_snapshot_ = 0;
     std::optional<snapshot_import> import_;
--- /dev/null
+++ b/src/replica/group_contact.cpp
@@ -0,0 +1,102 @@
+// What a replica knows of its group, and the log of a group without a leader.
+#include "replica/group.hpp"
+
+#include "base/event_type.hpp"
+#include "base/hash_func.hpp"
+
+#include <algorithm>
+
+namespace guavawick::replica {
+namespace {
+
+constexpr duration leaderless_log_delay = 1s;    ///< an election usually ends earlier
+constexpr duration leaderless_log_interval = 5s; ///< between two lines of one period without a leader
+constexpr duration contact_timeout =
+    600ms; ///< a replica from which nothing arrived for longer is unreachable
+
+} // namespace
+
+const char* name_of(consensus::role_type role)
+{
+    switch (role) {
+    case consensus::role_type::leader:
+        return "leader";
+    case consensus::role_type::candidate:
+        return "candidate";
+    case consensus::role_type::pre_candidate:
+        return "pre-candidate";
+    case consensus::role_type::follower:
+        break;
+    }
+    return "follower";
+}
+
+group_contact group::contact() const
+{
+    group_contact result;
+    result.role = state_.role;
+    result.term = state_.term;
+    result.last = consensus::last_index(state_);
+    result.is_member = is_member();
+    result.voted_for = state_.voted_for;
+    for (const consensus::member& member : consensus::current_members(state_).members) {
+        if (!member.voter) {
+            continue;
+        }
+        ++result.voters;
+        if (member.id == state_.self || links_.active_within(member.endpoint, contact_timeout)) {
+            ++result.reachable_voters;
+            continue;
+        }
+        result.unreachable += (result.unreachable.empty() ? "" : ",") + member.endpoint;
+    }
+    for (const auto& [id, granted] : state_.votes) {
+        ++(granted ? result.granted_votes : result.refused_votes);
+    }
+    return result;
+}
+
+void group::check_leader(time_point now)
+{
+    const bool is_awaited = is_member() || expects_membership_;
+    const bool is_known = state_.leader || state_.role == consensus::role_type::leader;
+    if (is_known || !is_awaited) {
+        if (leaderless_logged_at_ != time_point{}) {
+            log_event(event::group_has_leader, {{"group", std::uint64_t{number_}},
+                                                {"leader", leader_endpoint()},
+                                                {"term", state_.term},
+                                                {"ms", std::uint64_t(to_ms(now - leaderless_since_))}});
+        }
+        leaderless_since_ = {};
+        leaderless_logged_at_ = {};
+        return;
+    }
+    if (leaderless_since_ == time_point{}) {
+        leaderless_since_ = now;
+    }
+    const time_point due_at = leaderless_logged_at_ == time_point{}
+                                  ? leaderless_since_ + leaderless_log_delay
+                                  : leaderless_logged_at_ + leaderless_log_interval;
+    if (now < due_at) {
+        return;
+    }
+    leaderless_logged_at_ = now;
+    const group_contact known = contact();
+    log_event(event::group_without_leader,
+              {{"group", std::uint64_t{number_}},
+               {"ms", std::uint64_t(to_ms(now - leaderless_since_))},
+               {"member", known.is_member ? "yes" : "no"},
+               {"role", name_of(known.role)},
+               {"term", known.term},
+               {"voted_for", known.voted_for ? to_hex(known.voted_for.value) : ""},
+               {"last_index", known.last},
+               {"commit", state_.commit},
+               {"voters", std::uint64_t{known.voters}},
+               {"reachable", std::uint64_t{known.reachable_voters}},
+               {"unreachable", known.unreachable},
+               {"votes_granted", std::uint64_t{known.granted_votes}},
+               {"votes_refused", std::uint64_t{known.refused_votes}},
+               {"join_rounds", std::uint64_t{join_schedule_.rounds}}});
+}
+
+} // namespace guavawick::replica
--- a/src/replica/ledger_service.cpp
+++ b/src/replica/ledger_service.cpp
@@ -3,6 +3,7 @@
 
 #include "base/event_type.hpp"
 #include "ledger/ledger_codec.hpp"
+#include "replica/redirect_func.hpp"
 #include "wire.pb.h"
 
 namespace guavawick::replica {
@@ -48,7 +49,7 @@
 void ledger_service::process_request(const wire::envelope_ptr& request, const reply_function& send_reply)
 {
     if (!group_.has_read_lease()) {
-        send_reply(make_redirect());
+        send_reply(make_redirect(group_));
         return;
     }
     const time_point now = runtime_clock::now();
@@ -77,13 +78,6 @@
     send_reply(std::move(refused));
 }
 
-wire::envelope ledger_service::make_redirect() const
-{
-    wire::envelope reply;
-    reply.mutable_redirect()->set_leader_endpoint(group_.leads() ? "" : group_.leader_endpoint());
-    return reply;
-}
-
 ledger::group_time ledger_service::group_time() const
 {
     return group_time_base_ + std::chrono::milliseconds(to_ms(runtime_clock::now() - leader_since_));
@@ -100,7 +94,7 @@
         return;
     }
     for (const auto& [key, pending] : pending_opens_) {
-        pending.send_reply(make_redirect());
+        pending.send_reply(make_redirect(group_));
     }
     pending_opens_.clear();
 }
@@ -196,7 +190,7 @@
         body->set_waiting(found->open_calls.empty() ? 0 : found->open_calls.size() - 1);
         body->set_parent(found->parent.value);
     }
-    send_reply(group_.has_read_lease() ? std::move(reply) : make_redirect());
+    send_reply(group_.has_read_lease() ? std::move(reply) : make_redirect(group_));
 }
 
 void ledger_service::propose(const wire::envelope_ptr& request, reply_function send_reply)
@@ -217,7 +211,7 @@
     }
     group_.propose(command.SerializeAsString(),
                    [this, send_reply = std::move(send_reply)](const wire::envelope* reply) {
-                       send_reply(reply == nullptr ? make_redirect() : *reply);
+                       send_reply(reply == nullptr ? make_redirect(group_) : *reply);
                    });
 }
 
@@ -307,7 +301,7 @@
 {
     wire::envelope reply = rate_owner_.borrow(request.borrow(), now);
     if (reply.has_borrowed() && !group_.has_read_lease()) {
-        return make_redirect(); // the read lease has ended; the lent tokens expire unused
+        return make_redirect(group_); // the read lease has ended; the lent tokens expire unused
     }
     return reply;
 }
--- a/src/replica/ledger_service.hpp
+++ b/src/replica/ledger_service.hpp
@@ -49,7 +49,6 @@
     [[nodiscard]] bool is_session_expired(incarnation_id entry, time_point now) const;
     [[nodiscard]] const ledger::call_state*
     find_orphaned_call(const ledger::program_key& key, const request_name& request, time_point now) const;
-    [[nodiscard]] wire::envelope make_redirect() const;
     [[nodiscard]] wire::envelope handle_session(const wire::envelope& request, time_point now);
     [[nodiscard]] wire::envelope lend_tokens(const wire::envelope& request, time_point now);
     [[nodiscard]] ledger::group_time group_time() const;
--- a/src/replica/replica_process.cpp
+++ b/src/replica/replica_process.cpp
@@ -7,6 +7,7 @@
 #include "core/group_metrics.hpp"
 #include "operator/operator_api.hpp"
 #include "replica/consensus_codec.hpp"
+#include "replica/redirect_func.hpp"
 #include "wire.pb.h"
 
 namespace guavawick::replica {
@@ -146,8 +147,7 @@
         message.remove().name(), [this, send_reply, number](consensus::change_result result) {
             wire::envelope reply;
             if (result == consensus::change_result::not_leader) {
-                reply.mutable_redirect()->set_leader_endpoint(
-                    groups_[number]->leads() ? "" : groups_[number]->leader_endpoint());
+                reply = make_redirect(*groups_[number]);
             }
             else if (result == consensus::change_result::proposed ||
                      result == consensus::change_result::already_done) {
--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -17,6 +17,36 @@
 constexpr duration max_reply_delay = 2s; ///< time to answer on top of the hold time
 constexpr duration retry_delay = 30ms;   ///< pause before the next attempt
 
+std::string describe(const envelope_ptr& reply)
+{
+    if (!reply) {
+        return "no answer";
+    }
+    const not_leader& redirect = reply->redirect();
+    std::string text =
+        redirect.leader_endpoint().empty() ? "knows no leader" : "names " + redirect.leader_endpoint();
+    if (redirect.term() > 0) {
+        text += ", " + redirect.role() + " in term " + std::to_string(redirect.term()) + ", last entry " +
+                std::to_string(redirect.last_index()) + ", reaches " +
+                std::to_string(redirect.reachable_voters()) + " of " + std::to_string(redirect.voters()) +
+                " voters";
+    }
+    return text;
+}
+
+/// What each replica that was asked said last.
+std::string describe(const std::map<std::string, std::string>& answers)
+{
+    if (answers.empty()) {
+        return "no replica is known";
+    }
+    std::string text;
+    for (const auto& [endpoint, answer] : answers) {
+        text += (text.empty() ? "asked " : "; ") + endpoint + " (" + answer + ")";
+    }
+    return text;
+}
+
 } // namespace
 
 group_client::group_client(link& links, std::vector<replica_address> replicas)
@@ -118,6 +148,7 @@
 {
     request.set_group(group);
     const time_point deadline = runtime_clock::now() + timeout;
+    std::map<std::string, std::string> answers; // of the replicas that were asked
     while (runtime_clock::now() < deadline) {
         const std::string endpoint = presumed_leader(group);
         if (endpoint.empty()) {
@@ -129,6 +160,7 @@
         if (reply && !reply->has_redirect()) {
             co_return reply;
         }
+        answers[endpoint] = describe(reply);
         if (was_resent != nullptr) {
             *was_resent = true;
         }
@@ -136,7 +168,8 @@
             co_await runtime::wait_for(retry_delay);
         }
     }
-    throw link_error("no leader of group " + std::to_string(group) + " answered in time");
+    throw link_error("no leader of group " + std::to_string(group) +
+                     " answered in time: " + describe(answers));
 }
 
 } // namespace guavawick::wire
--- /dev/null
+++ b/tests/unit/plan_source_test.cpp
@@ -0,0 +1,137 @@
+// Which views of control replicas a gateway accepts, and what a client of a group reports about replicas
+// without a leader. Control is a scripted replica.
+#include "base/compress_func.hpp"
+#include "small_fleet.hpp"
+
+#include "wire.pb.h"
+#include "wire/group_client.hpp"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace guavawick::tests {
+
+namespace {
+
+constexpr std::size_t many_subscriptions = 40;
+
+/// A control replica that answers each subscription with the same view, and each request with the same
+/// redirect.
+struct scripted_control {
+    runtime::worker_pool pool{1};
+    std::string endpoint = "tcp://" + find_free_address();
+    wire::link link{pool.executor(), core::make_link_settings(), incarnation_id{random_id()}};
+    std::mutex mutex; ///< guards the members below
+    std::condition_variable received;
+    wire::envelope view;
+    wire::envelope redirect;
+    std::vector<std::uint64_t> versions; ///< that the gateway had in force when it subscribed
+
+    scripted_control()
+    {
+        link.listen(endpoint, [this](const wire::reply_target& from, const wire::envelope_ptr& message) {
+            const std::lock_guard lock(mutex);
+            if (message->has_subscribe()) {
+                versions.push_back(message->subscribe().version());
+                received.notify_all();
+                if (message->subscribe().revision() < view.view().revision()) {
+                    link.send(message->subscribe().endpoint(), view);
+                }
+            }
+            else if (message->has_read()) {
+                link.reply(from, redirect);
+            }
+        });
+    }
+
+    ~scripted_control()
+    {
+        pool.stop();
+        link.close();
+    }
+
+    void set_view(std::uint64_t version, bool confirmed)
+    {
+        const std::lock_guard lock(mutex);
+        wire::control_view& body = *view.mutable_view();
+        body.set_revision(version);
+        body.set_version(version);
+        body.set_has_document(true);
+        body.set_document(compress(std::to_string(version)));
+        body.set_confirmed(confirmed);
+    }
+
+    /// @return the versions in the next subscriptions, up to the one that names `awaited`.
+    std::vector<std::uint64_t> collect_versions(std::size_t max_count, std::uint64_t awaited)
+    {
+        std::unique_lock lock(mutex);
+        versions.clear();
+        received.wait(lock, [&] {
+            return versions.size() >= max_count || (!versions.empty() && versions.back() == awaited);
+        });
+        return versions;
+    }
+};
+
+struct gateway_beside_scripted_control {
+    scripted_control control;
+    runtime::worker_pool pool{1};
+    std::unique_ptr<gateway::gateway_process> gateway;
+
+    void start()
+    {
+        core::fleet_settings settings;
+        settings.node = "entry";
+        settings.data_centre = "a";
+        settings.stop_grace = 1s;
+        settings.seeds = {control.endpoint};
+        settings.link = "tcp://" + find_free_address();
+        settings.caller_listen = find_free_address();
+        settings.readiness_listen = find_free_address();
+        gateway::platform_adapter adapter;
+        adapter.decode_plan = decode_plan;
+        gateway = std::make_unique<gateway::gateway_process>(settings, adapter, pool);
+        gateway->start();
+    }
+
+    ~gateway_beside_scripted_control()
+    {
+        gateway->stop();
+        pool.stop();
+        gateway->close();
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(plan_source_test)
+
+BOOST_FIXTURE_TEST_CASE(client_without_a_leader_names_the_replicas_that_it_asked, scripted_control)
+{
+    redirect.mutable_redirect()->set_term(7);
+    redirect.mutable_redirect()->set_role("follower");
+    redirect.mutable_redirect()->set_voters(3);
+    redirect.mutable_redirect()->set_reachable_voters(1);
+    runtime::worker_pool client_pool(1);
+    wire::link client_link(client_pool.executor(), core::make_link_settings(), incarnation_id{random_id()});
+    wire::group_client client(client_link, {{endpoint, endpoint}});
+    wire::envelope request;
+    request.mutable_read();
+    std::string reason;
+    try {
+        asio::co_spawn(client_pool.executor(), client.call(core::control_group, request, 200ms),
+                       asio::use_future)
+            .get();
+    }
+    catch (const link_error& error) {
+        reason = error.what();
+    }
+    client_pool.stop();
+    client_link.close();
+    BOOST_TEST(reason == "no leader of group 0 answered in time: asked " + endpoint +
+                             " (knows no leader, follower in term 7, last entry 0, reaches 1 of 3 voters)");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace guavawick::tests
