Serve no plan that no quorum confirms

Callers were refused with 404, or passed to an old service, by a plan older than one that had been acknowledged, and evacuated data centres got calls again: up to all gateways, for good while the control group had no quorum.

Cause: a gateway without a plan accepted the view of any replica 2.5 s after its start.

On the code before this change "check std::count(unconfirmed.begin(), unconfirmed.end(), 0) == 6 has failed [0 != 6]".

Change: a gateway without a plan waits for a replica with a read lease, answers 503 and isn't ready. Replicas without one send it no plan. Whether a replica has the lease is known until when, not as of the last tick, so that one that was frozen doesn't pass its state off as confirmed. A gateway that waits logs GW3004.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -63,6 +63,7 @@
     configuration_refused = 3001,
     configuration_in_force = 3002,
     configuration_stale = 3003,
+    configuration_awaited = 3004,
     upstream_announced = 3100,
     upstream_lost = 3101,
     upstream_leaving = 3102,
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -7,7 +7,6 @@
 #include "base/hash_func.hpp"
 #include "core/group_metrics.hpp"
 #include "http/request_guard.hpp"
-#include "rollout/rollout_codec.hpp"
 
 #include <algorithm>
 
@@ -19,9 +18,6 @@
 
 constexpr std::uint64_t snapshot_entries = 400; ///< at most 40 MB of log, as a document may have 100 KB
 constexpr duration subscriber_timeout = 3s;     ///< 6 times a gateway's subscription interval
-constexpr duration push_retry_delay =
-    600ms; ///< a gateway that still lacks the view after this gets it from any replica; plus a subscription
-           ///< interval, this is half of the time in which a plan must take effect
 constexpr duration store_retention =
     10s; ///< a store that has not reported for longer is dropped from the contacts
 constexpr duration bootstrap_delay =
@@ -40,25 +36,6 @@
     return command.has_retire() ? "retire " + command.retire().name() : "";
 }
 
-/// @return the status of each ledger group in a store's report, by group number.
-std::map<std::uint32_t, ledger_group_status> decode_groups(const wire::store_report& report)
-{
-    std::map<std::uint32_t, ledger_group_status> groups;
-    for (const wire::ledger_report& group : report.groups()) {
-        ledger_group_status& status = groups[group.group()];
-        status.blank = group.blank();
-        status.leads = group.leads();
-        for (const wire::member& member : group.members()) {
-            status.members.push_back({consensus::member_id{member.id()}, member.name(), member.endpoint(),
-                                      member.voter(), 0, member.data_centre()});
-            if (!member.in_touch()) {
-                status.unreachable_members.push_back(member.name());
-            }
-        }
-    }
-    return groups;
-}
-
 } // namespace
 
 control_process::control_process(const fleet_settings& settings, runtime::worker_pool& pool)
@@ -291,103 +268,6 @@
     return reply;
 }
 
-void control_process::push_view_to_all(std::uint64_t known_version)
-{
-    push_pending_ = false;
-    if (!group_->has_read_lease()) {
-        return;
-    }
-    const fleet_view view = view_.load();
-    std::vector<std::string> endpoints;
-    {
-        const std::lock_guard lock(mutex_);
-        for (const auto& [endpoint, last_subscription] : subscribers_) {
-            endpoints.push_back(endpoint);
-        }
-    }
-    for (const std::string& endpoint : endpoints) {
-        push_view(endpoint, *view, view->document_version == known_version ? known_version : 0, true);
-    }
-}
-
-void control_process::publish_view()
-{
-    view_.store(std::make_shared<const fleet_state>(state_));
-    view_published_at_.store(runtime_clock::now());
-}
-
-void control_process::push_view(const std::string& endpoint, const fleet_state& view,
-                                std::uint64_t known_version, bool confirmed)
-{
-    wire::envelope message;
-    wire::control_view* body = message.mutable_view();
-    body->set_revision(view.revision);
-    body->set_version(view.document_version);
-    body->set_confirmed(confirmed);
-    body->set_sender(settings_.link);
-    body->set_has_document(known_version < view.document_version);
-    if (body->has_document()) {
-        body->set_document(view.document);
-    }
-    for (const std::string& data_centre : view.evacuated_data_centres) {
-        body->add_evacuated(data_centre);
-    }
-    for (const auto& [service, rollout] : view.rollouts) {
-        rollout::to_wire(rollout, body->add_rollouts());
-    }
-    links_->send(endpoint, std::move(message));
-}
-
-void control_process::handle_subscription(const wire::subscribe_request& request)
-{
-    const time_point now = runtime_clock::now();
-    const bool is_store = request.role() == "store";
-    wire::envelope directory_message;
-    {
-        const std::lock_guard lock(mutex_);
-        if (is_store) {
-            store_status& status = stores_[request.endpoint()];
-            status = {request.name(),
-                      request.endpoint(),
-                      request.data_centre(),
-                      consensus::member_id{request.store().disk()},
-                      decode_groups(request.store()),
-                      now};
-        }
-        else {
-            subscribers_[request.endpoint()] = now;
-        }
-        if (request.whole_directory()) {
-            for (const auto& [id, record] : instances_.instances) {
-                to_wire(record, now, directory_message.mutable_directory()->add_instances());
-            }
-            for (const auto& [id, started_ms] : leaving_) {
-                wire::leaving_record* leaving = directory_message.mutable_directory()->add_leaving();
-                leaving->set_id(id.value);
-                leaving->set_started_ms(started_ms);
-            }
-            for (const auto& [hash, suspect] : crashes_.suspects) {
-                for (const auto& [incarnation, report] : suspect) {
-                    to_wire(report, now, directory_message.mutable_directory()->add_crashes());
-                }
-            }
-        }
-    }
-    if (directory_message.has_directory()) {
-        links_->send(request.endpoint(), std::move(directory_message));
-    }
-    if (const std::shared_ptr<const prepared_hello> hello = hello_.load()) {
-        const bool known = hello->full.hello().digest() == request.hello_digest();
-        links_->send(request.endpoint(), known ? hello->unchanged : hello->full);
-    }
-    const fleet_view view = view_.load();
-    // The leader pushes a new view itself; a full document from every replica would saturate the links.
-    const bool push_missed = request.version() == 0 || now - view_published_at_.load() > push_retry_delay;
-    if (!is_store && request.revision() < view->revision && push_missed) {
-        push_view(request.endpoint(), *view, request.version(), leadership_confirmed_.load());
-    }
-}
-
 void control_process::update_hello(time_point now)
 {
     auto prepared = std::make_shared<prepared_hello>();
@@ -430,7 +310,7 @@
 
 void control_process::tick(time_point now)
 {
-    leadership_confirmed_.store(group_->has_read_lease());
+    confirmed_until_.store(group_->read_lease_end());
     std::vector<std::string> members;
     for (const replica::member_report& member : group_->report().members) {
         members.push_back(member.info.endpoint);
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -156,8 +156,8 @@
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
     bool push_pending_ = false; ///< a push of the view to all subscribers is queued on the group's thread
-    std::atomic<bool> leadership_confirmed_{
-        false}; ///< as of the last tick, this replica led and a quorum had confirmed it
+    std::atomic<time_point> confirmed_until_{time_point{}}; ///< until then a quorum confirms, as of the last
+                                                            ///< tick, that this replica's state is the newest
     time_point
         bootstrap_wait_since_{};   ///< start of the current bootstrap_delay; unset before the first store
     std::atomic<fleet_view> view_; ///< state after the last applied command
--- /dev/null
+++ b/src/core/control_views.cpp
@@ -0,0 +1,136 @@
+// The control role of a fleet: the view that gateways subscribe to.
+#include "core/control_process.hpp"
+
+#include "rollout/rollout_codec.hpp"
+#include "wire.pb.h"
+
+namespace guavawick::core {
+
+namespace {
+
+constexpr duration push_retry_delay =
+    600ms; ///< a gateway that still lacks the view after this gets it from any replica; plus a subscription
+           ///< interval, this is half of the time in which a plan must take effect
+
+/// @return the status of each ledger group in a store's report, by group number.
+std::map<std::uint32_t, ledger_group_status> decode_groups(const wire::store_report& report)
+{
+    std::map<std::uint32_t, ledger_group_status> groups;
+    for (const wire::ledger_report& group : report.groups()) {
+        ledger_group_status& status = groups[group.group()];
+        status.blank = group.blank();
+        status.leads = group.leads();
+        for (const wire::member& member : group.members()) {
+            status.members.push_back({consensus::member_id{member.id()}, member.name(), member.endpoint(),
+                                      member.voter(), 0, member.data_centre()});
+            if (!member.in_touch()) {
+                status.unreachable_members.push_back(member.name());
+            }
+        }
+    }
+    return groups;
+}
+
+} // namespace
+
+void control_process::push_view_to_all(std::uint64_t known_version)
+{
+    push_pending_ = false;
+    if (!group_->has_read_lease()) {
+        return;
+    }
+    const fleet_view view = view_.load();
+    std::vector<std::string> endpoints;
+    {
+        const std::lock_guard lock(mutex_);
+        for (const auto& [endpoint, last_subscription] : subscribers_) {
+            endpoints.push_back(endpoint);
+        }
+    }
+    for (const std::string& endpoint : endpoints) {
+        push_view(endpoint, *view, view->document_version == known_version ? known_version : 0, true);
+    }
+}
+
+void control_process::publish_view()
+{
+    view_.store(std::make_shared<const fleet_state>(state_));
+    view_published_at_.store(runtime_clock::now());
+}
+
+void control_process::push_view(const std::string& endpoint, const fleet_state& view,
+                                std::uint64_t known_version, bool confirmed)
+{
+    wire::envelope message;
+    wire::control_view* body = message.mutable_view();
+    body->set_revision(view.revision);
+    body->set_version(view.document_version);
+    body->set_confirmed(confirmed);
+    body->set_sender(settings_.link);
+    body->set_has_document(known_version < view.document_version);
+    if (body->has_document()) {
+        body->set_document(view.document);
+    }
+    for (const std::string& data_centre : view.evacuated_data_centres) {
+        body->add_evacuated(data_centre);
+    }
+    for (const auto& [service, rollout] : view.rollouts) {
+        rollout::to_wire(rollout, body->add_rollouts());
+    }
+    links_->send(endpoint, std::move(message));
+}
+
+void control_process::handle_subscription(const wire::subscribe_request& request)
+{
+    const time_point now = runtime_clock::now();
+    const bool is_store = request.role() == "store";
+    wire::envelope directory_message;
+    {
+        const std::lock_guard lock(mutex_);
+        if (is_store) {
+            store_status& status = stores_[request.endpoint()];
+            status = {request.name(),
+                      request.endpoint(),
+                      request.data_centre(),
+                      consensus::member_id{request.store().disk()},
+                      decode_groups(request.store()),
+                      now};
+        }
+        else {
+            subscribers_[request.endpoint()] = now;
+        }
+        if (request.whole_directory()) {
+            for (const auto& [id, record] : instances_.instances) {
+                to_wire(record, now, directory_message.mutable_directory()->add_instances());
+            }
+            for (const auto& [id, started_ms] : leaving_) {
+                wire::leaving_record* leaving = directory_message.mutable_directory()->add_leaving();
+                leaving->set_id(id.value);
+                leaving->set_started_ms(started_ms);
+            }
+            for (const auto& [hash, suspect] : crashes_.suspects) {
+                for (const auto& [incarnation, report] : suspect) {
+                    to_wire(report, now, directory_message.mutable_directory()->add_crashes());
+                }
+            }
+        }
+    }
+    if (directory_message.has_directory()) {
+        links_->send(request.endpoint(), std::move(directory_message));
+    }
+    if (const std::shared_ptr<const prepared_hello> hello = hello_.load()) {
+        const bool known = hello->full.hello().digest() == request.hello_digest();
+        links_->send(request.endpoint(), known ? hello->unchanged : hello->full);
+    }
+    const fleet_view view = view_.load();
+    // The leader pushes a new view itself; a full document from every replica would saturate the links.
+    const bool has_plan = request.version() > 0;
+    const bool push_missed = !has_plan || now - view_published_at_.load() > push_retry_delay;
+    const bool is_confirmed = now < confirmed_until_.load();
+    const bool may_accept = has_plan || is_confirmed;
+    if (!is_store && request.revision() < view->revision && push_missed && may_accept) {
+        push_view(request.endpoint(), *view, request.version(), is_confirmed);
+    }
+}
+
+} // namespace guavawick::core
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -23,9 +23,10 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration confirmation_timeout = 2500ms; ///< a new leader of control is elected within 2 s
-constexpr duration subscribe_interval = 500ms;    ///< a quarter of the time in which a plan must be in force
-constexpr duration control_timeout = 2s;          ///< four subscriptions
+constexpr duration plan_log_delay = 2500ms;    ///< a new leader of control is elected within 2 s
+constexpr duration plan_log_interval = 5s;     ///< between two lines of a gateway that has no plan
+constexpr duration subscribe_interval = 500ms; ///< a quarter of the time in which a plan must be in force
+constexpr duration control_timeout = 2s;       ///< four subscriptions
 constexpr duration balancer_detection_time =
     3s;                                     ///< the load balancer checks every second and needs two failures
 constexpr duration stop_margin = 700ms;     ///< time left before the platform kills the process
@@ -230,11 +231,10 @@
     if (view.revision() <= state_->revision) {
         return;
     }
-    // A replica that has just started or is partitioned may send an outdated view. A gateway without a plan
-    // therefore waits up to confirmation_timeout for a view that a quorum confirmed. A gateway with a plan
-    // rejects outdated views by their revision.
-    const bool awaits_confirmation = now - started_at_ < confirmation_timeout;
-    if (!state_->plan && !view.confirmed() && awaits_confirmation) {
+    // A replica that has restored a snapshot, or that is partitioned, may send a view from long ago. A
+    // gateway with a plan rejects outdated views by their revision.
+    if (!state_->plan && !view.confirmed()) {
+        ++unconfirmed_view_count_;
         return;
     }
     const std::uint64_t current_version = state_->plan ? state_->plan->plan.version.value : 0;
@@ -398,6 +398,18 @@
     }
 }
 
+void gateway_process::report_missing_plan(time_point now)
+{
+    if (state_->plan || now < std::max(missing_plan_due_at_, started_at_ + plan_log_delay)) {
+        return;
+    }
+    missing_plan_due_at_ = now + plan_log_interval;
+    log_event(event::configuration_awaited,
+              {{"ms_since_start", std::uint64_t(to_ms(now - started_at_))},
+               {"unconfirmed_views", unconfirmed_view_count_},
+               {"control_replicas", std::uint64_t{state_->control_endpoints.size()}}});
+}
+
 asio::awaitable<void> gateway_process::subscribe_loop()
 {
     for (std::uint32_t round = 0; running_.load(); ++round) {
@@ -411,6 +423,7 @@
         if (now - std::max(state_->control_dependency.last_reply_at, started_at_) > control_timeout) {
             record_outage(state_->control_dependency, "no control replica answers the subscriptions", now);
         }
+        report_missing_plan(now);
         state_->connections.evict_idle(now);
         if (!state_->draining) {
             control_host_->consider(control_members_, now);
@@ -431,66 +444,4 @@
     }
 }
 
-void gateway_process::add_metrics()
-{
-    http::add_guard_metrics(metrics_, callers_->guard);
-    const auto add = [this](const char* name, const char* help, bool counter,
-                            const std::atomic<std::uint64_t>& value) {
-        metrics_.add({name, help, counter, [&value] { return static_cast<double>(value.load()); }, ""});
-    };
-    const gateway_counters& counters = state_->counters;
-    add("guavawick_gateway_answered_total", "Calls that got an upstream's answer.", true, counters.answered);
-    add("guavawick_gateway_refused_total", "Calls that were refused and did not run.", true,
-        counters.refused);
-    add("guavawick_gateway_failed_total", "Calls that got no whole answer.", true, counters.failed);
-    add("guavawick_gateway_opened_total", "Calls that were admitted.", true, counters.opened);
-    const std::map<call_end, const char*> ends{{call_end::answered, "answered"},
-                                               {call_end::refused, "refused"},
-                                               {call_end::failed, "failed"},
-                                               {call_end::caller_left, "caller_left"}};
-    for (const auto& [how, label] : ends) {
-        const std::atomic<std::uint64_t>& value = counters.ended.at(static_cast<std::size_t>(how));
-        metrics_.add({"guavawick_gateway_ended_total", "Admitted calls by how they ended.", true,
-                      [&value] { return static_cast<double>(value.load()); }, label});
-    }
-    for (std::size_t cause = 0; cause < cut_cause_count; ++cause) {
-        const std::atomic<std::uint64_t>& value = counters.cut.at(cause);
-        metrics_.add({"guavawick_gateway_cut_total",
-                      "Calls that were sent to an upstream and whose caller got no complete response.", true,
-                      [&value] { return static_cast<double>(value.load()); },
-                      label_of(static_cast<cut_cause>(cause))});
-    }
-    add("guavawick_gateway_retried_total", "Further attempts of calls.", true, counters.retried);
-    add("guavawick_gateway_connects_total", "Connections opened to upstreams.", true, counters.connects);
-    add("guavawick_gateway_crashes_total", "Calls that were running when their upstream crashed.", true,
-        counters.crashes);
-    add("guavawick_gateway_leaving_instances_total", "Upstream instances whose answers said that they leave.",
-        true, counters.leaving_instances);
-    add("guavawick_gateway_leaving_avoided_total", "Placements kept away from an instance that leaves.", true,
-        counters.leaving_avoided);
-    add("guavawick_gateway_rollout_exposed_total", "Attempts at the targets of running rollouts.", true,
-        counters.rollout_exposed);
-    add("guavawick_gateway_rollout_target_failures_total",
-        "Failed attempts at the targets of running rollouts.", true, counters.rollout_target_failures);
-    add("guavawick_gateway_rollout_leases_lost_total",
-        "Leases of exposure that ended because control was silent.", true, counters.rollout_leases_lost);
-    add("guavawick_gateway_starts_refused_total", "Programs refused because their service is overloaded.",
-        true, counters.starts_refused);
-    add("guavawick_gateway_starts_held_total", "Programs held before their first turn.", true,
-        counters.starts_held);
-    add("guavawick_gateway_start_hold_milliseconds_total", "Time for which programs were held.", true,
-        counters.start_hold_ms);
-    add("guavawick_gateway_starts_waiting", "Programs held at present.", false, counters.starts_waiting);
-    add("guavawick_gateway_stretch_percent",
-        "Duration of turns relative to the least one lately, of the service last asked for.", false,
-        counters.stretch_percent);
-    add("guavawick_gateway_plan_version", "Version of the plan in force.", false, counters.plan_version);
-    add("guavawick_gateway_slowest_percent",
-        "Learned duration of work at the slowest candidate of the last placement; 100 is usual.", false,
-        counters.slowest_percent);
-    add("guavawick_gateway_report_age_ms", "Mean age of the candidates' load reports at the last placement.",
-        false, counters.report_age_ms);
-    add("guavawick_gateway_instances", "Upstream instances in the directory.", false, counters.instances);
-}
-
 } // namespace guavawick::gateway
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -158,6 +158,7 @@
     boost::asio::awaitable<void> handle_readiness_check(http::request& request, http::responder& out);
     [[nodiscard]] bool is_ready() const;
     void update_control_replicas();
+    void report_missing_plan(time_point now);
     void add_metrics();
 
     void update_ledger_replicas();
@@ -183,6 +184,8 @@
     std::size_t next_directory_replica_ =
         0; ///< index of the control replica that is asked for its directory next
     time_point started_at_ = runtime_clock::now();
+    time_point missing_plan_due_at_{};         ///< when the lack of a plan is logged next
+    std::uint64_t unconfirmed_view_count_ = 0; ///< views that were ignored while there was no plan
     std::atomic<bool> running_{true};
 };
 
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -118,6 +118,8 @@
               "This process now uses a new revision of the configuration."},
     event_row{event::configuration_stale, "configuration_stale", severity::warning,
               "No quorum confirmed the configuration within the lease; calls with a key are refused."},
+    event_row{event::configuration_awaited, "configuration_awaited", severity::warning,
+              "A gateway serves no calls: no control replica that a quorum confirms has sent it a plan."},
     event_row{event::upstream_announced, "upstream_announced", severity::info,
               "An upstream announced itself or changed."},
     event_row{event::upstream_lost, "upstream_lost", severity::warning,
