Log records state what was synced before them, so that a torn write is told from damage

Seen: a replica whose last, unsynced write lost a part in its middle refused its log after a power loss ("a damaged record comes before intact ones") and never started. The reverse too: with a damaged length or a page of zeros in the synced part, the reader found no record after it and dropped acknowledged entries without an error.

Cause: the reader took the record after the damaged length for a proof that the damaged one had been synced. A write holds several records, so it proves nothing, and a damaged length hides the proof.

Change: each record states how much of the log was synced before it was written, and a random ID of the file. A damaged record is dropped with what follows it, unless a record anywhere after it states that it was synced. A rewritten log and one closed in order end with such a statement. Records of older versions state nothing; a damaged one before an intact one is still refused, now also if its length is damaged.

Without the ID, the closing statement or the comparison of lengths, one or more of power_loss_test and log_store_test fail.

The fixtures of log_store_test moved to store_folder.hpp; its cases are unchanged.

--- a/src/replica/log_store.cpp
+++ b/src/replica/log_store.cpp
@@ -35,17 +35,24 @@
     return value;
 }
 
-/// @return whether an intact record starts at `offset`.
-bool is_intact(const std::string& bytes, std::size_t offset)
+/// @return the bytes that the frame at `offset` delimits, which may be damaged; empty if it can't be a frame.
+std::string_view framed_bytes(const std::string& bytes, std::size_t offset)
 {
     if (offset + frame_header_size > bytes.size()) {
-        return false;
+        return {};
     }
     const std::uint32_t size = read_u32(bytes, offset);
-    if (size == 0 || size > max_record_size || offset + frame_header_size + size > bytes.size()) {
-        return false;
+    if (size > max_record_size || offset + frame_header_size + size > bytes.size()) {
+        return {};
     }
-    return crc32c({bytes.data() + offset + frame_header_size, size}) == read_u32(bytes, offset + 4);
+    return std::string_view(bytes).substr(offset + frame_header_size, size);
+}
+
+/// @return whether an intact record starts at `offset`.
+bool is_intact(const std::string& bytes, std::size_t offset)
+{
+    const std::string_view framed = framed_bytes(bytes, offset);
+    return !framed.empty() && crc32c(framed) == read_u32(bytes, offset + 4);
 }
 
 template <typename Message>
@@ -54,9 +61,17 @@
     return into.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
 }
 
+/// What each record states of the log that it belongs to.
+struct record_stamp {
+    std::uint32_t log_id = 0;       ///< 0 in records of older versions
+    std::uint64_t synced_bytes = 0; ///< length of the log that is synced before the record is written
+};
+
 /// Appends a framed record, without a copy of its bytes.
-void append_record(std::string& into, const wire::log_file_record& record)
+void append_record(std::string& into, wire::log_file_record& record, const record_stamp& stamp)
 {
+    record.set_synced_bytes(stamp.synced_bytes);
+    record.set_log_id(stamp.log_id);
     const std::size_t begin = into.size();
     append_u32(into, 0); // replaced once the record is encoded
     append_u32(into, 0);
@@ -68,26 +83,72 @@
     into.replace(begin, frame_header_size, header);
 }
 
-void append_hard_state(std::string& into, consensus::term_number term, consensus::member_id voted_for)
+void append_hard_state(std::string& into, const consensus::group_state& state, const record_stamp& stamp)
 {
     wire::log_file_record record;
-    record.mutable_hard_state()->set_term(term);
-    record.mutable_hard_state()->set_voted_for(voted_for.value);
-    append_record(into, record);
+    record.mutable_hard_state()->set_term(state.term);
+    record.mutable_hard_state()->set_voted_for(state.voted_for.value);
+    append_record(into, record, stamp);
 }
 
-void append_entry(std::string& into, const consensus::log_entry& entry)
+void append_entry(std::string& into, const consensus::log_entry& entry, const record_stamp& stamp)
 {
     wire::log_file_record record;
     to_wire(entry, record.mutable_entry());
-    append_record(into, record);
+    append_record(into, record, stamp);
 }
 
-void append_truncation(std::string& into, consensus::log_index after)
+void append_truncation(std::string& into, consensus::log_index after, const record_stamp& stamp)
 {
     wire::log_file_record record;
     record.set_truncate_after(after);
-    append_record(into, record);
+    append_record(into, record, stamp);
+}
+
+/// Appends a record that states only how much of the log is synced.
+void append_sync_mark(std::string& into, const record_stamp& stamp)
+{
+    wire::log_file_record record;
+    append_record(into, record, stamp);
+}
+
+/// @return whether the encoded record at `offset` states that the byte at `damaged` was synced before it was
+/// written. A record of an older version doesn't tell; it counts as a proof, since an acknowledged entry
+/// could be lost otherwise.
+bool proves_synced(std::string_view encoded, std::size_t offset, std::size_t damaged)
+{
+    wire::log_file_record record;
+    if (!parse(encoded, record)) {
+        return false;
+    }
+    return !record.has_synced_bytes() || (record.synced_bytes() > damaged && record.synced_bytes() <= offset);
+}
+
+/// @return whether a record after the damaged one shows that the damaged one was synced. The damage may be in
+/// a length, so the records after it are searched for at every byte. Callers choose the payloads, but don't
+/// know the ID of the log, so a payload that looks like a record is not taken for one.
+/// @param log_id of the records before the damage.
+bool is_synced_part_damaged(const std::string& bytes, std::size_t damaged, std::uint32_t log_id)
+{
+    std::string encoded_id;
+    append_u32(encoded_id, log_id);
+    for (std::size_t offset = damaged + 1; offset < bytes.size(); ++offset) {
+        const std::string_view framed = framed_bytes(bytes, offset);
+        if (log_id != 0 && !framed.ends_with(encoded_id)) {
+            continue;
+        }
+        if (is_intact(bytes, offset) && proves_synced(framed, offset, damaged)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// @return a random ID that is not 0.
+std::uint32_t make_log_id()
+{
+    const auto id = static_cast<std::uint32_t>(random_id());
+    return id == 0 ? 1 : id;
 }
 
 void load_record(wire::log_file_record& record, consensus::persisted_state& into)
@@ -131,12 +192,6 @@
         offset += frame_header_size + size;
     }
     valid_bytes = offset;
-    if (offset + frame_header_size <= bytes.size()) {
-        const std::uint64_t next = offset + frame_header_size + read_u32(bytes, offset);
-        if (next < bytes.size() && is_intact(bytes, next)) {
-            throw storage_error("a damaged record comes before intact ones");
-        }
-    }
     return records;
 }
 
@@ -152,9 +207,16 @@
 
 log_store::~log_store()
 {
-    if (log_fd_ >= 0) {
-        ::close(log_fd_);
+    if (log_fd_ < 0) {
+        return;
+    }
+    if (is_synced_ && !is_marked_) {
+        std::string mark;
+        append_sync_mark(mark, {log_id_, log_bytes_});
+        // A mark that is not written only leaves damage of the last write without a proof.
+        [[maybe_unused]] const ssize_t ignored = ::write(log_fd_, mark.data(), mark.size());
     }
+    ::close(log_fd_);
 }
 
 void log_store::read_snapshot()
@@ -178,20 +240,19 @@
     const std::string path = folder_ + "/log";
     const std::string bytes = read_file(path);
     std::size_t valid_bytes = 0;
-    std::vector<std::string_view> records;
-    try {
-        records = read_records(bytes, valid_bytes);
-    }
-    catch (const storage_error& error) {
-        throw storage_error(path + ": " + error.what());
-    }
+    const std::vector<std::string_view> records = read_records(bytes, valid_bytes);
     for (const std::string_view encoded : records) {
         wire::log_file_record record;
         if (!parse(encoded, record)) {
             throw storage_error(path + ": a record cannot be decoded");
         }
+        log_id_ = record.log_id();
         load_record(record, loaded_);
     }
+    if (valid_bytes < bytes.size() && is_synced_part_damaged(bytes, valid_bytes, log_id_)) {
+        throw storage_error(path + ": damaged at byte " + std::to_string(valid_bytes) +
+                            ", before records that were written later");
+    }
     if (valid_bytes < bytes.size()) {
         tail_truncated_ = true;
         if (::truncate(path.c_str(), static_cast<off_t>(valid_bytes)) != 0) {
@@ -199,6 +260,9 @@
         }
     }
     log_bytes_ = valid_bytes;
+    if (log_id_ == 0) {
+        log_id_ = make_log_id();
+    }
 }
 
 void log_store::open_log()
@@ -214,6 +278,8 @@
 
 void log_store::append_to_log(const std::string& bytes)
 {
+    is_synced_ = false;
+    is_marked_ = false;
     write_all(log_fd_, bytes, folder_ + "/log");
     log_bytes_ += bytes.size();
 }
@@ -223,6 +289,7 @@
     if (::fdatasync(log_fd_) != 0) {
         throw_storage_error(folder_ + "/log", "sync");
     }
+    is_synced_ = true;
     ++syncs_;
 }
 
@@ -232,15 +299,16 @@
         write_snapshot(state);
         return;
     }
+    const record_stamp stamp{log_id_, log_bytes_};
     std::string bytes;
     if (effects.truncate_after) {
-        append_truncation(bytes, *effects.truncate_after);
+        append_truncation(bytes, *effects.truncate_after, stamp);
     }
     for (const consensus::log_entry& entry : effects.appended) {
-        append_entry(bytes, entry);
+        append_entry(bytes, entry, stamp);
     }
     if (effects.hard_state_changed) {
-        append_hard_state(bytes, state.term, state.voted_for);
+        append_hard_state(bytes, state, stamp);
     }
     if (bytes.empty()) {
         return;
@@ -259,14 +327,18 @@
 
 void log_store::rewrite_log(const consensus::group_state& state)
 {
+    // The file gets its name only when all of it is synced.
     std::string bytes;
-    append_hard_state(bytes, state.term, state.voted_for);
+    log_id_ = make_log_id();
+    append_hard_state(bytes, state, {log_id_, 0});
     for (const consensus::log_entry& entry : state.entries) {
-        append_entry(bytes, entry);
+        append_entry(bytes, entry, {log_id_, bytes.size()});
     }
+    append_sync_mark(bytes, {log_id_, bytes.size()});
     replace_file(folder_, "log", bytes);
     ::close(log_fd_);
     log_bytes_ = bytes.size();
+    is_marked_ = true;
     open_log();
 }
 
--- a/src/replica/log_store.hpp
+++ b/src/replica/log_store.hpp
@@ -12,13 +12,19 @@
 
 namespace guavawick::replica {
 
-/// The files of one group. Thread safety: not thread-safe; callers serialise access.
+/// The files of one group. Each log record states how much of the log was synced before it was written: after
+/// a power loss any part of the last, unsynced write may be missing, while damage before a record that was
+/// written after its sync is a fault of the disk.
+/// Thread safety: not thread-safe; callers serialise access.
 class log_store {
 public:
-    /// Opens or creates the folder, reads its files and truncates an incomplete record at the end of the log.
-    /// @throw storage_error if the folder can't be used, the snapshot is damaged or a damaged log record is
-    /// followed by an intact one.
+    /// Opens or creates the folder, reads its files and truncates the log at the first incomplete or damaged
+    /// record of a write that was not synced.
+    /// @throw storage_error if the folder can't be used, or the snapshot or the synced part of the log is
+    /// damaged. The log is then left as it was.
     explicit log_store(std::string folder);
+    /// Marks what was written as synced, so that the next start can tell damage of the last write from a
+    /// write that a power loss interrupted.
     ~log_store();
     log_store(const log_store&) = delete;
     log_store& operator=(const log_store&) = delete;
@@ -27,7 +33,7 @@
     [[nodiscard]] const consensus::persisted_state& loaded() const { return loaded_; }
     /// @return the state that was read, which this store then no longer holds.
     [[nodiscard]] consensus::persisted_state take_loaded() { return std::exchange(loaded_, {}); }
-    /// @return whether an incomplete record was truncated when the store was opened.
+    /// @return whether a part of an unsynced write was truncated when the store was opened.
     [[nodiscard]] bool tail_truncated() const { return tail_truncated_; }
     /// Writes the log entries, the truncation and the hard state that the effects require, and syncs them.
     /// Writes the snapshot instead if the effects install one. @throw storage_error.
@@ -53,6 +59,9 @@
     consensus::persisted_state loaded_;
     bool tail_truncated_ = false;
     int log_fd_ = -1;
+    bool is_synced_ = false;   ///< every write of the log was followed by a sync that succeeded
+    bool is_marked_ = false;   ///< the last record of the log states that all before it is synced
+    std::uint32_t log_id_ = 0; ///< in every record, so that a payload is not taken for a record
     std::uint64_t syncs_ = 0;
     std::uint64_t log_bytes_ = 0;
 };
@@ -72,7 +81,6 @@
 std::string frame_record(const std::string& bytes);
 /// Reads framed records up to the first incomplete or damaged one. @return the records, within `bytes`.
 /// @param valid_bytes receives the length of the records read, frames included.
-/// @throw storage_error if a damaged record is followed by an intact one.
 std::vector<std::string_view> read_records(const std::string& bytes, std::size_t& valid_bytes);
 
 } // namespace guavawick::replica
--- a/tests/unit/log_store_test.cpp
+++ b/tests/unit/log_store_test.cpp
@@ -1,8 +1,8 @@
 // Files of a consensus group: restarts, incomplete and damaged records, identities of data folders.
 #include "base/failure_type.hpp"
-#include "base/hash_func.hpp"
 #include "consensus/consensus_func.hpp"
 #include "replica/log_store.hpp"
+#include "store_folder.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -37,41 +37,6 @@
 namespace fs = std::filesystem;
 using namespace replica;
 
-namespace {
-
-struct temporary_folder {
-    fs::path path = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
-
-    ~temporary_folder() { fs::remove_all(path); }
-    [[nodiscard]] std::string group() const { return (path / "group-0").string(); }
-    [[nodiscard]] std::string log() const { return group() + "/log"; }
-};
-
-consensus::effects make_entries(consensus::log_index first, std::size_t count)
-{
-    consensus::effects effects;
-    for (std::size_t i = 0; i < count; ++i) {
-        consensus::log_entry entry;
-        entry.term = 1;
-        entry.index = first + i;
-        entry.kind = consensus::entry_kind::command;
-        entry.payload = "payload " + std::to_string(first + i);
-        effects.appended.push_back(entry);
-    }
-    effects.hard_state_changed = true;
-    return effects;
-}
-
-consensus::group_state make_group()
-{
-    consensus::group_state state;
-    state.term = 1;
-    state.voted_for = consensus::member_id{9};
-    return state;
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_SUITE(log_store_test)
 
 BOOST_FIXTURE_TEST_CASE(entries_and_hard_state_are_read_back_after_a_restart, temporary_folder)
