--- a/src/replica/log_store.cpp
+++ b/src/replica/log_store.cpp
@@ -7,6 +7,7 @@
 #include "replica/file_func.hpp"
 #include "wire.pb.h"
 
+#include <algorithm>
 #include <fcntl.h>
 #include <filesystem>
 #include <sys/stat.h>
@@ -202,6 +203,7 @@
     sync_folder(std::filesystem::path(folder_).parent_path().string());
     read_snapshot();
     read_log();
+    check_entries();
     open_log();
 }
 
@@ -222,10 +224,10 @@
 void log_store::read_snapshot()
 {
     const std::string path = folder_ + "/snapshot";
-    const std::string bytes = read_file(path);
-    if (bytes.empty()) {
+    if (!std::filesystem::exists(path)) {
         return;
     }
+    const std::string bytes = read_file(path);
     std::size_t valid_bytes = 0;
     const std::vector<std::string_view> records = read_records(bytes, valid_bytes);
     wire::snapshot_record record;
@@ -265,6 +267,18 @@
     }
 }
 
+void log_store::check_entries() const
+{
+    consensus::log_index last = loaded_.newest_snapshot ? loaded_.newest_snapshot->index : 0;
+    for (const consensus::log_entry& entry : loaded_.entries) {
+        if (entry.index > last + 1) {
+            throw storage_error(folder_ + ": neither the snapshot nor the log contains the entries " +
+                                std::to_string(last + 1) + " to " + std::to_string(entry.index - 1));
+        }
+        last = std::max(last, entry.index);
+    }
+}
+
 void log_store::open_log()
 {
     const std::string path = folder_ + "/log";
--- a/src/replica/log_store.hpp
+++ b/src/replica/log_store.hpp
@@ -20,8 +20,8 @@
 public:
     /// Opens or creates the folder, reads its files and truncates the log at the first incomplete or damaged
     /// record of a write that was not synced.
-    /// @throw storage_error if the folder can't be used, or the snapshot or the synced part of the log is
-    /// damaged. The log is then left as it was.
+    /// @throw storage_error if the folder can't be used, the snapshot or the synced part of the log is
+    /// damaged, or entries are missing between them.
     explicit log_store(std::string folder);
     /// Marks what was written as synced, so that the next start can tell damage of the last write from a
     /// write that a power loss interrupted.
@@ -50,6 +50,7 @@
 private:
     void read_snapshot();
     void read_log();
+    void check_entries() const;
     void open_log();
     void append_to_log(const std::string& bytes);
     void sync();
--- a/tests/unit/power_loss_test.cpp
+++ b/tests/unit/power_loss_test.cpp
@@ -277,6 +277,160 @@
     }
 }
 
+// Guards against a vote that is lost: the replica could vote for another candidate in the same term.
+BOOST_FIXTURE_TEST_CASE(synced_vote_survives_the_loss_of_any_end_of_a_later_hard_state, interrupted_log)
+{
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, 1));
+        synced = read_bytes(log());
+        consensus::effects vote;
+        vote.hard_state_changed = true;
+        consensus::group_state later = make_group();
+        later.term = 2;
+        later.voted_for = consensus::member_id{4};
+        store.persist(later, vote);
+        written = read_bytes(log());
+    }
+    for (std::size_t size = synced.size(); size <= written.size(); ++size) {
+        write_bytes(log(), written.substr(0, size));
+        const log_store reopened(group());
+        const bool is_later = size == written.size();
+        BOOST_TEST(reopened.loaded().term == (is_later ? 2U : 1U));
+        BOOST_TEST(reopened.loaded().voted_for.value == (is_later ? 4U : 9U));
+    }
+}
+
+/// A group that writes a second snapshot: its files before and after.
+struct interrupted_snapshot : temporary_folder {
+    static constexpr consensus::log_index last_index = 8;
+    std::string old_snapshot;
+    std::string old_log;
+    std::string new_snapshot;
+    std::string new_log;
+
+    [[nodiscard]] std::string snapshot() const { return group() + "/snapshot"; }
+
+    interrupted_snapshot()
+    {
+        log_store store(group());
+        store.persist(make_group(), make_entries(1, last_index));
+        write_snapshot(store, 2);
+        old_snapshot = read_bytes(snapshot());
+        old_log = read_bytes(log());
+        write_snapshot(store, 4);
+        new_snapshot = read_bytes(snapshot());
+        new_log = read_bytes(log());
+    }
+
+    static void write_snapshot(log_store& store, consensus::log_index index)
+    {
+        consensus::group_state state = make_group();
+        auto snapshot = std::make_shared<consensus::snapshot>();
+        snapshot->index = index;
+        snapshot->term = 1;
+        snapshot->state = "state " + std::to_string(index);
+        state.newest_snapshot = snapshot;
+        const consensus::effects retained = make_entries(index + 1, last_index - index);
+        state.entries.assign(retained.appended.begin(), retained.appended.end());
+        store.write_snapshot(state);
+    }
+
+    /// @return whether a replica starts with such files and holds the hard state and all entries up to the
+    /// last one, and whether it can then replace its files.
+    bool starts_whole(consensus::log_index base_index)
+    {
+        {
+            log_store store(group());
+            const consensus::group_state restored = consensus::restore_state(
+                consensus::member_id{9}, {}, store.take_loaded(), {}, runtime_clock::now(), 1);
+            if (restored.base_index != base_index || consensus::last_index(restored) != last_index ||
+                restored.term != 1 || restored.voted_for.value != 9) {
+                return false;
+            }
+            write_snapshot(store, 6);
+        }
+        return log_store(group()).loaded().newest_snapshot->index == 6;
+    }
+};
+
+BOOST_FIXTURE_TEST_CASE(power_loss_before_a_snapshot_has_its_name_leaves_the_earlier_one,
+                        interrupted_snapshot)
+{
+    for (std::size_t size = 0; size <= new_snapshot.size(); ++size) {
+        write_bytes(snapshot(), old_snapshot);
+        write_bytes(log(), old_log);
+        write_bytes(snapshot() + ".new", new_snapshot.substr(0, size));
+        BOOST_TEST(starts_whole(2));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(power_loss_before_the_rewritten_log_has_its_name_leaves_the_earlier_one,
+                        interrupted_snapshot)
+{
+    for (std::size_t size = 0; size <= new_log.size(); ++size) {
+        write_bytes(snapshot(), new_snapshot);
+        write_bytes(log(), old_log);
+        write_bytes(log() + ".new", new_log.substr(0, size));
+        BOOST_TEST(starts_whole(4));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(snapshot_damaged_or_cut_at_any_byte_is_refused, interrupted_snapshot)
+{
+    for (std::size_t i = 0; i < new_snapshot.size(); ++i) {
+        std::string bytes = new_snapshot;
+        bytes[i] = static_cast<char>(bytes[i] ^ 0x55);
+        write_bytes(snapshot(), bytes);
+        BOOST_CHECK_THROW(log_store{group()}, storage_error);
+        write_bytes(snapshot(), new_snapshot.substr(0, i));
+        BOOST_TEST_CONTEXT("size " << i)
+        {
+            BOOST_CHECK_THROW(log_store{group()}, storage_error);
+        }
+    }
+}
+
+// Guards against a replica that starts empty under its old identity because its snapshot is gone.
+BOOST_FIXTURE_TEST_CASE(log_whose_snapshot_is_missing_or_too_old_is_refused, interrupted_snapshot)
+{
+    std::filesystem::remove(snapshot());
+    BOOST_CHECK_THROW(log_store{group()}, storage_error);
+    write_bytes(snapshot(), old_snapshot);
+    BOOST_CHECK_THROW(log_store{group()}, storage_error);
+}
+
+BOOST_FIXTURE_TEST_CASE(identity_is_retained_or_new_whatever_a_power_loss_left_of_its_replacement,
+                        temporary_folder)
+{
+    const std::string folder = path.string();
+    const disk_identity first = open_identity(folder);
+    const std::string bytes = read_bytes(folder + "/identity");
+    for (std::size_t size = 0; size <= bytes.size(); ++size) {
+        write_bytes(folder + "/identity.new", bytes.substr(0, size));
+        BOOST_TEST((open_identity(folder).id == first.id));
+        std::filesystem::remove(folder + "/identity");
+        BOOST_TEST(open_identity(folder).blank); // nothing was acknowledged before the identity had its name
+        write_bytes(folder + "/identity", bytes);
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(identity_damaged_or_cut_at_any_byte_is_refused, temporary_folder)
+{
+    const std::string folder = path.string();
+    open_identity(folder);
+    log_store(group()).persist(make_group(), make_entries(1, 1));
+    const std::string bytes = read_bytes(folder + "/identity");
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        std::string damaged = bytes;
+        damaged[i] = static_cast<char>(damaged[i] ^ 0x55);
+        write_bytes(folder + "/identity", damaged);
+        BOOST_CHECK_THROW(open_identity(folder), storage_error);
+        write_bytes(folder + "/identity", bytes.substr(0, i));
+        BOOST_CHECK_THROW(open_identity(folder), storage_error);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
