A control process whose port is held ends without an abort

Seen: a control process that can't listen at its operator or link address aborts in 13 of 20 starts (7 of 10 with the link's address held, 6 of 10 with the operator's: heap damage, std::bad_alloc, a length error) instead of exit code 2.

Cause: the group's thread runs once start() has started it. When a later listen failed, the members that the thread uses were destroyed before the group, and the process object before the pool.

The process then exits, to be started again; it doesn't wait.

--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -80,7 +80,10 @@
     client_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
 }
 
-control_process::~control_process() = default;
+control_process::~control_process()
+{
+    group_->stop(); // after a failed start the group's thread may run, and uses the members below
+}
 
 void control_process::start(http::handler operator_handler)
 {
