Try a hosted control replica again whose start failed

Seen: a gateway whose replica of the control group couldn't start because its port was held for a moment, or its files couldn't be opened, didn't run it again until the gateway itself started again. If the group lacked a quorum without it, the group stayed without a leader.

Cause: a port that was held ended the host for good, since the group's thread ran already when the address was bound. After other failures the host waited until control reported the members, which it does only with a leader.

Change: a control process binds its link's address before its group starts, so nothing of it runs if that fails and the host drops it. The host starts a replica whose files it has without a report of the members, as at its own start, at most every 2 s.

Evidence, on the code before: control_host_test/replica_whose_port_was_held_starts_once_the_port_is_free and .../replica_whose_files_could_not_be_opened_starts_once_they_can: "check listens() has failed" after the fault had passed.

--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -101,11 +101,12 @@
         group_->set_contacts(settings_.seeds);
         group_->bootstrap_with_contacts();
     }
-    group_->start(std::move(machine));
+    // Before the group starts: a replica that can't be reached must not join the group.
     links_->listen(link_listen_address(settings_),
                    [this](const wire::reply_target& from, const wire::envelope_ptr& message) {
                        receive(from, message);
                    });
+    group_->start(std::move(machine));
     const auto memory = std::make_shared<http::memory_budget>(make_byte_limits(settings_));
     http::server_limits operator_limits;
     operator_limits.guard = std::make_shared<http::request_guard>(memory, make_connection_limits(settings_));
--- a/src/gateway/control_host.cpp
+++ b/src/gateway/control_host.cpp
@@ -16,6 +16,8 @@
 
 /// For the control processes of a fleet that starts, or of an instance that returns, to join the group.
 constexpr duration vacancy_delay = 3s;
+/// Between two starts, the first of which failed: each opens and reads the files of the group.
+constexpr duration start_retry_interval = 2s;
 
 std::string host_of(const std::string& endpoint)
 {
@@ -67,12 +69,13 @@
 {
     const std::lock_guard lock(mutex_);
     if (!is_ended_ && holds_replica(settings_.data_folder)) {
-        run_replica();
+        run_replica(runtime_clock::now());
     }
 }
 
-void control_host::run_replica()
+void control_host::run_replica(time_point now)
 {
+    next_start_ = now + start_retry_interval;
     std::string failure_reason;
     try {
         replica_ = std::make_unique<core::control_process>(settings_, pool_);
@@ -80,12 +83,16 @@
         log_event(event::control_replica_hosted, {{"link", settings_.link}});
         return;
     }
+    catch (const link_error& error) {
+        failure_reason = error.what();
+        replica_.reset(); // its port is held; nothing of it runs
+    }
     catch (const std::exception& error) {
         failure_reason = error.what();
     }
     log_event(event::control_replica_failed, {{"link", settings_.link}, {"reason", failure_reason}});
     if (replica_) {
-        replica_->stop(); // a replica that can't be reached must not join the group
+        replica_->stop(); // messages that it received may still be processed, so it can't be replaced
         is_ended_ = true;
     }
     needed_since_ = {};
@@ -97,8 +104,13 @@
     if (!lock) {
         return; // the replica stops, and needs this thread to hand over its leadership
     }
-    const bool is_needed = !replica_ && !is_ended_ &&
-                           needs_control_replica(endpoints, settings_.link, settings_.tolerated_failures);
+    if (replica_ || is_ended_ || now < next_start_) {
+        return;
+    }
+    // Its group may lack a quorum until this replica starts, and then nobody reports the members.
+    const bool has_files = holds_replica(settings_.data_folder);
+    const bool is_needed =
+        has_files || needs_control_replica(endpoints, settings_.link, settings_.tolerated_failures);
     if (!is_needed) {
         needed_since_ = {};
         return;
@@ -107,9 +119,9 @@
         needed_since_ = now;
     }
     // A former replica of this instance is a voter without a disk until it is replaced.
-    const bool returns = endpoints.contains(settings_.link);
+    const bool returns = has_files || endpoints.contains(settings_.link);
     if (returns || now - needed_since_ >= vacancy_delay) {
-        run_replica();
+        run_replica(now);
     }
 }
 
--- a/src/gateway/control_host.hpp
+++ b/src/gateway/control_host.hpp
@@ -27,8 +27,9 @@
     ~control_host();
     /// Starts the replica if the data folder holds one.
     void start();
-    /// Starts the replica if the group has needed it for some time, or has a former one of this instance.
-    /// @param endpoints as reported by control.
+    /// Starts the replica if the group has needed it for some time or has a former one of this instance, or
+    /// if the data folder holds one whose last start failed.
+    /// @param endpoints as reported by control; empty while nothing is known of the group.
     void consider(const std::set<std::string>& endpoints, time_point now);
     void set_seeds(const std::vector<std::string>& seeds);
     /// Transfers leadership, then stops for good.
@@ -37,7 +38,7 @@
     void close();
 
 private:
-    void run_replica();
+    void run_replica(time_point now);
 
     core::fleet_settings settings_;
     runtime::worker_pool& pool_;
@@ -45,7 +46,8 @@
     std::mutex mutex_; ///< guards the members below; held while the replica starts and stops. The locks of
                        ///< the replica are taken while it is held.
     std::unique_ptr<core::control_process> replica_;
-    bool is_ended_; ///< no replica starts any more, or the instance has no disk
+    time_point next_start_{}; ///< no start is tried before this time
+    bool is_ended_;           ///< no replica starts any more, or the instance has no disk
 };
 
 } // namespace guavawick::gateway
--- a/tests/unit/control_host_test.cpp
+++ b/tests/unit/control_host_test.cpp
@@ -6,6 +6,8 @@
 
 namespace guavawick::tests {
 
+using tcp = asio::ip::tcp;
+
 namespace {
 
 constexpr int max_polls = 200000;    ///< of a metric that stays as it is
@@ -207,6 +209,31 @@
     }
 
     [[nodiscard]] bool hosts() const { return fs::exists(data_folder / "group-0"); }
+
+    /// Leaves the files of a replica, as a restart finds them.
+    void create_files() const
+    {
+        replica::open_identity(settings.data_folder);
+        const replica::log_store store(settings.data_folder + "/group-0");
+    }
+
+    [[nodiscard]] tcp::endpoint replica_endpoint() const
+    {
+        const std::string address = settings.replica_link.substr(std::string("tcp://").size());
+        const std::size_t colon = address.rfind(':');
+        return {asio::ip::make_address(address.substr(0, colon)),
+                static_cast<std::uint16_t>(std::stoul(address.substr(colon + 1)))};
+    }
+
+    /// @return whether the replica listens.
+    [[nodiscard]] bool listens() const
+    {
+        asio::io_context io;
+        tcp::socket socket(io);
+        boost::system::error_code error;
+        socket.connect(replica_endpoint(), error);
+        return !error;
+    }
 };
 
 // Guards against a group that waits for a replica whose disk was lost until two more disks may be lost.
@@ -234,6 +261,39 @@
     BOOST_TEST(!hosts());
 }
 
+// Guards against a voter that stays away until its gateway restarts, because its port was held for a moment.
+BOOST_FIXTURE_TEST_CASE(replica_whose_port_was_held_starts_once_the_port_is_free, hosting_instance)
+{
+    create_files();
+    asio::io_context io;
+    tcp::acceptor holder(io, replica_endpoint());
+    const time_point now = runtime_clock::now();
+    host->start();
+    host->consider({}, now + 10s);
+    holder.close();
+    BOOST_TEST(!listens());
+    host->consider({}, now + 20s);
+    BOOST_TEST(listens());
+}
+
+// Guards against a group that lacks a quorum for good: without a leader nobody reports the members, and the
+// replica was tried again only once they were known.
+BOOST_FIXTURE_TEST_CASE(replica_whose_files_could_not_be_opened_starts_once_they_can, hosting_instance)
+{
+    create_files();
+    const fs::path log = data_folder / "group-0" / "log";
+    fs::remove(log);
+    fs::create_directory(log);
+    const time_point now = runtime_clock::now();
+    host->start();
+    BOOST_TEST(!listens());
+    fs::remove(log);
+    host->consider({}, now + 1ms);
+    BOOST_TEST(!listens()); // not each time that it is considered
+    host->consider({}, now + 10s);
+    BOOST_TEST(listens());
+}
+
 BOOST_AUTO_TEST_CASE(instance_with_another_replica_or_without_news_is_not_needed)
 {
     const std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
