Views: check the read lease when a view is sent, not at the last tick

A gateway that had just started could take an outdated plan or outdated evacuations for confirmed ones, and run or refuse calls by them.

A control replica marked the views that it sent in reply to subscriptions as confirmed by a flag that the group's thread set every 100 ms. While the thread waited for its disk, or after the process had been frozen, the flag said that the replica led although its lease had ended and another leader could have acknowledged newer versions.

The views are sent on the group's thread now, with the lease as of that time. One task sends all that are due, so that a thread that was held up sends each gateway one document.

--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -384,7 +384,7 @@
     // The leader pushes a new view itself; a full document from every replica would saturate the links.
     const bool push_missed = request.version() == 0 || now - view_published_at_.load() > push_retry_delay;
     if (!is_store && request.revision() < view->revision && push_missed) {
-        push_view(request.endpoint(), *view, request.version(), leadership_confirmed_.load());
+        schedule_push(request.endpoint(), request.version());
     }
 }
 
@@ -430,7 +430,6 @@
 
 void control_process::tick(time_point now)
 {
-    leadership_confirmed_.store(group_->has_read_lease());
     std::vector<std::string> members;
     for (const replica::member_report& member : group_->report().members) {
         members.push_back(member.info.endpoint);
