--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -75,7 +75,8 @@
     void close();
 
     /// Merges an instance's announcement into the directory and distributes it. The announcement of a planned
-    /// stop is acknowledged only after another replica has confirmed it or the wait for that timed out.
+    /// stop is acknowledged only after another replica has confirmed it, unless there is no other replica.
+    /// @throw link_error if none confirms it before the timeout; the instance then asks another replica.
     boost::asio::awaitable<void> announce(directory::instance_record announcement);
     /// Marks an instance as gone and distributes that as announce() does.
     boost::asio::awaitable<void> deregister(directory::instance_id id, std::uint64_t started_ms);
@@ -125,6 +126,8 @@
     void push_view(const std::string& endpoint, const fleet_state& view, std::uint64_t known_version,
                    bool confirmed);
     void push_view_to_all(std::uint64_t known_version);
+    void schedule_push(const std::string& endpoint, std::uint64_t known_version);
+    void send_scheduled_pushes();
     void tick(time_point now);
     void bootstrap_ledger_groups(time_point now);
     void decide_rollouts(time_point now);
@@ -140,7 +143,8 @@
     wire::envelope make_retirement_reply(const std::string& store, time_point now);
     void update_hello(time_point now);
     wire::envelope make_full_hello(time_point now);
-    boost::asio::awaitable<void> send_to_peers(wire::envelope update, bool wait_for_peer);
+    boost::asio::awaitable<bool> send_to_peers(wire::envelope update, bool wait_for_peer);
+    boost::asio::awaitable<void> replicate_stop(directory::instance_id id, wire::envelope update);
     boost::asio::awaitable<wire::envelope> call_leader(wire::envelope request);
     boost::asio::awaitable<wire::envelope> execute_order(wire::envelope command, order_source source);
     boost::asio::awaitable<std::optional<std::uint64_t>> read_order_count();
@@ -157,8 +161,6 @@
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
     bool push_pending_ = false; ///< a push of the view to all subscribers is queued on the group's thread
-    std::atomic<time_point> confirmed_until_{time_point{}}; ///< until then a quorum confirms, as of the last
-                                                            ///< tick, that this replica's state is the newest
     time_point
         bootstrap_wait_since_{};   ///< start of the current bootstrap_delay; unset before the first store
     std::atomic<fleet_view> view_; ///< state after the last applied command
@@ -182,12 +184,15 @@
     directory::crash_table crashes_;
     std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
     std::map<std::string, store_status> stores_;    ///< by endpoint
-    rollout::evidence_table evidence_;              ///< reports of the gateways on running rollouts
+    std::map<std::string, std::uint64_t>
+        scheduled_pushes_; ///< document versions that gateways without the newest view have, by endpoint
+    rollout::evidence_table evidence_; ///< reports of the gateways on running rollouts
     std::vector<std::string> seeds_;
     std::vector<std::string> member_endpoints_; ///< link endpoints of the control group's members
     wire::directory_update batch_;              ///< changes not yet sent to the gateways
     std::set<std::uint64_t> pending_confirms_;  ///< numbers of updates that no other replica confirmed yet
     std::uint64_t next_confirm_number_ = 1;
+    std::set<directory::instance_id> unconfirmed_stops_; ///< that no other replica is known to have
 
     http::metric_set metrics_;
     std::unique_ptr<http::server> operator_server_;
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -297,11 +297,6 @@
     return applied_term_ == state_.term && consensus::has_read_lease(state_, runtime_clock::now());
 }
 
-time_point group::read_lease_end() const
-{
-    return has_read_lease() ? consensus::read_lease_end(state_, runtime_clock::now()) : time_point{};
-}
-
 bool group::leads() const
 {
     return serving_ && state_.role == consensus::role_type::leader;
@@ -320,6 +315,7 @@
     result.commit = state_.commit;
     result.applied = state_.applied;
     result.last = consensus::last_index(state_);
+    result.members_committed = state_.memberships.back().index <= state_.commit;
     const consensus::member* leader =
         consensus::find_member(consensus::current_members(state_), state_.leader);
     result.leader = leader == nullptr ? "" : leader->name;
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -73,6 +73,7 @@
     consensus::log_index last = 0; ///< last entry of the log, committed or not
     std::string leader;            ///< name of the leader, empty if unknown
     std::vector<member_report> members;
+    bool members_committed = false; ///< as far as this replica knows, a quorum has confirmed `members`
 };
 
 /// What a replica knows of its group, whether it has a leader or not.
@@ -180,9 +181,6 @@
     /// @return whether this replica is the leader and holds a read lease, so that its applied state is
     /// current. @pre called on the group's thread.
     [[nodiscard]] bool has_read_lease() const;
-    /// @return until when has_read_lease() stays true if nothing further arrives; the epoch if it is false.
-    /// @pre called on the group's thread.
-    [[nodiscard]] time_point read_lease_end() const;
     /// @return whether this replica is the leader and its state machine has been notified of that. Requests
     /// that arrive in the same batch as the deciding vote are not served yet.
     /// @pre called on the group's thread.
