Plan validation: a key belongs to one organisation, also beside another of the same name

A plan in which two organisations of the same name share a key was acknowledged. Their limits may differ, and the last one in the document decided. The check compared names; it compares the entries now.

Evidence: plan_test.cpp(72), number of faults 0 != 1 on the code before.

--- a/src/plan/plan_func.cpp
+++ b/src/plan/plan_func.cpp
@@ -54,13 +54,13 @@
                 {"route " + checked_route.name.value, "another route has the same host and path prefix"});
         }
     }
-    std::map<std::string, organisation_name> key_owners;
+    std::map<std::string, const organisation*> key_owners;
     for (const organisation& key_holder : plan.organisations) {
         for (const std::string& key : key_holder.key_hashes) {
-            const auto [owner, inserted] = key_owners.emplace(key, key_holder.name);
-            if (!inserted && owner->second != key_holder.name) {
+            const auto [owner, inserted] = key_owners.emplace(key, &key_holder);
+            if (!inserted && owner->second != &key_holder) {
                 faults.push_back({"organisation " + key_holder.name.value,
-                                  "shares a key with organisation " + owner->second.value});
+                                  "shares a key with organisation " + owner->second->name.value});
             }
         }
     }
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -63,6 +63,15 @@
     BOOST_TEST(check_plan(valid_plan).size() == 5U);
 }
 
+// Guards against a key that two organisations of the same name share, with different limits.
+BOOST_FIXTURE_TEST_CASE(key_belongs_to_one_organisation_even_beside_another_of_the_same_name, plan_fixture)
+{
+    valid_plan.organisations.front().key_hashes.push_back(sha256_hex("key"));
+    BOOST_TEST(check_plan(valid_plan).empty());
+    valid_plan.organisations.push_back({organisation_name{"o"}, {sha256_hex("key")}, {}, 5, 5});
+    BOOST_TEST(check_plan(valid_plan).size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(services_of_a_route_share_calls_by_weight, plan_fixture)
 {
     route split = make_route("split", "/s/");
