Plan: a service whose share is 0 gets no calls of its route

A stream could be taken up at the service that began it after a newer version had set that service's share of the route to 0, since the check asked only whether the route lists the service. pick_service() chose the last service of the list for the highest random values, also if its share is 0: they are rounded up to the end of the range (one in 2^53 calls).

may_serve() asks for a share above 0, and the last service with a share gets the highest values.

Evidence: plan_test.cpp(94) on the code before, pick_service() returns t, whose share is 0. may_serve() is new; the case of a stream was found by reading and is tested at this function.

--- a/src/gateway/call_stream.cpp
+++ b/src/gateway/call_stream.cpp
@@ -111,10 +111,7 @@
 {
     if (call.origin) {
         const plan::service_name service{call.origin->service};
-        const bool is_routed = std::any_of(
-            call.route->services.begin(), call.route->services.end(),
-            [&service](const plan::weighted_service& listed) { return listed.service == service; });
-        if (!is_routed) {
+        if (!plan::may_serve(*call.route, service)) {
             return {503, "the service that began the stream no longer serves the route", {}};
         }
         call.service = service;
--- a/src/plan/plan_func.cpp
+++ b/src/plan/plan_func.cpp
@@ -108,17 +108,27 @@
     return found == plan.organisation_by_key.end() ? nullptr : &plan.plan.organisations[found->second];
 }
 
+bool may_serve(const route& split_route, const service_name& service)
+{
+    return std::any_of(split_route.services.begin(), split_route.services.end(),
+                       [&service](const weighted_service& weighted) {
+                           return weighted.service == service && weighted.weight > 0;
+                       });
+}
+
 const weighted_service& pick_service(const route& split_route, std::uint64_t random_value)
 {
     constexpr double range = 18446744073709551616.0; // 2^64
     double remaining = static_cast<double>(random_value) / range * total_weight(split_route);
+    const weighted_service* last = &split_route.services.back();
     for (const weighted_service& weighted : split_route.services) {
+        last = weighted.weight > 0 ? &weighted : last;
         remaining -= weighted.weight;
         if (remaining < 0) {
             return weighted;
         }
     }
-    return split_route.services.back();
+    return *last; // the highest random values are rounded up to the end of the range
 }
 
 } // namespace guavawick::plan
--- a/tests/unit/plan_test.cpp
+++ b/tests/unit/plan_test.cpp
@@ -85,6 +85,19 @@
     BOOST_TEST(first < 9200);
 }
 
+// Guards against calls to a service whose share a newer version has set to 0: new ones, and those that take
+// up a stream which began there.
+BOOST_FIXTURE_TEST_CASE(service_without_a_share_gets_no_calls, plan_fixture)
+{
+    route split = make_route("split", "/s/");
+    split.services = {{service_name{"s"}, 1.0}, {service_name{"t"}, 0.0}};
+    BOOST_TEST(pick_service(split, UINT64_MAX).service.value == "s");
+    BOOST_TEST(pick_service(split, 0).service.value == "s");
+    BOOST_TEST(may_serve(split, service_name{"s"}));
+    BOOST_TEST(!may_serve(split, service_name{"t"}));
+    BOOST_TEST(!may_serve(split, service_name{"u"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
