--- a/tests/unit/plan_burst_test.cpp
+++ b/tests/unit/plan_burst_test.cpp
@@ -90,7 +90,7 @@
     gateway_with_stopped_clock& operator=(const gateway_with_stopped_clock&) = delete;
 
     void push_view(std::uint64_t revision, std::uint64_t version, bool has_document,
-                   const std::string& evacuated = "")
+                   const std::string& evacuated = "", const std::string& damaged_document = "")
     {
         wire::envelope message;
         wire::control_view& view = *message.mutable_view();
@@ -99,7 +99,8 @@
         view.set_confirmed(true);
         view.set_has_document(has_document);
         if (has_document) {
-            view.set_document(compress(std::to_string(version)));
+            view.set_document(damaged_document.empty() ? compress(std::to_string(version))
+                                                       : damaged_document);
         }
         if (!evacuated.empty()) {
             view.add_evacuated(evacuated);
@@ -194,6 +195,29 @@
     BOOST_TEST(decoded_documents() == first_and_newest, boost::test_tools::per_element());
 }
 
+// Guards against a gateway that goes back to an older plan, or that ignores newer ones after a document that
+// it can't decode.
+BOOST_FIXTURE_TEST_CASE(views_that_are_late_or_damaged_do_not_bring_back_an_older_plan,
+                        gateway_with_stopped_clock)
+{
+    push_view(5, 5, true);
+    push_view(4, 4, true);
+    push_view(5, 5, true); // of another replica
+    push_view(3, 3, false);
+    flush();
+    runtime_clock::advance(250ms);
+    push_view(6, 6, true, "", "not a document");
+    push_view(4, 4, true);
+    flush();
+    wait_for_metric("guavawick_gateway_plan_version", 5);
+    push_view(7, 7, true);
+    wait_for_metric("guavawick_gateway_plan_version", 7);
+    push_view(6, 6, true);
+    flush();
+    wait_for_metric("guavawick_gateway_plan_version", 7);
+    BOOST_TEST(decoded_documents() == (std::vector<std::string>{"5", "7"}), boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
