Replace a voter by way of two voters in each data centre

While a voter is replaced by a learner of its own data centre, three of six voters are in one data centre for at least 200 ms. If it is lost then, the group has no quorum until it returns.

Cause: the planner left the replaced voter out when it compared the data centres of the learners, and the standby learner was whichever replica asked first.

Change: the replaced voter counts in the comparison, and the standby learner gives way to one of the data centre with the fewest voters. Five voters then become two, two and two before the removal, which withstands the loss of two disks and that of a data centre. An exhaustive search (membership_plan_test) shows that no order of single changes does so without a replica in the data centre with one voter. Then the old order remains; the loss that it does not withstand is that of the replaced voter's data centre between the two changes.

--- a/src/consensus/membership_plan.cpp
+++ b/src/consensus/membership_plan.cpp
@@ -30,22 +30,34 @@
     return voter_counts;
 }
 
+std::size_t count_in(const std::map<std::string, std::size_t>& voter_counts, const member_status& status)
+{
+    const auto found = voter_counts.find(status.info.data_centre);
+    return found == voter_counts.end() ? 0 : found->second;
+}
+
+/// @return whether the member may be promoted beside all voters of its data centre.
+bool has_room(const std::map<std::string, std::size_t>& voter_counts, const member_status& status,
+              const membership_policy& policy)
+{
+    return count_in(voter_counts, status) < policy.max_voters_per_data_centre;
+}
+
 /// @return the caught-up learner whose data centre has the fewest voters, or nullptr if none may be promoted.
+/// The replaced voter counts for the choice, as it stays a voter until the learner is one, but not for the
+/// limit.
 const member_status* find_replacement(const std::vector<member_status>& members,
                                       const member_status* replaced, const membership_policy& policy)
 {
-    const auto voter_counts = count_voters(members, replaced);
-    const auto voters_in_data_centre = [&voter_counts](const member_status& candidate) {
-        const auto found = voter_counts.find(candidate.info.data_centre);
-        return found == voter_counts.end() ? std::size_t{0} : found->second;
-    };
+    const auto remaining_counts = count_voters(members, replaced);
+    const auto voter_counts = count_voters(members, nullptr);
     const member_status* best = nullptr;
     for (const member_status& candidate : members) {
         const bool is_eligible = !candidate.info.voter && candidate.caught_up &&
                                  !is_retiring(candidate, policy) && !is_lost(candidate, policy) &&
-                                 voters_in_data_centre(candidate) < policy.max_voters_per_data_centre;
+                                 has_room(remaining_counts, candidate, policy);
         if (is_eligible &&
-            (best == nullptr || voters_in_data_centre(candidate) < voters_in_data_centre(*best))) {
+            (best == nullptr || count_in(voter_counts, candidate) < count_in(voter_counts, *best))) {
             best = &candidate;
         }
     }
@@ -90,6 +102,35 @@
     return surplus;
 }
 
+bool is_standby(const member_status& status, const membership_policy& policy)
+{
+    return !status.info.voter && !is_lost(status, policy) && !is_retiring(status, policy);
+}
+
+/// @return a standby learner that the group does not need: there are too many, and another one that has
+/// caught up may be promoted beside all voters, which this one may not. nullptr if there is none.
+const member_status* find_surplus_learner(const std::vector<member_status>& members,
+                                          const membership_policy& policy)
+{
+    const auto voter_counts = count_voters(members, nullptr);
+    std::size_t standby_count = 0;
+    bool has_promotable = false;
+    const member_status* surplus = nullptr;
+    for (const member_status& status : members) {
+        if (!is_standby(status, policy)) {
+            continue;
+        }
+        ++standby_count;
+        if (!has_room(voter_counts, status, policy)) {
+            surplus = &status;
+        }
+        else {
+            has_promotable = has_promotable || status.caught_up;
+        }
+    }
+    return has_promotable && standby_count > policy.standby_learners ? surplus : nullptr;
+}
+
 std::size_t count_lost(const std::vector<member_status>& members, const membership_policy& policy)
 {
     return static_cast<std::size_t>(
@@ -139,6 +180,10 @@
             return {planned_kind::remove, status.info.id};
         }
     }
+    const member_status* surplus = departing == nullptr ? find_surplus_learner(members, policy) : nullptr;
+    if (surplus != nullptr) {
+        return {planned_kind::remove, surplus->info.id};
+    }
     return {};
 }
 
@@ -158,7 +203,14 @@
         std::count_if(members.begin(), members.end(), [&policy](const member_status& status) {
             return !is_lost(status, policy) && !is_retiring(status, policy);
         });
-    return static_cast<std::size_t>(available) < policy.voters + policy.standby_learners;
+    if (static_cast<std::size_t>(available) < policy.voters + policy.standby_learners) {
+        return true;
+    }
+    const auto voter_counts = count_voters(members, nullptr);
+    const bool has_promotable = std::any_of(members.begin(), members.end(), [&](const member_status& status) {
+        return is_standby(status, policy) && has_room(voter_counts, status, policy);
+    });
+    return !has_promotable && has_room(voter_counts, {joining}, policy);
 }
 
 std::vector<std::string> choose_join_contacts(join_schedule& schedule,
--- a/src/consensus/membership_plan.hpp
+++ b/src/consensus/membership_plan.hpp
@@ -41,6 +41,12 @@
 /// disk, and one voter more than `voters` still has a quorum after the loss of as many disks as the group
 /// tolerates, while one voter less has not. A lost voter of a smaller group is removed first, so that it does
 /// not count towards the larger quorum.
+///
+/// The learner of the data centre with the fewest voters is preferred. With five voters in three data centres
+/// there are then two in each until the replaced one is removed, so each step withstands the loss of two
+/// voters and that of a data centre. If only the data centre of the replaced voter has a learner, it holds
+/// three of six voters until the removal, and its loss in between leaves no quorum. No other order of single
+/// changes withstands it (membership_plan_test searches all of them).
 /// @param members status of all members, including the leader.
 /// @return the change, of kind `nothing` if none is needed or possible.
 planned_change plan_membership_change(const std::vector<member_status>& members,
@@ -49,7 +55,8 @@
 /// @return whether a candidate may join as a learner. The group keeps only `standby_learners` besides its
 /// voters: each further replica costs the same replication traffic and helps only if a lost voter can't be
 /// replaced by a standby learner. A replica that returns with another disk is admitted in place of its old
-/// one.
+/// one, and one that may be promoted beside all voters of its data centre in place of a standby learner that
+/// may not.
 bool admits_learner(const std::vector<member_status>& members, const member& joining,
                     const membership_policy& policy);
 /// Whom a replica has asked whether a group needs it. Members pass a request on to their leader, so it is
--- a/tests/unit/managed_cluster.cpp
+++ b/tests/unit/managed_cluster.cpp
@@ -14,7 +14,7 @@
 constexpr duration slow_delay = 60ms;
 constexpr std::uint64_t max_start_delay_ms = 300;
 
-std::size_t count_voters(const group_state& state)
+std::size_t voters_of(const group_state& state)
 {
     const auto& listed = current_members(state).members;
     return static_cast<std::size_t>(
@@ -24,10 +24,11 @@
 } // namespace
 
 managed_cluster::managed_cluster(std::uint64_t random_seed, std::size_t replicas,
-                                 std::size_t tolerated_failures)
-    : fake_cluster(random_seed, make_membership_policy(tolerated_failures, 3).voters),
+                                 std::size_t tolerated_failures, std::size_t founders)
+    : fake_cluster(random_seed,
+                   founders == 0 ? make_membership_policy(tolerated_failures, 3).voters : founders),
       join_schedules(replicas), next_joins(replicas), next_plans(replicas), disks_since(replicas, now),
-      policy_(make_membership_policy(tolerated_failures, 3))
+      policy_(make_membership_policy(tolerated_failures, 3)), returns_at_(replicas), whole_at_(replicas)
 {
     is_managed = true;
     settings.election_timeout = 600ms;
@@ -172,6 +173,86 @@
     }
 }
 
+void managed_cluster::stop(std::size_t replica)
+{
+    members[replica].running = false;
+    members[replica].state.role = role_type::follower;
+}
+
+void managed_cluster::lose_one(std::size_t replica)
+{
+    const std::uint64_t kind = random_below(4);
+    if (kind == 1) {
+        members[replica].name = "r" + std::to_string(next_name_++);
+    }
+    if (kind <= 2) {
+        lose_disk(members[replica]);
+        disks_since[replica] = now;
+        join_schedules[replica] = {};
+    }
+    stop(replica);
+    returns_at_[replica] = now + 100ms + std::chrono::milliseconds(random_below(3000));
+}
+
+void managed_cluster::lose_several(std::size_t max_lost)
+{
+    const auto lost = static_cast<std::size_t>(
+        std::count_if(whole_at_.begin(), whole_at_.end(), [this](time_point whole) { return now < whole; }));
+    const std::size_t disturbed = random_below(members.size());
+    if (lost == 0 && random_below(5) == 0) {
+        const time_point returns = now + 200ms + std::chrono::milliseconds(random_below(4000));
+        for (std::size_t i = disturbed % 3; i < members.size(); i += 3) {
+            stop(i);
+            returns_at_[i] = returns;
+        }
+        return;
+    }
+    if (lost >= max_lost || now < whole_at_[disturbed]) {
+        return;
+    }
+    if (random_below(6) == 0 && lost == 0) {
+        lose_power({disturbed, random_below(members.size())});
+        now += 100ms + std::chrono::milliseconds(random_below(1600));
+        return_power();
+        return;
+    }
+    lose_one(disturbed);
+}
+
+void managed_cluster::run_with_tolerated_faults(duration span, std::size_t max_lost, duration catch_up)
+{
+    const time_point until = now + span;
+    while (now < until) {
+        for (std::size_t i = 0; i < members.size(); ++i) {
+            if (!members[i].running && now >= returns_at_[i]) {
+                restart(members[i]);
+                next_joins[i] = now;
+            }
+            whole_at_[i] = members[i].running ? whole_at_[i] : now + catch_up;
+        }
+        steps_per_crash = 400;
+        for (int i = 0; i < 10; ++i) {
+            deliver_one(2);
+        }
+        steps_per_crash = 0;
+        if (random_below(20) == 0) {
+            const std::vector<fake_member> before = members;
+            lose_several(max_lost);
+            for (std::size_t i = 0; i < members.size(); ++i) {
+                const bool disturbed = !members[i].running || members[i].id != before[i].id;
+                whole_at_[i] = disturbed ? std::max(whole_at_[i], now + catch_up) : whole_at_[i];
+            }
+        }
+        run(step_time);
+    }
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        if (!members[i].running) {
+            restart(members[i]);
+            next_joins[i] = now;
+        }
+    }
+}
+
 void managed_cluster::hold_slow_messages()
 {
     std::deque<message> prompt;
@@ -234,12 +315,18 @@
     return {replicas.begin(), replicas.begin() + static_cast<std::ptrdiff_t>(count)};
 }
 
+std::size_t managed_cluster::count_voters()
+{
+    const fake_member* leader = find_lease_holder();
+    return leader == nullptr ? 0 : voters_of(leader->state);
+}
+
 bool managed_cluster::tolerates(std::size_t lost)
 {
     const fake_member* leader = find_lease_holder();
     return leader != nullptr && std::all_of(members.begin(), members.end(), [&](const fake_member& member) {
                return find_member(current_members(leader->state), member.id) == nullptr ||
-                      count_intact(member.state) >= count_voters(member.state) / 2 + 1 + lost;
+                      count_intact(member.state) >= voters_of(member.state) / 2 + 1 + lost;
            });
 }
 
--- a/tests/unit/membership_plan_test.cpp
+++ b/tests/unit/membership_plan_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
+#include <bitset>
 
 namespace guavawick::tests {
 
@@ -70,6 +71,19 @@
         return max;
     }
 
+    /// @return whether the others are a quorum after the loss of as many voters as the group tolerates, and
+    /// after that of any data centre.
+    [[nodiscard]] bool withstands_losses() const
+    {
+        return withstands(voters(), max_in_one_data_centre(), (policy.voters - 1) / 2);
+    }
+
+    static bool withstands(std::size_t voters, std::size_t max_in_one_data_centre, std::size_t tolerated)
+    {
+        const std::size_t quorum = voters / 2 + 1;
+        return voters >= quorum + std::max(tolerated, max_in_one_data_centre);
+    }
+
     void carry_out(const planned_change& change)
     {
         if (change.kind == planned_kind::remove) {
@@ -82,6 +96,38 @@
     }
 };
 
+/// @param data_centres by replica; the first five are the voters. @param departing index of the one to
+/// replace.
+/// @return whether any order of single changes replaces it so that each step withstands the loss of two
+/// voters and that of any data centre.
+bool has_safe_order(const std::vector<std::size_t>& data_centres, std::size_t departing)
+{
+    constexpr std::size_t full_size = 5;
+    constexpr std::uint64_t initial_voters = 0b11111;
+    std::set<std::uint64_t> reached; // each a set of voters
+    std::vector<std::uint64_t> open{initial_voters};
+    while (!open.empty()) {
+        const std::bitset<64> voters(open.back());
+        open.pop_back();
+        std::map<std::size_t, std::size_t> counts;
+        std::size_t max = 0;
+        for (std::size_t i = 0; i < data_centres.size(); ++i) {
+            max = std::max(max, voters.test(i) ? ++counts[data_centres[i]] : 0);
+        }
+        if (!group_of_full_size::withstands(voters.count(), max, 2) ||
+            !reached.insert(voters.to_ullong()).second) {
+            continue;
+        }
+        if (voters.count() == full_size && !voters.test(departing)) {
+            return true;
+        }
+        for (std::size_t i = 0; i < data_centres.size(); ++i) {
+            open.push_back(std::bitset<64>(voters).flip(i).to_ullong());
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(membership_plan_test)
@@ -139,6 +185,59 @@
     }
 }
 
+// Guards against a group that ends with one data centre, which has three of six voters during a replacement.
+BOOST_AUTO_TEST_CASE(replacement_withstands_in_each_step_the_loss_of_two_voters_and_that_of_any_data_centre)
+{
+    for (std::size_t replaced = 0; replaced < 5; ++replaced) {
+        for (const bool retires : {false, true}) {
+            group_of_full_size group(2);
+            if (retires) {
+                group.policy.retiring.insert(group.members[replaced].info.name);
+            }
+            else {
+                group.members[replaced].since_contact = 2s;
+            }
+            for (member_status& status : group.members) {
+                status.is_self = status.info.id.value == (replaced == 0 ? 2U : 1U);
+            }
+            for (std::uint64_t i = 1; i <= 3; ++i) {
+                group.add(8 + i, "dc-" + std::to_string(i), false);
+            }
+            const member_id departing = group.members[replaced].info.id;
+            for (int step = 0; step < 4; ++step) {
+                BOOST_TEST_CONTEXT("replaced " << replaced << ", retires " << retires << ", step " << step)
+                {
+                    BOOST_TEST(group.withstands_losses());
+                }
+                group.carry_out(group.plan());
+            }
+            BOOST_TEST(group.voters() == 5U);
+            BOOST_TEST(!group.contains(departing));
+        }
+    }
+}
+
+// Shows by an exhaustive search why the standby learner belongs into the data centre with one voter: no other
+// replica allows an order of single changes that withstands both losses.
+BOOST_AUTO_TEST_CASE(
+    replacement_that_withstands_both_losses_needs_a_replica_in_the_data_centre_with_one_voter)
+{
+    constexpr std::size_t max_others = 2; // replicas by data centre that are not voters
+    for (std::size_t first = 0; first <= max_others; ++first) {
+        for (std::size_t second = 0; second <= max_others; ++second) {
+            for (std::size_t third = 0; third <= max_others; ++third) {
+                std::vector<std::size_t> data_centres{0, 0, 1, 1, 2};
+                data_centres.insert(data_centres.end(), first, 0);
+                data_centres.insert(data_centres.end(), second, 1);
+                data_centres.insert(data_centres.end(), third, 2);
+                for (std::size_t departing = 0; departing < 5; ++departing) {
+                    BOOST_TEST(has_safe_order(data_centres, departing) == (third > 0));
+                }
+            }
+        }
+    }
+}
+
 BOOST_FIXTURE_TEST_CASE(voter_whose_replica_has_joined_with_another_disk_is_replaced_without_a_time_out,
                         three_voters)
 {
@@ -287,6 +386,26 @@
     BOOST_TEST(policy.max_voters_per_data_centre == 2U);
 }
 
+// Guards against a standby learner whose promotion puts three of six voters into one data centre.
+BOOST_AUTO_TEST_CASE(standby_learner_makes_room_for_one_of_the_data_centre_with_the_fewest_voters)
+{
+    group_of_full_size group(2);
+    group.add(9, "dc-1", false);
+    const member in_full{member_id{10}, "node-10", "", false, 0, "dc-2"};
+    const member in_sparse{member_id{11}, "node-11", "", false, 0, "dc-3"};
+    BOOST_TEST(!admits_learner(group.members, in_full, group.policy));
+    BOOST_TEST(admits_learner(group.members, in_sparse, group.policy));
+    group.add(11, "dc-3", false).caught_up = false;
+    BOOST_TEST((group.plan().kind == planned_kind::nothing));
+    group.members.back().caught_up = true;
+    const planned_change change = group.plan();
+    BOOST_TEST((change.kind == planned_kind::remove));
+    BOOST_TEST(change.id.value == 9U);
+    group.carry_out(change);
+    BOOST_TEST((group.plan().kind == planned_kind::nothing));
+    BOOST_TEST(!admits_learner(group.members, {member_id{9}, "node-9", "", false, 0, "dc-1"}, group.policy));
+}
+
 // Load that it answers: in a fleet of 36 stores and 8 groups most stores are not members of most groups.
 BOOST_AUTO_TEST_CASE(store_that_no_group_needs_sends_few_join_requests_whatever_the_size_of_the_fleet)
 {
