Count a learner's silence from its joining

What callers saw: nothing yet; found by reading, for the hypothesis of a replica that isn't let back in. A replica that returned with an empty disk was removed at the next check of the members, 0 to 200 ms after it had been added, unless it had acknowledged a message by then. It asked again, with the same result. Until one attempt succeeds the group has no standby learner, so that the next lost voter stays.

Cause: without an acknowledgement the leader took the time since its own election for the member's time without contact. After 5 s of leadership that is longer than learner_timeout, and longer than voter_timeout after 1.5 s. A first acknowledgement takes a round trip and a sync of the new disk.

Evidence: disk_window_test, replica_that_answers_after_the_next_check_of_the_members_stays_a_learner, with 300 ms to the replica: 'critical check is_member() has failed'. Added 600 ms after the loss, removed at 660 ms, added again at 900 ms.

Change: the leader records when it was elected or first sent the member a message, and counts from there.

--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -185,6 +185,7 @@
         auto [found, inserted] = state.peers.try_emplace(other.id);
         if (inserted) {
             found->second.next = last_index(state) + 1;
+            found->second.tracked_since = now;
         }
         send_append(state, other.id, found->second, now, pending);
         if (found->second.snapshot_pending) {
@@ -253,7 +254,9 @@
     state.settled_commit_due = now + state.settings.election_timeout / 2;
     for (const member& other : current_members(state).members) {
         if (other.id != state.self) {
-            state.peers[other.id].next = last_index(state);
+            progress& peer = state.peers[other.id];
+            peer.next = last_index(state);
+            peer.tracked_since = now;
         }
     }
     broadcast_append(state, now, pending);
@@ -725,6 +728,7 @@
         auto [found, inserted] = state.peers.try_emplace(other.id);
         if (inserted) {
             found->second.next = last_index(state);
+            found->second.tracked_since = now;
         }
         const progress& peer = found->second;
         if (!peer.probing && peer.next <= last_index(state) &&
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -110,6 +110,7 @@
     log_index match = 0;           ///< last entry known to be synced by the member
     log_index next = 1;            ///< next entry to send
     time_point acked_sent_at{};    ///< send time of the newest message that it acknowledged
+    time_point tracked_since{};    ///< when this leader was elected, or sent the member its first message
     time_point snapshot_sent_at{}; ///< when a snapshot was last sent
     bool snapshot_pending = false; ///< a snapshot was sent and not yet acknowledged
     log_index snapshot_index = 0;  ///< index of that snapshot
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -143,9 +143,9 @@
     const membership& members = current_members(state);
     for (const member& other : members.members) {
         const auto peer = state.peers.find(other.id);
-        const time_point last_contact = peer == state.peers.end()
-                                            ? state.leader_since
-                                            : std::max(peer->second.acked_sent_at, state.leader_since);
+        const time_point last_contact =
+            peer == state.peers.end() ? now
+                                      : std::max(peer->second.acked_sent_at, peer->second.tracked_since);
         const bool is_self = other.id == state.self;
         statuses.push_back(
             {other, is_self, is_self || has_caught_up(state, other),
--- a/tests/unit/disk_window_test.cpp
+++ b/tests/unit/disk_window_test.cpp
@@ -209,6 +209,33 @@
     }
 }
 
+// Guards against a learner that is removed before it could acknowledge its first message, as if it had been
+// silent for as long as the leader leads.
+BOOST_AUTO_TEST_CASE(replica_that_answers_after_the_next_check_of_the_members_stays_a_learner)
+{
+    constexpr std::size_t returning = 5; // the standby learner
+    managed_cluster cluster(1, 6, tolerated_disks);
+    cluster.run(2 * membership_policy{}.learner_timeout);
+    const fake_member* leader = cluster.find_lease_holder();
+    BOOST_REQUIRE(leader != nullptr);
+    cluster.lose_disk(cluster.members[returning]);
+    cluster.slow_links = {returning};
+    cluster.slow_delay = 300ms;
+    const auto is_member = [&] {
+        return find_member(current_members(leader->state), cluster.members[returning].id) != nullptr;
+    };
+    const time_point end = cluster.now + 5s;
+    while (cluster.now < end && !is_member()) {
+        cluster.run(step);
+    }
+    BOOST_REQUIRE(is_member());
+    while (cluster.now < end) {
+        cluster.run(step);
+        BOOST_REQUIRE(is_member());
+    }
+    BOOST_TEST(cluster.find_lease_holder() == leader);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
--- a/tests/unit/managed_cluster.cpp
+++ b/tests/unit/managed_cluster.cpp
@@ -11,7 +11,6 @@
 
 constexpr duration step_time = 20ms;
 constexpr duration plan_interval = 200ms; ///< of a real group
-constexpr duration slow_delay = 60ms;
 constexpr std::uint64_t max_start_delay_ms = 300;
 
 std::size_t voters_of(const group_state& state)
--- a/tests/unit/managed_cluster.hpp
+++ b/tests/unit/managed_cluster.hpp
@@ -19,7 +19,8 @@
     std::vector<time_point> next_plans;                   ///< by replica
     std::vector<time_point> disks_since;                  ///< by replica: when it got its disk
 
-    std::set<std::size_t> slow_links; ///< replicas that messages take 60 ms to reach
+    std::set<std::size_t> slow_links; ///< replicas that messages reach after `slow_delay`
+    duration slow_delay = std::chrono::milliseconds(60);
 
     /// Advances time. The leader proposes commands at random.
     void run(duration span);
