Sync the names of a new data folder and of its new parents

Seen, by reading: if the data folder doesn't exist at the first start, its own name is never synced. After a power loss the identity and all groups may be gone with it, although each of their files was synced, and the disk counts as lost.

Change: create_folder() syncs the parent of each folder that it creates. Nothing changes for a folder that exists.

Evidence, on the code before: log_store_test/names_of_a_new_data_folder_and_its_new_parents_are_synced, "check synced_paths.contains(...) has failed" for the three names above the data folder.

--- a/src/replica/file_func.cpp
+++ b/src/replica/file_func.cpp
@@ -102,10 +102,16 @@
 void create_folder(const std::string& folder)
 {
     std::error_code error;
-    std::filesystem::create_directories(folder, error);
+    if (std::filesystem::is_directory(folder, error)) {
+        return;
+    }
+    const std::string parent = std::filesystem::absolute(folder).parent_path().string();
+    create_folder(parent);
+    std::filesystem::create_directory(folder, error);
     if (error) {
         throw storage_error(folder + ": can't be created: " + error.message());
     }
+    sync_folder(parent);
 }
 
 } // namespace guavawick::replica
--- a/src/replica/file_func.hpp
+++ b/src/replica/file_func.hpp
@@ -21,7 +21,7 @@
 void sync_folder(const std::string& folder);
 /// Replaces a file atomically: writes and syncs a new file, then renames it. @throw storage_error.
 void replace_file(const std::string& folder, const std::string& name, std::string_view bytes);
-/// Creates a folder and its parents. @throw storage_error.
+/// Creates a folder and its parents, and syncs the name of each one that is new. @throw storage_error.
 void create_folder(const std::string& folder);
 
 } // namespace guavawick::replica
--- a/tests/unit/log_store_test.cpp
+++ b/tests/unit/log_store_test.cpp
@@ -67,6 +67,22 @@
     BOOST_TEST(synced_paths.contains(fs::canonical(group()).string()));
 }
 
+// Guards against a disk that comes back from a power loss without its data folder: all that was synced into
+// the folder is gone with its name.
+BOOST_FIXTURE_TEST_CASE(names_of_a_new_data_folder_and_its_new_parents_are_synced, temporary_folder)
+{
+    {
+        const std::lock_guard lock(synced_mutex);
+        synced_paths.clear();
+    }
+    open_identity((path / "parent" / "data").string());
+    const std::lock_guard lock(synced_mutex);
+    BOOST_TEST(synced_paths.contains(fs::canonical(path.parent_path()).string()));
+    BOOST_TEST(synced_paths.contains(fs::canonical(path).string()));
+    BOOST_TEST(synced_paths.contains(fs::canonical(path / "parent").string()));
+    BOOST_TEST(synced_paths.contains(fs::canonical(path / "parent" / "data").string()));
+}
+
 BOOST_FIXTURE_TEST_CASE(truncated_entries_are_still_absent_after_a_restart, temporary_folder)
 {
     {
