Count the control group's members by what its replicas report now

After an instance that hosted a control replica is replaced by another one, no gateway hosts a replica in its place. The group has no standby learner, then fewer voters with each further replacement, until two lost disks end it.

Cause: a gateway collected every member that any control replica had ever reported, and never removed one. It so counted six members for as long as it ran, whatever the group had.

Evidence: control_host_test, successor_of_a_hosting_instance_hosts_a_replica_once_the_former_one_is_removed: 'check hosts_replica(successor) has failed'. The group removed the former replica 5 s after its loss and had five members until the test gave up 107 s later.

Change: the gateway keeps each replica's newest report for 3 s and counts a member if at least half of the reports name it. The half leaves out what a replica reports that was itself removed and so knows former members only. The fixture keeps the links of a host, so that a test can start it again; the new test that loses the disks of a control process and of a hosted replica covers a case without a test and was not run on the code before.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -317,19 +317,21 @@
 
 void gateway_process::handle_hello(const wire::control_hello& hello)
 {
-    record_reply(state_->control_dependency, runtime_clock::now());
+    const time_point now = runtime_clock::now();
+    record_reply(state_->control_dependency, now);
+    record_report(control_roster_, hello, now);
     if (hello.unchanged()) {
         return;
     }
     hello_digests_[hello.sender()] = hello.digest();
     for (const std::string& endpoint : hello.control()) {
-        control_members_.insert(endpoint);
         if (std::find(state_->control_endpoints.begin(), state_->control_endpoints.end(), endpoint) ==
             state_->control_endpoints.end()) {
             state_->control_endpoints.push_back(endpoint);
             if (state_->control_endpoints.size() > max_control_endpoints) {
                 hello_digests_.erase(state_->control_endpoints.front());
                 reported_stores_.erase(state_->control_endpoints.front());
+                control_roster_.reports.erase(state_->control_endpoints.front());
                 state_->control_endpoints.erase(state_->control_endpoints.begin());
             }
         }
@@ -413,7 +415,7 @@
         }
         state_->connections.evict_idle(now);
         if (!state_->draining) {
-            control_host_->consider(control_members_, now);
+            control_host_->consider(list_members(control_roster_, now), now);
         }
         co_await runtime::wait_for(subscribe_interval);
     }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -10,6 +10,7 @@
 #include "gateway/caller_connection.hpp"
 #include "gateway/chain_cache.hpp"
 #include "gateway/control_host.hpp"
+#include "gateway/control_roster.hpp"
 #include "gateway/crash_probe.hpp"
 #include "gateway/dependency.hpp"
 #include "gateway/dialect_type.hpp"
@@ -176,7 +177,7 @@
     std::unique_ptr<http::server> readiness_server_;
     std::unique_ptr<http::server> metrics_server_;
     std::unique_ptr<control_host> control_host_;
-    std::set<std::string> control_members_; ///< links of the control group's members, as reported
+    control_roster control_roster_;
     std::map<std::string, std::uint64_t> hello_digests_; ///< of the last hello, by control replica
     std::map<std::string, std::map<std::string, std::string>>
         reported_stores_; ///< by control replica: store names by endpoint
--- a/tests/unit/control_host_test.cpp
+++ b/tests/unit/control_host_test.cpp
@@ -1,6 +1,8 @@
 // The control group of a fleet that must survive the loss of two disks, with a control replica in each of
 // three data centres and a gateway with a disk beside each.
+#include "gateway/control_roster.hpp"
 #include "small_fleet.hpp"
+#include "wire.pb.h"
 
 #include <array>
 
@@ -30,26 +32,32 @@
     }
 };
 
+struct gateway_links {
+    std::string gateway;
+    std::string replica;
+};
+
 struct small_control_group {
     fs::path data_root = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
     core::fleet_settings common;
     std::array<hosted_process<core::control_process>, data_centres> controls;
     std::array<hosted_process<gateway::gateway_process>, data_centres> gateways;
     std::array<std::string, data_centres> metrics;
+    std::map<std::size_t, gateway_links> links; ///< by host
 
     small_control_group()
     {
         common.data_centre_count = data_centres;
         common.tolerated_failures = 2;
         common.stop_grace = 1s;
-        std::array<std::string, data_centres> links;
-        for (std::string& link : links) {
+        std::array<std::string, data_centres> control_links;
+        for (std::string& link : control_links) {
             link = "tcp://" + find_free_address();
             common.seeds.push_back(link);
         }
         for (std::size_t i = 0; i < data_centres; ++i) {
-            start_control(i, links.at(i));
-            start_gateway(i);
+            start_control(i, control_links.at(i));
+            start_gateway(i, i);
         }
     }
 
@@ -83,19 +91,23 @@
         });
     }
 
-    void start_gateway(std::size_t number)
+    /// @param host number of the instance; another one than before stands for its successor.
+    void start_gateway(std::size_t number, std::size_t host)
     {
         core::fleet_settings settings = common;
-        settings.node = "second-" + std::to_string(number);
+        settings.node = name_of_gateway(host);
         settings.data_centre = std::to_string(number);
         // On loopback each address stands for a host of its own.
-        const std::string host = "127.0.1." + std::to_string(number + 1);
+        const std::string address = "127.0.1." + std::to_string(host + 1);
         const auto find_port = [] {
-            const std::string address = find_free_address();
-            return address.substr(address.rfind(':'));
+            const std::string free = find_free_address();
+            return free.substr(free.rfind(':'));
         };
-        settings.link = "tcp://" + host + find_port();
-        settings.replica_link = "tcp://" + host + find_port();
+        if (!links.contains(host)) {
+            links[host] = {"tcp://" + address + find_port(), "tcp://" + address + find_port()};
+        }
+        settings.link = links[host].gateway;
+        settings.replica_link = links[host].replica;
         settings.data_folder = (data_root / settings.node).string();
         settings.caller_listen = find_free_address();
         settings.readiness_listen = find_free_address();
@@ -140,6 +152,34 @@
         return line == std::string::npos ? 0 : std::stod(text.substr(line + name.size()));
     }
 
+    static std::string name_of_gateway(std::size_t host) { return "second-" + std::to_string(host); }
+
+    [[nodiscard]] bool hosts_replica(std::size_t host) const
+    {
+        return fs::exists(data_root / name_of_gateway(host) / "group-0");
+    }
+
+    void lose_gateway(std::size_t number, std::size_t host)
+    {
+        gateways.at(number).end();
+        gateways.at(number) = {};
+        fs::remove_all(data_root / name_of_gateway(host));
+    }
+
+    /// Waits until the group has its voters and each gateway hosts a replica.
+    bool become_whole()
+    {
+        const auto is_whole = [this] {
+            return read_voters(2) >= 5 && hosts_replica(0) && hosts_replica(1) && hosts_replica(2);
+        };
+        for (int polls = 0; polls < max_polls; ++polls) {
+            if (is_whole()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void lose_control(std::size_t number)
     {
         controls.at(number).end();
@@ -165,6 +205,38 @@
     BOOST_TEST(publish(2, 3));
 }
 
+// Guards against a gateway that counts members which the group has removed, so that no instance takes the
+// place of one that is gone for good.
+BOOST_FIXTURE_TEST_CASE(successor_of_a_hosting_instance_hosts_a_replica_once_the_former_one_is_removed,
+                        small_control_group)
+{
+    BOOST_TEST_REQUIRE(publish(0, 1));
+    BOOST_TEST_REQUIRE(become_whole());
+    constexpr std::size_t successor = 3; // another address and an empty disk
+    lose_gateway(2, 2);
+    start_gateway(2, successor);
+    for (int polls = 0; polls < max_polls && !hosts_replica(successor); ++polls) {
+        read_voters(0);
+    }
+    BOOST_TEST(hosts_replica(successor));
+}
+
+// Guards against a group that ends with the disks of a control process and of a gateway's replica.
+BOOST_FIXTURE_TEST_CASE(
+    configuration_survives_the_loss_of_the_disks_of_a_control_process_and_of_a_hosted_replica,
+    small_control_group)
+{
+    BOOST_TEST_REQUIRE(publish(0, 1));
+    BOOST_TEST_REQUIRE(become_whole());
+    BOOST_TEST_REQUIRE(publish(0, 2));
+    lose_control(0);
+    lose_gateway(1, 1);
+    BOOST_TEST(publish(2, 3));
+    start_gateway(1, 1);
+    BOOST_TEST(become_whole());
+    BOOST_TEST(publish(2, 4));
+}
+
 BOOST_AUTO_TEST_CASE(instance_is_needed_until_the_group_has_its_voters_and_a_standby)
 {
     std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
@@ -234,6 +306,53 @@
     BOOST_TEST(!hosts());
 }
 
+wire::control_hello make_report(const std::string& sender, const std::vector<std::string>& members)
+{
+    wire::control_hello hello;
+    hello.set_sender(sender);
+    for (const std::string& member : members) {
+        hello.add_control(member);
+    }
+    return hello;
+}
+
+// Guards against members that count for as long as the gateway runs.
+BOOST_AUTO_TEST_CASE(member_that_the_group_has_removed_is_not_listed)
+{
+    gateway::control_roster roster;
+    const time_point now = runtime_clock::now();
+    record_report(roster, make_report("a", {"a", "b", "c", "d"}), now);
+    record_report(roster, make_report("b", {"a", "b", "c", "d"}), now);
+    BOOST_TEST(list_members(roster, now).size() == 4U);
+    record_report(roster, make_report("a", {"a", "b", "c"}), now);
+    record_report(roster, make_report("b", {"a", "b", "c"}), now);
+    BOOST_TEST((list_members(roster, now) == std::set<std::string>{"a", "b", "c"}));
+}
+
+BOOST_AUTO_TEST_CASE(report_of_a_removed_replica_or_of_a_blank_one_is_outvoted)
+{
+    gateway::control_roster roster;
+    const time_point now = runtime_clock::now();
+    record_report(roster, make_report("a", {"a", "b", "c"}), now);
+    record_report(roster, make_report("b", {"a", "b", "c"}), now);
+    record_report(roster, make_report("former", {"a", "former"}), now);
+    record_report(roster, make_report("blank", {}), now);
+    BOOST_TEST((list_members(roster, now) == std::set<std::string>{"a", "b", "c"}));
+}
+
+BOOST_AUTO_TEST_CASE(report_counts_for_as_long_as_its_replica_confirms_it)
+{
+    gateway::control_roster roster;
+    const time_point now = runtime_clock::now();
+    record_report(roster, make_report("a", {"a", "b"}), now);
+    wire::control_hello unchanged;
+    unchanged.set_sender("a");
+    unchanged.set_unchanged(true);
+    record_report(roster, unchanged, now + 2s);
+    BOOST_TEST(list_members(roster, now + 4s).size() == 2U);
+    BOOST_TEST(list_members(roster, now + 6s).empty());
+}
+
 BOOST_AUTO_TEST_CASE(instance_with_another_replica_or_without_news_is_not_needed)
 {
     const std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
