Host control replicas after 1 s while the group lacks voters

With three control processes and a tolerance of two, two lost disks end the control group as long as it has its founders only, and the hosted replicas joined later than the 4.1 s after which an instance counts.

Cause: one delay of 3 s both for a group that lacks voters and for one that lacks the standby learner.

Change: a group with fewer than 2f+1 members gets hosted replicas after 1 s; one that lacks only the standby learner still after 3 s, so that a control process that returns is not displaced.

--- a/src/gateway/control_host.cpp
+++ b/src/gateway/control_host.cpp
@@ -14,8 +14,11 @@
 
 using namespace std::chrono_literals;
 
-/// For the control processes of a fleet that starts, or of an instance that returns, to join the group.
+/// For the control processes of an instance that returns to join a group that lacks a standby learner.
 constexpr duration vacancy_delay = 3s;
+/// For the control processes of a fleet that starts to join the group. A group that lacks voters does not
+/// tolerate the failures that the fleet must, so this is shorter.
+constexpr duration lack_of_voters_delay = 1s;
 
 std::string host_of(const std::string& endpoint)
 {
@@ -106,9 +109,11 @@
     if (needed_since_ == time_point{}) {
         needed_since_ = now;
     }
+    const std::size_t voters = consensus::make_membership_policy(settings_.tolerated_failures, 1).voters;
+    const duration delay = endpoints.size() < voters ? lack_of_voters_delay : vacancy_delay;
     // A former replica of this instance is a voter without a disk until it is replaced.
     const bool returns = endpoints.contains(settings_.link);
-    if (returns || now - needed_since_ >= vacancy_delay) {
+    if (returns || now - needed_since_ >= delay) {
         run_replica();
     }
 }
--- a/tests/unit/control_host_test.cpp
+++ b/tests/unit/control_host_test.cpp
@@ -299,6 +299,20 @@
     BOOST_TEST(hosts());
 }
 
+// Guards against a fleet that tolerates fewer failures than stated for longer than an instance counts as new.
+BOOST_FIXTURE_TEST_CASE(further_replica_starts_sooner_while_the_group_lacks_voters, hosting_instance)
+{
+    std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1",
+                                  "tcp://10.0.0.4:1", "tcp://10.0.0.5:1"};
+    const time_point now = runtime_clock::now();
+    host->consider(members, now);
+    host->consider(members, now + 1s);
+    BOOST_TEST(!hosts());
+    members.erase("tcp://10.0.0.5:1");
+    host->consider(members, now + 1s);
+    BOOST_TEST(hosts());
+}
+
 BOOST_FIXTURE_TEST_CASE(stopped_host_starts_no_replica, hosting_instance)
 {
     host->stop();
--- a/tests/unit/disk_window_test.cpp
+++ b/tests/unit/disk_window_test.cpp
@@ -209,6 +209,38 @@
     }
 }
 
+// Guards against a group whose foundation, with fewer voters than it needs, does not survive the loss of a
+// disk or takes longer than an instance counts as new.
+BOOST_AUTO_TEST_CASE(group_of_three_founders_survives_a_lost_disk_and_is_whole_when_its_instances_count)
+{
+    const seed_range range(20);
+    for (std::uint64_t seed = range.first; seed <= range.last; ++seed) {
+        for (const bool loses_power : {false, true}) {
+            BOOST_TEST_CONTEXT("seed " << seed << ", loses power " << loses_power)
+            {
+                managed_cluster cluster(seed, 6, tolerated_disks, data_centres);
+                for (std::size_t i = data_centres; i < cluster.members.size(); ++i) {
+                    cluster.next_joins[i] = cluster.now + 1s; // as hosted replicas
+                }
+                managed_cluster undisturbed = cluster;
+                undisturbed.run(catch_up_time);
+                BOOST_TEST(undisturbed.tolerates(tolerated_disks));
+                cluster.run(std::chrono::milliseconds(cluster.random_below(4000)));
+                const std::size_t lost = cluster.random_below(cluster.members.size());
+                if (loses_power) {
+                    cluster.lose_power({lost});
+                    cluster.now += 1s;
+                    cluster.return_power();
+                }
+                else {
+                    cluster.lose_disk(cluster.members[lost]);
+                }
+                check_whole(cluster);
+            }
+        }
+    }
+}
+
 // Guards against a learner that is removed before it could acknowledge its first message, as if it had been
 // silent for as long as the leader leads.
 BOOST_AUTO_TEST_CASE(replica_that_answers_after_the_next_check_of_the_members_stays_a_learner)
