Views: check the read lease on the group's thread when a view is sent

A gateway that had just started could take an outdated plan or outdated evacuations for confirmed ones, and run or refuse calls by them: from a leader that was handing over its leadership while it stopped.

The end of the lease was stored at each tick, so that other threads compared it with the clock. A leader that hands over gives up its lease at once, and its successor may acknowledge newer versions within milliseconds, but the stored end stayed in the future until the next tick, or for the rest of the lease if the thread ended or waited for its disk.

Views for subscribers are sent on the group's thread now, with the lease as of that time. One task sends all that are due, so that a thread that was held up sends each gateway one document.

--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -742,18 +742,13 @@
     }
 }
 
-time_point read_lease_end(const group_state& state, time_point now)
+bool has_read_lease(const group_state& state, time_point now)
 {
     if (state.role != role_type::leader || state.transfer_target ||
         term_at(state, state.commit) != state.term) {
-        return {};
+        return false;
     }
-    return quorum_acked_at(state, now) + holder_lease_time(state.settings.election_timeout);
-}
-
-bool has_read_lease(const group_state& state, time_point now)
-{
-    return now < read_lease_end(state, now);
+    return now < quorum_acked_at(state, now) + holder_lease_time(state.settings.election_timeout);
 }
 
 bool transfer_leadership(group_state& state, time_point now, effects& pending)
--- a/src/consensus/consensus_func.hpp
+++ b/src/consensus/consensus_func.hpp
@@ -39,9 +39,6 @@
 /// @return whether this member holds the leader lease, so that a read of its applied state includes every
 /// entry acknowledged before.
 bool has_read_lease(const group_state& state, time_point now);
-/// @return until when this member holds the leader lease if no further reply arrives; the epoch if it holds
-/// none.
-time_point read_lease_end(const group_state& state, time_point now);
 /// Starts to transfer leadership to the active voter with the longest replicated log. @return false if there
 /// is none or this member is not the leader.
 bool transfer_leadership(group_state& state, time_point now, effects& pending);
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -310,7 +310,6 @@
 
 void control_process::tick(time_point now)
 {
-    confirmed_until_.store(group_->read_lease_end());
     std::vector<std::string> members;
     for (const replica::member_report& member : group_->report().members) {
         members.push_back(member.info.endpoint);
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -124,6 +124,8 @@
     void push_view(const std::string& endpoint, const fleet_state& view, std::uint64_t known_version,
                    bool confirmed);
     void push_view_to_all(std::uint64_t known_version);
+    void schedule_push(const std::string& endpoint, std::uint64_t known_version);
+    void send_scheduled_pushes();
     void tick(time_point now);
     void bootstrap_ledger_groups(time_point now);
     void decide_rollouts(time_point now);
@@ -156,8 +158,6 @@
     std::unique_ptr<wire::group_client> client_;
     fleet_state state_;
     bool push_pending_ = false; ///< a push of the view to all subscribers is queued on the group's thread
-    std::atomic<time_point> confirmed_until_{time_point{}}; ///< until then a quorum confirms, as of the last
-                                                            ///< tick, that this replica's state is the newest
     time_point
         bootstrap_wait_since_{};   ///< start of the current bootstrap_delay; unset before the first store
     std::atomic<fleet_view> view_; ///< state after the last applied command
@@ -181,7 +181,9 @@
     directory::crash_table crashes_;
     std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
     std::map<std::string, store_status> stores_;    ///< by endpoint
-    rollout::evidence_table evidence_;              ///< reports of the gateways on running rollouts
+    std::map<std::string, std::uint64_t>
+        scheduled_pushes_; ///< document versions of the gateways that a view is due to, by endpoint
+    rollout::evidence_table evidence_; ///< reports of the gateways on running rollouts
     std::vector<std::string> seeds_;
     std::vector<std::string> member_endpoints_; ///< link endpoints of the control group's members
     wire::directory_update batch_;              ///< changes not yet sent to the gateways
--- a/src/core/control_views.cpp
+++ b/src/core/control_views.cpp
@@ -126,10 +126,40 @@
     // The leader pushes a new view itself; a full document from every replica would saturate the links.
     const bool has_plan = request.version() > 0;
     const bool push_missed = !has_plan || now - view_published_at_.load() > push_retry_delay;
-    const bool is_confirmed = now < confirmed_until_.load();
-    const bool may_accept = has_plan || is_confirmed;
-    if (!is_store && request.revision() < view->revision && push_missed && may_accept) {
-        push_view(request.endpoint(), *view, request.version(), is_confirmed);
+    if (!is_store && request.revision() < view->revision && push_missed) {
+        schedule_push(request.endpoint(), request.version());
+    }
+}
+
+void control_process::schedule_push(const std::string& endpoint, std::uint64_t known_version)
+{
+    {
+        const std::lock_guard lock(mutex_);
+        const bool is_task_queued = !scheduled_pushes_.empty();
+        scheduled_pushes_[endpoint] = known_version;
+        if (is_task_queued) {
+            return;
+        }
+    }
+    // The lease is checked on the group's thread when the view is sent. Another thread can't know whether the
+    // leadership was handed over since the last tick.
+    group_->post([this] { send_scheduled_pushes(); });
+}
+
+void control_process::send_scheduled_pushes()
+{
+    std::map<std::string, std::uint64_t> pushes;
+    {
+        const std::lock_guard lock(mutex_);
+        pushes.swap(scheduled_pushes_);
+    }
+    const fleet_view view = view_.load();
+    const bool is_confirmed = group_->has_read_lease();
+    for (const auto& [endpoint, known_version] : pushes) {
+        const bool has_plan = known_version > 0;
+        if (has_plan || is_confirmed) { // a gateway without a plan accepts no other view
+            push_view(endpoint, *view, known_version, is_confirmed);
+        }
     }
 }
 
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -297,11 +297,6 @@
     return applied_term_ == state_.term && consensus::has_read_lease(state_, runtime_clock::now());
 }
 
-time_point group::read_lease_end() const
-{
-    return has_read_lease() ? consensus::read_lease_end(state_, runtime_clock::now()) : time_point{};
-}
-
 bool group::leads() const
 {
     return serving_ && state_.role == consensus::role_type::leader;
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -180,9 +180,6 @@
     /// @return whether this replica is the leader and holds a read lease, so that its applied state is
     /// current. @pre called on the group's thread.
     [[nodiscard]] bool has_read_lease() const;
-    /// @return until when has_read_lease() stays true if nothing further arrives; the epoch if it is false.
-    /// @pre called on the group's thread.
-    [[nodiscard]] time_point read_lease_end() const;
     /// @return whether this replica is the leader and its state machine has been notified of that. Requests
     /// that arrive in the same batch as the deciding vote are not served yet.
     /// @pre called on the group's thread.
