Directory: refuse a planned stop that no other control replica has

An upstream that announced `draining`, or deregistered, got its acknowledgement although only one control replica knew of the stop. Once that replica ended, a gateway that had missed its message, or that started later, could send calls to an upstream that nobody would announce again.

The replica waited 300 ms for another one and then acknowledged without it; a stop that was announced again was acknowledged without any wait.

It is replicated again each time it is announced, until another replica confirms it or sends it itself. A replica without others acknowledges at once, where it waited 300 ms in vain.

planned_stop_test on the code before: planned_stop_test.cpp(93), (94), (95), (96) and (117), check !announce(2, draining), !announce(3, draining) and !deregister() have failed. They pass with the change.

--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -3,6 +3,7 @@
 #include "core/control_process.hpp"
 
 #include "base/event_type.hpp"
+#include "base/failure_type.hpp"
 
 namespace guavawick::core {
 
@@ -99,53 +100,75 @@
     return report;
 }
 
-asio::awaitable<void> control_process::send_to_peers(wire::envelope update, bool wait_for_peer)
+/// @return false if a confirmation was waited for and none of the other replicas sent it in time.
+asio::awaitable<bool> control_process::send_to_peers(wire::envelope update, bool wait_for_peer)
 {
+    const std::vector<std::string> receivers = peers();
+    const bool waits = wait_for_peer && !receivers.empty();
     std::uint64_t confirm_number = 0;
-    if (wait_for_peer) {
+    if (waits) {
         const std::lock_guard lock(mutex_);
         confirm_number = next_confirm_number_++;
         pending_confirms_.insert(confirm_number);
         update.mutable_directory()->set_confirm(confirm_number);
     }
     update.mutable_directory()->set_endpoint(settings_.link);
-    for (const std::string& peer : peers()) {
+    for (const std::string& peer : receivers) {
         links_->send(peer, update);
     }
-    if (!wait_for_peer) {
-        co_return;
+    if (!waits) {
+        co_return true;
     }
     const time_point deadline = runtime_clock::now() + confirm_timeout;
     while (runtime_clock::now() < deadline) {
         {
             const std::lock_guard lock(mutex_);
             if (!pending_confirms_.contains(confirm_number)) {
-                co_return;
+                co_return true;
             }
         }
         co_await runtime::wait_for(confirm_poll_interval);
     }
     const std::lock_guard lock(mutex_);
-    pending_confirms_.erase(confirm_number);
+    co_return pending_confirms_.erase(confirm_number) == 0;
+}
+
+asio::awaitable<void> control_process::replicate_stop(directory::instance_id id, wire::envelope update)
+{
+    const bool confirmed = co_await send_to_peers(std::move(update), true);
+    const std::lock_guard lock(mutex_);
+    if (confirmed) {
+        unconfirmed_stops_.erase(id);
+    }
+    else if (unconfirmed_stops_.contains(id)) {
+        throw link_error("no other control replica confirmed the planned stop in time");
+    }
 }
 
 asio::awaitable<void> control_process::announce(directory::instance_record announcement)
 {
     wire::envelope update;
-    bool leaving = false;
+    bool stops = false;
     bool changed = false;
     {
         const std::lock_guard lock(mutex_);
         const time_point now = runtime_clock::now();
         const directory::merge_result result = directory::merge(instances_, announcement, now);
-        if (result == directory::merge_result::stale) {
+        const directory::instance_record current = instances_.instances.at(announcement.id);
+        changed = result == directory::merge_result::changed;
+        // One that was announced before is replicated again until another replica has it.
+        stops = current.state != directory::instance_state::serving &&
+                (changed || unconfirmed_stops_.contains(announcement.id));
+        if (stops) {
+            unconfirmed_stops_.insert(announcement.id);
+        }
+        if (result == directory::merge_result::stale && !stops) {
             co_return;
         }
-        const directory::instance_record current = instances_.instances.at(announcement.id);
         wire::instance_record* batch_entry = batch_.add_instances();
         to_wire(current, now, batch_entry);
         const bool forward = announcement.sequence % peer_forward_interval == 0;
-        if (result == directory::merge_result::renewed && !forward) {
+        if (result == directory::merge_result::renewed && !forward && !stops) {
             batch_entry->set_routine(true);
             batch_entry->clear_service();
             batch_entry->clear_address();
@@ -153,17 +176,20 @@
             batch_entry->clear_version();
             co_return;
         }
-        if (result == directory::merge_result::changed) {
+        if (changed) {
             log_instance_change(current, "itself");
         }
-        changed = result == directory::merge_result::changed;
-        leaving = changed && current.state != directory::instance_state::serving;
         to_wire(current, now, update.mutable_directory()->add_instances());
     }
     if (changed) {
         flush_batch();
     }
-    co_await send_to_peers(std::move(update), leaving);
+    if (stops) {
+        co_await replicate_stop(announcement.id, std::move(update));
+    }
+    else {
+        co_await send_to_peers(std::move(update), false);
+    }
 }
 
 asio::awaitable<void> control_process::deregister(directory::instance_id id, std::uint64_t started_ms)
@@ -177,12 +203,13 @@
         if (current.state != directory::instance_state::gone) {
             co_return; // a later incarnation of the instance is running
         }
+        unconfirmed_stops_.insert(id);
         log_instance_change(current, "itself");
         to_wire(current, now, batch_.add_instances());
         to_wire(current, now, update.mutable_directory()->add_instances());
     }
     flush_batch();
-    co_await send_to_peers(std::move(update), true);
+    co_await replicate_stop(std::move(id), std::move(update));
 }
 
 void control_process::handle_directory_update(const wire::directory_update& update)
@@ -193,12 +220,15 @@
         const time_point now = runtime_clock::now();
         for (const wire::instance_record& encoded : update.instances()) {
             const directory::instance_record record = from_wire(encoded, now);
-            if (record.state == directory::instance_state::gone) {
-                if (!directory::mark_gone(instances_, record.id, record.started_ms, now)) {
-                    continue;
-                }
+            const bool is_new =
+                record.state == directory::instance_state::gone
+                    ? directory::mark_gone(instances_, record.id, record.started_ms, now)
+                    : directory::merge(instances_, record, now) == directory::merge_result::changed;
+            const directory::instance_record& known = instances_.instances.at(record.id);
+            if (known.state == record.state && known.started_ms == record.started_ms) {
+                unconfirmed_stops_.erase(record.id);
             }
-            else if (directory::merge(instances_, record, now) != directory::merge_result::changed) {
+            if (!is_new) {
                 continue;
             }
             // Gateways get the change from this replica as well, because one may have lost the connection to
@@ -288,6 +318,10 @@
     while (running_.load()) {
         co_await runtime::wait_for(batch_interval);
         flush_batch();
+        const std::lock_guard lock(mutex_);
+        std::erase_if(unconfirmed_stops_, [this](const directory::instance_id& id) {
+            return !instances_.instances.contains(id);
+        });
     }
 }
 
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -74,7 +74,8 @@
     void close();
 
     /// Merges an instance's announcement into the directory and distributes it. The announcement of a planned
-    /// stop is acknowledged only after another replica has confirmed it or the wait for that timed out.
+    /// stop is acknowledged only after another replica has confirmed it, unless there is no other replica.
+    /// @throw link_error if none confirms it before the timeout; the instance then asks another replica.
     boost::asio::awaitable<void> announce(directory::instance_record announcement);
     /// Marks an instance as gone and distributes that as announce() does.
     boost::asio::awaitable<void> deregister(directory::instance_id id, std::uint64_t started_ms);
@@ -141,7 +142,8 @@
     wire::envelope make_retirement_reply(const std::string& store, time_point now);
     void update_hello(time_point now);
     wire::envelope make_full_hello(time_point now);
-    boost::asio::awaitable<void> send_to_peers(wire::envelope update, bool wait_for_peer);
+    boost::asio::awaitable<bool> send_to_peers(wire::envelope update, bool wait_for_peer);
+    boost::asio::awaitable<void> replicate_stop(directory::instance_id id, wire::envelope update);
     boost::asio::awaitable<wire::envelope> call_leader(wire::envelope request);
     boost::asio::awaitable<wire::envelope> execute_order(wire::envelope command, order_source source);
     boost::asio::awaitable<std::optional<std::uint64_t>> read_order_count();
@@ -189,6 +191,7 @@
     wire::directory_update batch_;              ///< changes not yet sent to the gateways
     std::set<std::uint64_t> pending_confirms_;  ///< numbers of updates that no other replica confirmed yet
     std::uint64_t next_confirm_number_ = 1;
+    std::set<directory::instance_id> unconfirmed_stops_; ///< that no other replica is known to have
 
     http::metric_set metrics_;
     std::unique_ptr<http::server> operator_server_;
