Retirement: refuse no store by reports that may not have arrived yet

The retirement of a store of the fleet could be answered 404 "no such store" or 409 "too few stores would be left" by a control replica that had just started or had just been cut off from the quorum. Both end an order.

What stores exist and run is known from their reports only, which a replica that starts begins to collect. An order was also refused without a read lease.

A store that was an initial member of a ledger group is known from the replicated state. A replica without a lease, or one that could refuse but has listened for less than the time after which a store counts as silent, passes the request on, so that its sender gets 503 unless another replica can tell.

retirement_test with the old rules: retirement_test.cpp(149), check (*phase == core::retirement_phase::impossible) has failed (the phase was unknown, 404). It passes with the change, as does the new case of fleet_state_test. That founded groups are never replaced, on which gateways rely when they take the number of groups from any replica, had no test; it gets one.

--- a/src/core/control_orders.cpp
+++ b/src/core/control_orders.cpp
@@ -110,10 +110,14 @@
 
 wire::envelope control_process::make_retirement_reply(const std::string& store, time_point now)
 {
-    retirement_phase phase = retirement_phase::unknown;
-    {
+    retirement_phase phase = retirement_phase::undetermined;
+    if (group_->has_read_lease()) {
         const std::lock_guard lock(mutex_);
-        phase = evaluate_retirement(state_, stores_, store, 2 * settings_.tolerated_failures + 1, now);
+        phase = evaluate_retirement(state_, stores_, store, 2 * settings_.tolerated_failures + 1, created_at_,
+                                    now);
+    }
+    if (phase == retirement_phase::undetermined) {
+        return make_redirect(*group_); // its sender asks again until its time is up
     }
     wire::envelope reply;
     wire::retire_answer* body = reply.mutable_retired();
--- a/src/core/fleet_state.cpp
+++ b/src/core/fleet_state.cpp
@@ -257,25 +257,39 @@
     return !is_member && static_cast<std::size_t>(voter_count) >= voters;
 }
 
+bool is_initial_member(const fleet_state& state, const std::string& name)
+{
+    return std::any_of(state.initial_members.begin(), state.initial_members.end(),
+                       [&name](const std::vector<consensus::member>& members) {
+                           return std::any_of(
+                               members.begin(), members.end(),
+                               [&name](const consensus::member& member) { return member.name == name; });
+                       });
+}
+
 } // namespace
 
 retirement_phase evaluate_retirement(const fleet_state& state,
                                      const std::map<std::string, store_status>& stores,
-                                     const std::string& name, std::size_t voters, time_point now)
+                                     const std::string& name, std::size_t voters, time_point observed_since,
+                                     time_point now)
 {
     std::size_t remaining_stores = 0;
-    bool known = state.retiring_stores.contains(name);
+    bool known = state.retiring_stores.contains(name) || is_initial_member(state, name);
     for (const auto& [endpoint, store] : stores) {
         const bool is_alive = now - store.last_report_at < store_timeout;
         known = known || store.name == name;
         remaining_stores +=
             is_alive && store.name != name && !state.retiring_stores.contains(store.name) ? 1 : 0;
     }
-    if (!known) {
-        return retirement_phase::unknown;
+    if (known && !state.retiring_stores.contains(name) && remaining_stores >= voters) {
+        return retirement_phase::possible;
     }
     if (!state.retiring_stores.contains(name)) {
-        return remaining_stores >= voters ? retirement_phase::possible : retirement_phase::impossible;
+        const bool may_lack_reports = now - observed_since < store_timeout;
+        return may_lack_reports ? retirement_phase::undetermined
+               : known          ? retirement_phase::impossible
+                                : retirement_phase::unknown;
     }
     for (std::uint32_t group = 1; group <= state.initial_members.size(); ++group) {
         if (!has_left_group(stores, group, name, voters, now)) {
--- a/src/core/fleet_state.hpp
+++ b/src/core/fleet_state.hpp
@@ -91,11 +91,21 @@
 /// @return the decoded initial members of all ledger groups.
 initial_member_lists from_wire(const google::protobuf::RepeatedPtrField<wire::founding>& messages);
 /// Phase of a store's retirement: `possible` and `impossible` before it was ordered, `running` until other
-/// stores hold all groups, then `completed`; `unknown` for a store that neither retires nor reports.
-enum class retirement_phase : std::uint8_t { unknown, impossible, possible, running, completed };
+/// stores hold all groups, then `completed`; `unknown` for a store that neither retires nor reports and was
+/// no initial member; `undetermined` while stores that run may not have reported yet.
+enum class retirement_phase : std::uint8_t {
+    unknown,
+    impossible,
+    possible,
+    running,
+    completed,
+    undetermined
+};
 /// @return the phase of a store's retirement. @param voters full number of voters of a ledger group.
+/// @param observed_since when the replica began to receive the stores' reports.
 retirement_phase evaluate_retirement(const fleet_state& state,
                                      const std::map<std::string, store_status>& stores,
-                                     const std::string& name, std::size_t voters, time_point now);
+                                     const std::string& name, std::size_t voters, time_point observed_since,
+                                     time_point now);
 
 } // namespace guavawick::core
--- a/tests/unit/fleet_state_test.cpp
+++ b/tests/unit/fleet_state_test.cpp
@@ -24,6 +24,7 @@
     fleet_state state;
     std::map<std::string, store_status> stores;
     time_point now{1h};
+    time_point observed_since{};
 
     three_stores()
     {
@@ -53,7 +54,7 @@
 
     retirement_phase phase(const std::string& name)
     {
-        return evaluate_retirement(state, stores, name, 3, now);
+        return evaluate_retirement(state, stores, name, 3, observed_since, now);
     }
 };
 
@@ -134,6 +135,18 @@
     BOOST_TEST(choose_initial_members(stores, 1, 5).empty());
 }
 
+// Guards against a control replica that announces another number of groups, which decides where turns are.
+BOOST_FIXTURE_TEST_CASE(groups_that_were_founded_are_not_replaced, three_stores)
+{
+    wire::fleet_command founding;
+    to_wire(choose_initial_members(stores, 1, 3), founding.mutable_found()->mutable_ledgers());
+    BOOST_TEST(execute(state, founding));
+    wire::fleet_command second_founding;
+    to_wire(choose_initial_members(stores, 2, 3), second_founding.mutable_found()->mutable_ledgers());
+    BOOST_TEST(!execute(state, second_founding));
+    BOOST_TEST(state.initial_members.size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(initial_members_of_several_groups_share_the_stores_and_have_different_first_leaders,
                         three_stores)
 {
@@ -188,6 +201,18 @@
     BOOST_TEST((phase("store-1") == retirement_phase::possible));
 }
 
+// Guards against a refusal by a control replica that has just started and whose stores have not reported yet.
+BOOST_FIXTURE_TEST_CASE(retirement_is_undetermined_until_all_stores_can_have_reported, three_stores)
+{
+    observed_since = now - 1s;
+    BOOST_TEST((phase("store-1") == retirement_phase::undetermined));
+    BOOST_TEST((phase("store-5") == retirement_phase::undetermined));
+    add(4);
+    BOOST_TEST((phase("store-1") == retirement_phase::possible));
+    observed_since = now - 2s;
+    BOOST_TEST((phase("store-5") == retirement_phase::unknown));
+}
+
 BOOST_FIXTURE_TEST_CASE(retirement_completes_only_when_all_voters_are_elsewhere_and_reachable, three_stores)
 {
     wire::fleet_command founding;
