Stores: report the members of a ledger group only once they are committed

A retirement could be reported as completed while the removal of the store was still uncommitted. The operator then removes the store with its disk; if the group's leader ended as well, its successor counted the store as a voter that is lost, so the group stood one further loss less than the deployment states until it was replaced.

Leaders reported the newest membership of their log, which applies before it is committed, and control completes a retirement by these reports.

A leader reports no members while a change is not committed, so the retirement stays `running`.

--- a/src/core/ledger_replica.cpp
+++ b/src/core/ledger_replica.cpp
@@ -389,8 +389,9 @@
     status->blank = group_.is_blank();
     status->content_bytes = contents_.size();
     status->leads = group_.leads() && group_.has_read_lease();
-    if (status->leads) {
-        status->members = group_.report().members;
+    replica::group_report report = group_.report();
+    if (status->leads && report.members_committed) {
+        status->members = std::move(report.members);
     }
     status_.store(std::move(status));
 }
--- a/src/core/ledger_replica.hpp
+++ b/src/core/ledger_replica.hpp
@@ -19,10 +19,12 @@
 
 /// Status of a ledger replica as of its last tick.
 struct ledger_replica_status {
-    bool blank = true;                           ///< the disk holds no data of the group
-    bool leads = false;                          ///< this replica leads and a quorum confirmed it
-    std::uint64_t content_bytes = 0;             ///< size of the contents' segments on disk
-    std::vector<replica::member_report> members; ///< as the leader sees them; empty on other replicas
+    bool blank = true;               ///< the disk holds no data of the group
+    bool leads = false;              ///< this replica leads and a quorum confirmed it
+    std::uint64_t content_bytes = 0; ///< size of the contents' segments on disk
+    /// As the leader sees them. Empty on other replicas, and while a change is not committed: a store whose
+    /// removal may be undone is still needed.
+    std::vector<replica::member_report> members;
 };
 
 /// A member of a ledger group, or a candidate for membership. Thread safety: every function may be called
@@ -52,6 +54,7 @@
     /// @return the status as of the last tick.
     [[nodiscard]] std::shared_ptr<const ledger_replica_status> status() const { return status_.load(); }
     [[nodiscard]] const replica::group& group() const { return group_; }
+    [[nodiscard]] replica::group& group() { return group_; }
 
 private:
     void process_request(const wire::envelope& request, const reply_function& send_reply);
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -315,6 +315,7 @@
     result.commit = state_.commit;
     result.applied = state_.applied;
     result.last = consensus::last_index(state_);
+    result.members_committed = state_.memberships.back().index <= state_.commit;
     const consensus::member* leader =
         consensus::find_member(consensus::current_members(state_), state_.leader);
     result.leader = leader == nullptr ? "" : leader->name;
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -73,6 +73,7 @@
     consensus::log_index last = 0; ///< last entry of the log, committed or not
     std::string leader;            ///< name of the leader, empty if unknown
     std::vector<member_report> members;
+    bool members_committed = false; ///< as far as this replica knows, a quorum has confirmed `members`
 };
 
 /// What a replica knows of its group, whether it has a leader or not.
