--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -64,8 +64,7 @@
     ~control_process();
     /// Starts to serve. @param operator_handler serves HTTP requests at `operator_listen`, unless that is
     /// empty.
-    /// @throw storage_error; link_error if an address can't be bound. If that of the link can't, nothing has
-    /// been started and the process may be destroyed.
+    /// @throw storage_error, link_error.
     void start(http::handler operator_handler);
     /// Replaces the endpoints of the control replicas that are contacted first.
     void set_seeds(const std::vector<std::string>& seeds);
@@ -185,7 +184,7 @@
     std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
     std::map<std::string, store_status> stores_;    ///< by endpoint
     std::map<std::string, std::uint64_t>
-        scheduled_pushes_; ///< document versions that gateways without the newest view have, by endpoint
+        scheduled_pushes_; ///< document versions of the gateways that a view is due to, by endpoint
     rollout::evidence_table evidence_; ///< reports of the gateways on running rollouts
     std::vector<std::string> seeds_;
     std::vector<std::string> member_endpoints_; ///< link endpoints of the control group's members
--- a/src/core/control_views.cpp
+++ b/src/core/control_views.cpp
@@ -124,7 +124,8 @@
     }
     const fleet_view view = view_.load();
     // The leader pushes a new view itself; a full document from every replica would saturate the links.
-    const bool push_missed = request.version() == 0 || now - view_published_at_.load() > push_retry_delay;
+    const bool has_plan = request.version() > 0;
+    const bool push_missed = !has_plan || now - view_published_at_.load() > push_retry_delay;
     if (!is_store && request.revision() < view->revision && push_missed) {
         schedule_push(request.endpoint(), request.version());
     }
@@ -140,8 +141,8 @@
             return;
         }
     }
-    // The lease is checked on the group's thread when the view is sent. What the thread recorded before may
-    // be out of date, since it may have waited for its disk or the process may have been frozen.
+    // The lease is checked on the group's thread when the view is sent. Another thread can't know whether the
+    // leadership was handed over since the last tick.
     group_->post([this] { send_scheduled_pushes(); });
 }
 
@@ -153,11 +154,11 @@
         pushes.swap(scheduled_pushes_);
     }
     const fleet_view view = view_.load();
-    const bool confirmed = group_->has_read_lease();
+    const bool is_confirmed = group_->has_read_lease();
     for (const auto& [endpoint, known_version] : pushes) {
         const bool has_plan = known_version > 0;
-        if (has_plan || confirmed) { // a gateway without a plan takes none that no quorum confirms
-            push_view(endpoint, *view, known_version, confirmed);
+        if (has_plan || is_confirmed) { // a gateway without a plan accepts no other view
+            push_view(endpoint, *view, known_version, is_confirmed);
         }
     }
 }
