--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -64,7 +64,8 @@
     ~control_process();
     /// Starts to serve. @param operator_handler serves HTTP requests at `operator_listen`, unless that is
     /// empty.
-    /// @throw storage_error, link_error.
+    /// @throw storage_error; link_error if an address can't be bound. If that of the link can't, nothing has
+    /// been started and the process may be destroyed.
     void start(http::handler operator_handler);
     /// Replaces the endpoints of the control replicas that are contacted first.
     void set_seeds(const std::vector<std::string>& seeds);
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -190,8 +190,8 @@
     std::size_t next_directory_replica_ =
         0; ///< index of the control replica that is asked for its directory next
     time_point started_at_ = runtime_clock::now();
-    time_point missing_plan_due_at_{};         ///< when the lack of a plan is logged next
-    std::uint64_t unconfirmed_view_count_ = 0; ///< views that were ignored while there was no plan
+    time_point missing_plan_due_at_{};                 ///< when the lack of a plan is logged next
+    std::uint64_t unconfirmed_view_count_ = 0;         ///< views that were ignored while there was no plan
     time_point next_plan_at_{};                        ///< when the next plan may be decoded
     std::unique_ptr<wire::control_view> pending_view_; ///< waits until then; nullptr if none does
     std::atomic<bool> running_{true};
