Consensus: a lost voter whose successor is a voter already is removed

In groups without a membership plan a voter that lost its disk stayed for good, so that the group of three had four voters and bore no further loss. Repair removes a lost voter before it promotes the learner of the same name, but only if the voter counts as inactive. A late reply made it count as active at that moment; the learner was promoted, and without a learner nothing looked for the lost voter again.

Repair also removes an inactive voter whose name a voter that joined later has.

--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -49,6 +49,16 @@
     return false;
 }
 
+/// @return whether a voter that joined later has the name of this one.
+bool is_succeeded_by_voter(const membership& members, const member& checked)
+{
+    const auto position = std::find_if(members.members.begin(), members.members.end(),
+                                       [&checked](const member& other) { return other.id == checked.id; });
+    return std::any_of(position, members.members.end(), [&checked](const member& other) {
+        return other.voter && other.name == checked.name && other.id != checked.id;
+    });
+}
+
 } // namespace
 
 change_result add_learner(group_state& state, const member& joining, time_point now, effects& pending)
@@ -121,14 +131,22 @@
         return false;
     }
     const membership members = current_members(state);
+    const auto is_inactive = [&state, now](const member& other) {
+        return other.id != state.self && !is_recently_active(state, other.id, now);
+    };
+    // A late reply of a lost voter may have made it count as active while its successor was promoted.
+    for (const member& lost : members.members) {
+        if (lost.voter && is_inactive(lost) && is_succeeded_by_voter(members, lost)) {
+            return remove_member(state, lost.id, pending) == change_result::proposed;
+        }
+    }
     for (const member& learner : members.members) {
         if (learner.voter || !is_recently_active(state, learner.id, now) || !has_caught_up(state, learner)) {
             continue;
         }
         // Remove the lost voter first: with both as voters, one more loss could break the quorum.
         for (const member& lost : members.members) {
-            const bool is_inactive = lost.id != state.self && !is_recently_active(state, lost.id, now);
-            if (lost.voter && lost.name == learner.name && is_inactive) {
+            if (lost.voter && lost.name == learner.name && is_inactive(lost)) {
                 return remove_member(state, lost.id, pending) == change_result::proposed;
             }
         }
--- a/tests/unit/consensus_test.cpp
+++ b/tests/unit/consensus_test.cpp
@@ -322,6 +322,39 @@
     BOOST_TEST(find_member(current_members(leader().state), old_id) == nullptr);
 }
 
+// Guards against a lost voter that stays in the group for good, because a late reply of it made the leader
+// count it as active while its successor was promoted. Found with seed 1714.
+BOOST_FIXTURE_TEST_CASE(lost_voter_whose_successor_was_promoted_first_is_removed, three_members)
+{
+    group_state& state = leader().state;
+    const member_id lost = follower().id;
+    cluster.lose_disk(follower());
+    for (int i = 0; i < 100 && current_members(state).members.size() == 3; ++i) {
+        cluster.now += 20ms;
+        for (fake_member& member : cluster.members) {
+            cluster.tick(member);
+        }
+        cluster.deliver_all();
+        cluster.add_missing_members();
+    }
+    message late_reply;
+    late_reply.kind = message_kind::append_reply;
+    late_reply.from = lost;
+    late_reply.to = state.self;
+    late_reply.term = state.term;
+    late_reply.sent_at = cluster.now.time_since_epoch().count();
+    effects pending;
+    step(state, late_reply, cluster.now, pending);
+    for (int i = 0; i < 100 && !current_members(state).members.back().voter; ++i) {
+        cluster.deliver_all();
+        cluster.tick(leader());
+    }
+    BOOST_REQUIRE(current_members(state).members.size() == 4U);
+    BOOST_REQUIRE(current_members(state).members.back().voter);
+    BOOST_TEST(cluster.run_until_stable());
+    BOOST_TEST((find_member(current_members(state), lost) == nullptr));
+}
+
 BOOST_FIXTURE_TEST_CASE(second_lost_disk_after_a_repair_loses_no_entries, three_members)
 {
     for (int round = 0; round < 2; ++round) {
