A replica's contact: voters that were heard, leaders that are alive

A learner starts no elections and kept the name of a leader that had ended, so GW2023 never came and the metric stayed 1; a voter counted as reachable though nothing had ever arrived from it, since links to peers without a connection count as active.

group_test on the code before: learner_whose_leader_is_silent_knows_no_leader, "check !member->counters().knows_leader has failed"; voter_that_never_sent_anything_is_not_reachable, "check read_contact().reachable_voters == 0 has failed [1 != 0]". Contact counts messages of the group, and is computed for a redirect only without a leader.

--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -409,7 +409,8 @@
     log_event(event::configuration_awaited,
               {{"ms_since_start", std::uint64_t(to_ms(now - started_at_))},
                {"unconfirmed_views", unconfirmed_view_count_},
-               {"control_replicas", std::uint64_t{state_->control_endpoints.size()}}});
+               {"control_replicas", std::uint64_t{state_->control_endpoints.size()}},
+               {"answering", std::uint64_t{hello_digests_.size()}}});
 }
 
 asio::awaitable<void> gateway_process::subscribe_loop()
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -104,6 +104,7 @@
 {
     post([this, endpoint, received = std::move(received)] {
         learned_endpoints_[received.from] = endpoint;
+        heard_at_[received.from] = runtime_clock::now();
         if (receive_offer(received, endpoint)) {
             return;
         }
@@ -182,7 +183,7 @@
     check_leader(now);
     counters_.leads.store(leads());
     counters_.term.store(state_.term);
-    counters_.knows_leader.store(leaderless_since_ == time_point{});
+    counters_.knows_leader.store(knows_leader(now));
     counters_.applied.store(state_.applied);
     const std::vector<consensus::member>& members = consensus::current_members(state_).members;
     counters_.voters.store(static_cast<std::uint64_t>(std::count_if(
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -83,7 +83,7 @@
     consensus::log_index last = 0;
     bool is_member = false;
     std::size_t voters = 0;           ///< of the newest membership in the log
-    std::size_t reachable_voters = 0; ///< this replica and those from which something arrived lately
+    std::size_t reachable_voters = 0; ///< this replica and those whose messages of the group arrived lately
     std::string unreachable;          ///< link endpoints of the other voters, separated by commas
     consensus::member_id voted_for;   ///< in this term
     std::size_t granted_votes = 0;    ///< of a candidate
@@ -191,6 +191,8 @@
     [[nodiscard]] std::size_t pending_proposals() const { return pending_proposals_.size(); }
     /// @return the group's status. @pre called on the group's thread.
     [[nodiscard]] group_report report() const;
+    /// @return whether a leader is known, which may be this replica. @pre called on the group's thread.
+    [[nodiscard]] bool knows_leader(time_point now) const;
     /// @return what this replica knows of the group. @pre called on the group's thread.
     [[nodiscard]] group_contact contact() const;
     /// @return the values of the group's metrics. Thread-safe.
@@ -264,8 +266,9 @@
     time_point lacks_voters_since_{}; ///< as the leader sees it; unset while the group has enough
     bool lack_of_voters_logged_ = false;
     bool expects_membership_ = false;
-    time_point leaderless_since_{};     ///< unset while a leader is known
-    time_point leaderless_logged_at_{}; ///< unset until it was logged
+    std::map<consensus::member_id, time_point> heard_at_; ///< when the newest message of a member arrived
+    time_point leaderless_since_{};                       ///< unset while a leader is known
+    time_point leaderless_logged_at_{};                   ///< unset until it was logged
     consensus::log_index last_snapshot_index_ = 0;
     std::uint64_t log_bytes_at_snapshot_ = 0;
     std::optional<snapshot_import> import_;
--- a/src/replica/group_contact.cpp
+++ b/src/replica/group_contact.cpp
@@ -44,7 +44,10 @@
             continue;
         }
         ++result.voters;
-        if (member.id == state_.self || links_.active_within(member.endpoint, contact_timeout)) {
+        const auto heard = heard_at_.find(member.id);
+        const bool is_heard =
+            heard != heard_at_.end() && runtime_clock::now() - heard->second < contact_timeout;
+        if (member.id == state_.self || is_heard) {
             ++result.reachable_voters;
             continue;
         }
@@ -56,12 +59,20 @@
     return result;
 }
 
+bool group::knows_leader(time_point now) const
+{
+    // A learner starts no elections, so it keeps the name of a leader that has ended.
+    const bool is_led_by_other =
+        state_.leader && now - state_.last_leader_contact < 2 * state_.settings.election_timeout;
+    return state_.role == consensus::role_type::leader || is_led_by_other;
+}
+
 void group::check_leader(time_point now)
 {
     const bool is_awaited = is_member() || expects_membership_;
-    const bool is_known = state_.leader || state_.role == consensus::role_type::leader;
+    const bool is_known = knows_leader(now);
     if (is_known || !is_awaited) {
-        if (leaderless_logged_at_ != time_point{}) {
+        if (is_known && leaderless_logged_at_ != time_point{}) {
             log_event(event::group_has_leader, {{"group", std::uint64_t{number_}},
                                                 {"leader", leader_endpoint()},
                                                 {"term", state_.term},
--- a/src/replica/redirect_func.cpp
+++ b/src/replica/redirect_func.cpp
@@ -10,6 +10,9 @@
     wire::envelope reply;
     wire::not_leader& redirect = *reply.mutable_redirect();
     redirect.set_leader_endpoint(from.leads() ? "" : from.leader_endpoint());
+    if (from.knows_leader(runtime_clock::now())) {
+        return reply;
+    }
     const group_contact contact = from.contact();
     redirect.set_term(contact.term);
     redirect.set_role(name_of(contact.role));
--- a/src/replica/redirect_func.hpp
+++ b/src/replica/redirect_func.hpp
@@ -7,9 +7,9 @@
 
 class group;
 
-/// @return a reply that redirects the client to the group's leader and says what this replica knows of the
-/// group. The endpoint is empty if no leader is known or this replica leads itself. @pre called on the
-/// group's thread.
+/// @return a reply that redirects the client to the group's leader; without a leader it says what this
+/// replica knows of the group. The endpoint is empty if no leader is known or this replica leads itself.
+/// @pre called on the group's thread.
 wire::envelope make_redirect(const group& from);
 
 } // namespace guavawick::replica
--- a/tests/unit/group_test.cpp
+++ b/tests/unit/group_test.cpp
@@ -247,6 +247,73 @@
     fs::remove_all(path);
 }
 
+/// A learner of a group whose only voter is silent and was never sent anything.
+struct learner_of_a_silent_voter {
+    fs::path path = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
+    runtime::worker_pool pool{1};
+    wire::link links{pool.executor(), link_settings{}, incarnation_id{1}};
+    std::unique_ptr<group> member;
+
+    learner_of_a_silent_voter()
+    {
+        replica_settings settings;
+        settings.name = "self";
+        settings.link = "tcp://127.0.0.1:1";
+        settings.data_folder = path.string();
+        member = std::make_unique<group>(1, settings, consensus::member_id{11},
+                                         std::vector<replica_address>{}, links);
+        state_machine machine;
+        machine.save = [] { return std::string(); };
+        machine.leadership_changed = [](bool) {};
+        machine.tick = [](time_point) {};
+        member->start(std::move(machine));
+        consensus::membership members;
+        members.members.push_back({consensus::member_id{11}, "self", settings.link, false, 0, "a"});
+        members.members.push_back({consensus::member_id{12}, "other", "tcp://127.0.0.1:2", true, 0, "a"});
+        member->bootstrap(members);
+    }
+
+    ~learner_of_a_silent_voter()
+    {
+        member->stop();
+        pool.stop();
+        links.close();
+        fs::remove_all(path);
+    }
+
+    group_contact read_contact()
+    {
+        std::promise<group_contact> read;
+        member->post([&] { read.set_value(member->contact()); });
+        return read.get_future().get();
+    }
+};
+
+// Guards against a learner that states a leader long after that one has ended: learners start no elections.
+BOOST_FIXTURE_TEST_CASE(learner_whose_leader_is_silent_knows_no_leader, learner_of_a_silent_voter)
+{
+    consensus::message request;
+    request.kind = consensus::message_kind::append_request;
+    request.from = consensus::member_id{12};
+    request.to = consensus::member_id{11};
+    request.term = 2;
+    member->handle(request, "");
+    while (!member->counters().knows_leader || member->counters().term != 2) {
+    }
+    runtime_clock::advance(1h);
+    constexpr int batches = 20;
+    for (int i = 0; i < batches; ++i) {
+        read_contact();
+    }
+    BOOST_TEST(!member->counters().knows_leader);
+}
+
+// Guards against a line that says that a replica reaches voters from which it has never received anything.
+BOOST_FIXTURE_TEST_CASE(voter_that_never_sent_anything_is_not_reachable, learner_of_a_silent_voter)
+{
+    BOOST_TEST(read_contact().reachable_voters == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
