--- a/tests/unit/control_host_test.cpp
+++ b/tests/unit/control_host_test.cpp
@@ -5,6 +5,8 @@
 #include "wire.pb.h"
 
 #include <array>
+#include <condition_variable>
+#include <mutex>
 
 namespace guavawick::tests {
 
@@ -239,6 +241,75 @@
     BOOST_TEST(publish(2, 4));
 }
 
+/// A gateway's link that subscribes without a plan and keeps the versions that replicas pass off as
+/// confirmed.
+struct scripted_subscriber {
+    runtime::worker_pool pool{1};
+    std::string endpoint = "tcp://" + find_free_address();
+    wire::link link{pool.executor(), core::make_link_settings(), incarnation_id{random_id()}};
+    std::mutex mutex; ///< guards the members below
+    std::condition_variable received;
+    std::map<std::string, std::uint64_t> confirmed; ///< version by sender
+    std::map<std::string, int> hellos;              ///< by sender
+
+    scripted_subscriber()
+    {
+        link.listen(endpoint, [this](const wire::reply_target&, const wire::envelope_ptr& message) {
+            const std::lock_guard lock(mutex);
+            if (message->has_hello()) {
+                ++hellos[message->hello().sender()];
+            }
+            if (message->has_view() && message->view().confirmed()) {
+                confirmed[message->view().sender()] = message->view().version();
+            }
+            received.notify_all();
+        });
+    }
+
+    ~scripted_subscriber()
+    {
+        pool.stop();
+        link.close();
+    }
+
+    void subscribe(const std::string& control)
+    {
+        wire::envelope message;
+        message.mutable_subscribe()->set_endpoint(endpoint);
+        message.mutable_subscribe()->set_role("entry");
+        link.send(control, message);
+    }
+};
+
+// Guards against an outdated plan from a former leader that transferred its leadership: its lease ends with
+// the transfer, not with the time for which it was granted.
+BOOST_FIXTURE_TEST_CASE(replica_that_transferred_its_leadership_confirms_no_plan, small_control_group)
+{
+    BOOST_TEST_REQUIRE(publish(0, 1));
+    scripted_subscriber subscriber;
+    std::string leader;
+    while (leader.empty()) {
+        for (const std::string& seed : common.seeds) {
+            subscriber.subscribe(seed);
+        }
+        std::unique_lock lock(subscriber.mutex);
+        subscriber.received.wait(lock);
+        for (const auto& [sender, version] : subscriber.confirmed) {
+            leader = version == 1 ? sender : leader;
+        }
+    }
+    const auto found = std::find(common.seeds.begin(), common.seeds.end(), leader);
+    BOOST_TEST_REQUIRE((found != common.seeds.end()));
+    const auto number = static_cast<std::size_t>(found - common.seeds.begin());
+    controls.at(number).process->stop();
+    scripted_subscriber late;
+    late.subscribe(leader);
+    late.subscribe(leader);
+    std::unique_lock lock(late.mutex);
+    late.received.wait(lock, [&] { return late.hellos[leader] >= 2; });
+    BOOST_TEST(late.confirmed.count(leader) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(instance_is_needed_until_the_group_has_its_voters_and_a_standby)
 {
     std::set<std::string> members{"tcp://10.0.0.1:1", "tcp://10.0.0.2:1", "tcp://10.0.0.3:1"};
--- a/tests/unit/plan_source_test.cpp
+++ b/tests/unit/plan_source_test.cpp
@@ -78,14 +78,14 @@
     runtime::worker_pool pool{1};
     std::unique_ptr<gateway::gateway_process> gateway;
 
-    void start()
+    void start(const std::string& link = "tcp://" + find_free_address())
     {
         core::fleet_settings settings;
         settings.node = "entry";
         settings.data_centre = "a";
         settings.stop_grace = 1s;
         settings.seeds = {control.endpoint};
-        settings.link = "tcp://" + find_free_address();
+        settings.link = link;
         settings.caller_listen = find_free_address();
         settings.readiness_listen = find_free_address();
         gateway::platform_adapter adapter;
@@ -163,4 +163,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(delayed_plan_test)
+
+// Guards against an outdated plan that a former leader's link held back until the gateway had started again.
+BOOST_FIXTURE_TEST_CASE(gateway_without_a_plan_takes_none_that_was_sent_before_it_started,
+                        gateway_beside_scripted_control)
+{
+    const std::string endpoint = "tcp://" + find_free_address();
+    control.set_view(3, true);
+    {
+        const std::lock_guard lock(control.mutex);
+        control.link.send(endpoint, control.view);
+        control.view.Clear(); // subscriptions are not answered
+    }
+    start(endpoint);
+    const std::vector<std::uint64_t> versions = control.collect_versions(6, 3);
+    BOOST_TEST(std::count(versions.begin(), versions.end(), 0) == 6);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace guavawick::tests
