--- a/src/replica/group_contact.cpp
+++ b/src/replica/group_contact.cpp
@@ -11,8 +11,9 @@
 
 constexpr duration leaderless_log_delay = 1s;    ///< an election usually ends earlier
 constexpr duration leaderless_log_interval = 5s; ///< between two lines of one period without a leader
-constexpr duration contact_timeout =
-    600ms; ///< a replica from which nothing arrived for longer is unreachable
+/// A voter whose messages don't arrive for longer is unreachable. Without a leader voters ask each other for
+/// votes at least every 1.2 s.
+constexpr duration contact_timeout = 2500ms;
 
 } // namespace
 
