--- a/src/wire/group_client.cpp
+++ b/src/wire/group_client.cpp
@@ -42,7 +42,11 @@
     }
     std::string text;
     for (const auto& [endpoint, answer] : answers) {
-        text += (text.empty() ? "asked " : "; ") + endpoint + " (" + answer + ")";
+        text += text.empty() ? "asked " : "; ";
+        text += endpoint;
+        text += " (";
+        text += answer;
+        text += ")";
     }
     return text;
 }
