Control and gateways: log and count views that are not sent, not complete or late

The logs could not tell why a gateway has no newer plan: a push that the leader left out because it held no read lease, a view that came without its document, or one that came late left no line. Now GW3005 at the leader, GW3007 at the gateway, GW3006 at each control replica for a gateway that has lacked a revision for 2 s, with who leads and whether it is hosted; GW3002 says how long before the sender had the revision, and guavawick_gateway_plan_delays_total counts revisions by the time until they were in force.

--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -305,7 +305,7 @@
             return;
         }
         message.mutable_directory()->Swap(&batch_);
-        for (const auto& [endpoint, last_subscription] : subscribers_) {
+        for (const auto& [endpoint, subscriber] : subscribers_) {
             endpoints.push_back(endpoint);
         }
     }
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -102,6 +102,7 @@
                       [this] { return static_cast<double>(view_.load()->document_version); }, ""});
         metrics_.add({"guavawick_control_evacuated_data_centres", "Data centres that get no new calls.",
                       false, [this] { return static_cast<double>(evacuated_data_centres().size()); }, ""});
+        add_view_metrics();
         add_rollout_metrics();
         metrics_server_ = std::make_unique<http::server>(
             pool_.executor(), settings_.metrics_listen, metrics_limits, http::make_metrics_handler(metrics_));
@@ -328,8 +329,9 @@
                 contacts.push_back(seed);
             }
         }
-        std::erase_if(subscribers_,
-                      [now](const auto& subscriber) { return now - subscriber.second > subscriber_timeout; });
+        std::erase_if(subscribers_, [now](const auto& subscriber) {
+            return now - subscriber.second.last_subscription > subscriber_timeout;
+        });
         std::erase_if(stores_, [now](const auto& store) {
             return now - store.second.last_report_at > store_retention;
         });
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -4,6 +4,7 @@
 #include "core/fleet_settings.hpp"
 #include "core/fleet_state.hpp"
 #include "core/group_serving.hpp"
+#include "core/publication_log.hpp"
 #include "directory/directory_func.hpp"
 #include "directory/leaving_marks.hpp"
 #include "http/http_type.hpp"
@@ -38,6 +39,12 @@
     std::function<bool()> is_abandoned;            ///< whether its sender has left; empty if it can't leave
 };
 
+/// A gateway that has subscribed lately.
+struct view_subscriber {
+    time_point last_subscription{};
+    time_point behind_logged_at{}; ///< when it was last reported to lack a revision
+};
+
 /// What a control replica keeps on the latest rollout of a service besides the replicated record.
 struct rollout_work {
     std::uint64_t number = 0;     ///< of the rollout
@@ -126,6 +133,9 @@
     void push_view(const std::string& endpoint, const fleet_state& view, std::uint64_t known_version,
                    bool confirmed);
     void push_view_to_all(std::uint64_t known_version);
+    void report_gateway_behind(const wire::subscribe_request& request, const fleet_state& view,
+                               time_point now);
+    void add_view_metrics();
     void schedule_push(const std::string& endpoint, std::uint64_t known_version);
     void send_scheduled_pushes();
     void tick(time_point now);
@@ -166,6 +176,9 @@
     std::atomic<fleet_view> view_; ///< state after the last applied command
     std::atomic<std::shared_ptr<const prepared_hello>> hello_; ///< as of the last tick; empty before it
     std::atomic<time_point> view_published_at_{time_point{}};  ///< when `view_` was last replaced
+    std::atomic<std::uint64_t> views_sent_{0};
+    std::atomic<std::uint64_t> views_not_sent_{0};
+    std::atomic<std::uint64_t> gateways_behind_{0}; ///< reports of gateways that lacked a revision
     std::atomic<bool> running_{true};
     time_point created_at_ = runtime_clock::now();
     std::map<std::string, rollout_work> rollout_work_; ///< by service; the group's thread only
@@ -182,8 +195,9 @@
     directory::directory instances_;
     directory::leaving_marks leaving_;
     directory::crash_table crashes_;
-    std::map<std::string, time_point> subscribers_; ///< last subscription of each gateway, by endpoint
-    std::map<std::string, store_status> stores_;    ///< by endpoint
+    std::map<std::string, view_subscriber> subscribers_; ///< gateways, by endpoint
+    publication_log publications_;
+    std::map<std::string, store_status> stores_; ///< by endpoint
     std::map<std::string, std::uint64_t>
         scheduled_pushes_; ///< document versions of the gateways that a view is due to, by endpoint
     rollout::evidence_table evidence_; ///< reports of the gateways on running rollouts
--- a/src/core/control_views.cpp
+++ b/src/core/control_views.cpp
@@ -1,6 +1,7 @@
 // The control role of a fleet: the view that gateways subscribe to.
 #include "core/control_process.hpp"
 
+#include "base/event_type.hpp"
 #include "rollout/rollout_codec.hpp"
 #include "wire.pb.h"
 
@@ -11,6 +12,8 @@
 constexpr duration push_retry_delay =
     600ms; ///< a gateway that still lacks the view after this gets it from any replica; plus a subscription
            ///< interval, this is half of the time in which a plan must take effect
+constexpr duration behind_log_delay = 2s;    ///< most of the time in which a plan must take effect
+constexpr duration behind_log_interval = 5s; ///< between two lines on one gateway
 
 /// @return the status of each ledger group in a store's report, by group number.
 std::map<std::uint32_t, ledger_group_status> decode_groups(const wire::store_report& report)
@@ -36,17 +39,24 @@
 void control_process::push_view_to_all(std::uint64_t known_version)
 {
     push_pending_ = false;
-    if (!group_->has_read_lease()) {
-        return;
-    }
     const fleet_view view = view_.load();
     std::vector<std::string> endpoints;
     {
         const std::lock_guard lock(mutex_);
-        for (const auto& [endpoint, last_subscription] : subscribers_) {
+        for (const auto& [endpoint, subscriber] : subscribers_) {
             endpoints.push_back(endpoint);
         }
     }
+    if (!group_->has_read_lease()) {
+        if (group_->leads()) {
+            views_not_sent_.fetch_add(endpoints.size());
+            log_event(event::view_not_sent, {{"reason", "the leader holds no read lease"},
+                                             {"version", view->document_version},
+                                             {"revision", view->revision},
+                                             {"gateways", std::uint64_t{endpoints.size()}}});
+        }
+        return;
+    }
     for (const std::string& endpoint : endpoints) {
         push_view(endpoint, *view, view->document_version == known_version ? known_version : 0, true);
     }
@@ -54,8 +64,11 @@
 
 void control_process::publish_view()
 {
+    const time_point now = runtime_clock::now();
     view_.store(std::make_shared<const fleet_state>(state_));
-    view_published_at_.store(runtime_clock::now());
+    view_published_at_.store(now);
+    const std::lock_guard lock(mutex_);
+    record_publication(publications_, state_.revision, now);
 }
 
 void control_process::push_view(const std::string& endpoint, const fleet_state& view,
@@ -77,9 +90,48 @@
     for (const auto& [service, rollout] : view.rollouts) {
         rollout::to_wire(rollout, body->add_rollouts());
     }
+    body->set_age_ms(static_cast<std::uint32_t>(to_ms(runtime_clock::now() - view_published_at_.load())));
+    views_sent_.fetch_add(1);
     links_->send(endpoint, std::move(message));
 }
 
+void control_process::report_gateway_behind(const wire::subscribe_request& request, const fleet_state& view,
+                                            time_point now)
+{
+    duration behind{};
+    {
+        const std::lock_guard lock(mutex_);
+        behind = time_behind(publications_, request.revision(), now);
+        time_point& logged_at = subscribers_[request.endpoint()].behind_logged_at;
+        if (behind < behind_log_delay || now - logged_at < behind_log_interval) {
+            return;
+        }
+        logged_at = now;
+    }
+    gateways_behind_.fetch_add(1);
+    log_event(event::gateway_behind, {{"gateway", request.name()},
+                                      {"endpoint", request.endpoint()},
+                                      {"has_version", request.version()},
+                                      {"has_revision", request.revision()},
+                                      {"version", view.document_version},
+                                      {"revision", view.revision},
+                                      {"ms", std::uint64_t(to_ms(behind))},
+                                      {"leads", group_->counters().leads.load() ? "yes" : "no"},
+                                      {"hosted", settings_.hosts_replica ? "yes" : "no"}});
+}
+
+void control_process::add_view_metrics()
+{
+    const auto add = [this](const char* name, const char* help, const std::atomic<std::uint64_t>& value) {
+        metrics_.add({name, help, true, [&value] { return static_cast<double>(value.load()); }, ""});
+    };
+    add("guavawick_control_views_sent_total", "Views sent to gateways.", views_sent_);
+    add("guavawick_control_views_not_sent_total",
+        "Views that the leader did not push, because it held no read lease.", views_not_sent_);
+    add("guavawick_control_gateways_behind_total",
+        "Reports of gateways that lacked a revision for longer than usual.", gateways_behind_);
+}
+
 void control_process::handle_subscription(const wire::subscribe_request& request)
 {
     const time_point now = runtime_clock::now();
@@ -97,7 +149,7 @@
                       now};
         }
         else {
-            subscribers_[request.endpoint()] = now;
+            subscribers_[request.endpoint()].last_subscription = now;
         }
         if (request.whole_directory()) {
             for (const auto& [id, record] : instances_.instances) {
@@ -123,6 +175,9 @@
         links_->send(request.endpoint(), known ? hello->unchanged : hello->full);
     }
     const fleet_view view = view_.load();
+    if (!is_store && request.version() > 0 && request.revision() < view->revision) {
+        report_gateway_behind(request, *view, now);
+    }
     // The leader pushes a new view itself; a full document from every replica would saturate the links.
     const bool has_plan = request.version() > 0;
     const bool push_missed = !has_plan || now - view_published_at_.load() > push_retry_delay;
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -61,6 +61,19 @@
         "Duration of turns relative to the least one lately, of the service last asked for.", false,
         counters.stretch_percent);
     add("guavawick_gateway_plan_version", "Version of the plan in force.", false, counters.plan_version);
+    add("guavawick_gateway_plan_delay_ms",
+        "Time from the publication of the newest revision until it was in force here.", false,
+        counters.plan_delay_ms);
+    for (std::size_t i = 0; i < counters.plan_delays.size(); ++i) {
+        const std::atomic<std::uint64_t>& value = counters.plan_delays.at(i);
+        const std::string bound =
+            i < plan_delay_bounds.size() ? std::to_string(plan_delay_bounds.at(i).count()) : "more";
+        metrics_.add({"guavawick_gateway_plan_delays_total",
+                      "Revisions by the time until they were in force here, up to a number of milliseconds.",
+                      true, [&value] { return static_cast<double>(value.load()); }, bound});
+    }
+    add("guavawick_gateway_incomplete_views_total", "Views that lacked the document of their version.", true,
+        counters.incomplete_views);
     add("guavawick_gateway_slowest_percent",
         "Learned duration of work at the slowest candidate of the last placement; 100 is usual.", false,
         counters.slowest_percent);
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -239,6 +239,11 @@
     }
     const std::uint64_t current_version = state_->plan ? state_->plan->plan.version.value : 0;
     if (view.version() > current_version && !view.has_document()) {
+        state_->counters.incomplete_views.fetch_add(1);
+        log_event(event::view_incomplete, {{"version", view.version()},
+                                           {"has_version", current_version},
+                                           {"revision", view.revision()},
+                                           {"source", view.sender()}});
         return; // the document follows in reply to the next subscription
     }
     if (view.has_document() && view.version() > current_version) {
@@ -262,12 +267,14 @@
             state_->evacuation_ended_at[data_centre] = now;
         }
     }
+    record_plan_delay(view);
     log_event(event::configuration_in_force,
               {{"revision", view.revision()},
                {"version", view.version()},
                {"before", current_version},
                {"source", view.sender()},
                {"confirmed", view.confirmed() ? "yes" : "no"},
+               {"published_ms_ago", std::uint64_t{view.age_ms()}},
                {"ms_since_start", std::uint64_t(to_ms(runtime_clock::now() - started_at_))},
                {"evacuated", std::uint64_t{state_->evacuated_data_centres.size()}}});
 }
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -64,6 +64,12 @@
 };
 constexpr std::size_t cut_cause_count = 7;
 
+/// Upper bounds of the time from the publication of a revision, at the replica that sent it, until it is in
+/// force at a gateway.
+constexpr std::array<std::chrono::milliseconds, 6> plan_delay_bounds{
+    std::chrono::milliseconds(100),  std::chrono::milliseconds(250),  std::chrono::milliseconds(500),
+    std::chrono::milliseconds(1000), std::chrono::milliseconds(2000), std::chrono::milliseconds(4000)};
+
 /// Values of the gateway's metrics. Thread safety: written by the gateway's thread, read by any thread.
 struct gateway_counters {
     std::atomic<std::uint64_t> answered{0};
@@ -86,6 +92,10 @@
     std::atomic<std::uint64_t> starts_waiting{0};  ///< held at present
     std::atomic<std::uint64_t> stretch_percent{0}; ///< of the service that was last asked for, 100 when idle
     std::atomic<std::uint64_t> plan_version{0};
+    std::atomic<std::uint64_t> plan_delay_ms{0}; ///< of the newest revision
+    std::array<std::atomic<std::uint64_t>, plan_delay_bounds.size() + 1>
+        plan_delays{};                              ///< revisions, by delay
+    std::atomic<std::uint64_t> incomplete_views{0}; ///< that lacked the document of their version
     std::atomic<std::uint64_t> instances{0};
     std::atomic<std::uint64_t> slowest_percent{100}; ///< learned slowness of the slowest candidate
     std::atomic<std::uint64_t> report_age_ms{0};     ///< mean age of the candidates' load reports
@@ -154,6 +164,8 @@
     void apply_view(const wire::control_view& view);
     boost::asio::awaitable<void> apply_pending_view();
     void handle_view(const wire::control_view& view);
+    /// Counts the time that a revision took to be in force.
+    void record_plan_delay(const wire::control_view& view);
     void handle_directory_update(const wire::directory_update& update);
     void handle_hello(const wire::control_hello& hello);
     /// Which control replicas are asked for their complete directory, besides its changes.
@@ -194,6 +206,7 @@
     std::uint64_t unconfirmed_view_count_ = 0;         ///< views that were ignored while there was no plan
     time_point next_plan_at_{};                        ///< when the next plan may be decoded
     std::unique_ptr<wire::control_view> pending_view_; ///< waits until then; nullptr if none does
+    time_point pending_since_{};                       ///< when it arrived
     std::atomic<bool> running_{true};
 };
 
--- a/src/gateway/view_intake.cpp
+++ b/src/gateway/view_intake.cpp
@@ -3,6 +3,8 @@
 
 #include "wire.pb.h"
 
+#include <algorithm>
+
 namespace guavawick::gateway {
 
 namespace asio = boost::asio;
@@ -39,6 +41,7 @@
     const bool is_scheduled = pending_view_ != nullptr;
     if (is_newer) {
         pending_view_ = std::make_unique<wire::control_view>(view);
+        pending_since_ = runtime_clock::now();
     }
     if (!is_scheduled) {
         pool_.spawn(apply_pending_view());
@@ -58,7 +61,17 @@
 {
     co_await runtime::wait_for(next_plan_at_ - runtime_clock::now());
     const std::unique_ptr<wire::control_view> view = std::move(pending_view_);
+    view->set_age_ms(view->age_ms() +
+                     static_cast<std::uint32_t>(to_ms(runtime_clock::now() - pending_since_)));
     apply_view(*view);
 }
 
+void gateway_process::record_plan_delay(const wire::control_view& view)
+{
+    const std::chrono::milliseconds delay(view.age_ms());
+    const auto bound = std::lower_bound(plan_delay_bounds.begin(), plan_delay_bounds.end(), delay);
+    state_->counters.plan_delays.at(static_cast<std::size_t>(bound - plan_delay_bounds.begin())).fetch_add(1);
+    state_->counters.plan_delay_ms.store(view.age_ms());
+}
+
 } // namespace guavawick::gateway
