Scenarios: query the kernel for one socket instead of parsing its table of all

A relay looks up which process a connection comes from. Parsing /proc/net/tcp took its thread up to 1.1 s a connection on a machine with 50,000 sockets, longer than the links' silence limit, so that replicas behind relays never heard each other. A query by sock_diag names the socket by its two ends.

--- a/tests/scenarios/processes.cpp
+++ b/tests/scenarios/processes.cpp
@@ -1,6 +1,8 @@
 // Starts, stops and monitors the processes of a scenario.
 #include "processes.hpp"
 
+#include "connection_owner.hpp"
+
 #include "base/hash_func.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -115,11 +117,9 @@
     const auto local_endpoint = [](unsigned short port) {
         return tcp::endpoint(boost::asio::ip::address_v4::loopback(), port);
     };
-    relays_[owner] = std::make_unique<relay>(executor_, owner, local_endpoint(advertised_port),
-                                             local_endpoint(listen_port),
-                                             [this](unsigned short local_port, unsigned short remote_port) {
-                                                 return find_connection_owner(local_port, remote_port);
-                                             });
+    relays_[owner] = std::make_unique<relay>(
+        executor_, owner, local_endpoint(advertised_port), local_endpoint(listen_port),
+        [this](const connection_ends& ends) { return find_connection_owner(ends); });
     return "tcp://" + loopback_address(advertised_port);
 }
 
@@ -368,43 +368,15 @@
     return text;
 }
 
-std::string process_set::find_connection_owner(unsigned short local_port, unsigned short remote_port) const
+std::string process_set::find_connection_owner(const connection_ends& ends) const
 {
-    std::ifstream table("/proc/net/tcp");
-    std::ostringstream local;
-    std::ostringstream remote;
-    local << std::uppercase << std::hex << local_port;
-    remote << std::uppercase << std::hex << remote_port;
-    std::string inode;
-    for (std::string line; std::getline(table, line);) {
-        std::istringstream line_stream(line);
-        std::vector<std::string> fields((std::istream_iterator<std::string>(line_stream)),
-                                        std::istream_iterator<std::string>());
-        constexpr std::size_t inode_field = 9;
-        if (fields.size() <= inode_field) {
-            continue;
-        }
-        const auto port_of = [](const std::string& address) {
-            return std::stoul(address.substr(address.find(':') + 1), nullptr, 16);
-        };
-        if (fields[1].find(':') != std::string::npos && fields[0] != "sl" &&
-            port_of(fields[1]) == local_port && port_of(fields[2]) == remote_port) {
-            inode = "socket:[" + fields[inode_field] + "]";
-        }
-    }
+    std::map<std::string, pid_t> running;
     for (const auto& [name, process] : processes_) {
-        if (inode.empty() || process.pid <= 0 || process.ended) {
-            continue;
-        }
-        std::error_code ignored;
-        for (const auto& fd :
-             fs::directory_iterator("/proc/" + std::to_string(process.pid) + "/fd", ignored)) {
-            if (fs::read_symlink(fd.path(), ignored).string() == inode) {
-                return name;
-            }
+        if (process.pid > 0 && !process.ended) {
+            running[name] = process.pid;
         }
     }
-    return "?";
+    return scenarios::find_connection_owner(running, ends);
 }
 
 } // namespace guavawick::scenarios
--- a/tests/scenarios/processes.hpp
+++ b/tests/scenarios/processes.hpp
@@ -92,7 +92,7 @@
     unsigned short next_port();
     std::string link_endpoint(const std::string& owner, unsigned short& listen_port);
     void add_process(const std::string& name, std::vector<std::string> command);
-    std::string find_connection_owner(unsigned short local_port, unsigned short remote_port) const;
+    std::string find_connection_owner(const connection_ends& ends) const;
 
     std::string program_folder_;
     std::string folder_;
--- a/tests/scenarios/relay.cpp
+++ b/tests/scenarios/relay.cpp
@@ -111,9 +111,8 @@
                                        std::shared_ptr<relayed_connection> connection)
 {
     if (state->find_owner) {
-        const tcp::endpoint peer = connection->client_socket.remote_endpoint();
-        connection->source =
-            state->find_owner(peer.port(), connection->client_socket.local_endpoint().port());
+        connection->source = state->find_owner(
+            {connection->client_socket.remote_endpoint(), connection->client_socket.local_endpoint()});
     }
     while (state->is_cut(*connection)) {
         co_await runtime::wait_for(cut_poll_interval);
--- a/tests/scenarios/relay.hpp
+++ b/tests/scenarios/relay.hpp
@@ -1,6 +1,8 @@
 // A TCP relay in front of a process's port, which can silence, delay and reset connections.
 #pragma once
 
+#include "connection_owner.hpp"
+
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
@@ -15,7 +17,7 @@
 struct relay_state;
 
 /// Finds the process of the scenario that owns the local end of a TCP connection. @return its name.
-using owner_finder = std::function<std::string(unsigned short local_port, unsigned short remote_port)>;
+using owner_finder = std::function<std::string(const connection_ends&)>;
 
 /// Relays connections to one process, the owner. Thread safety: all functions may be called from any thread.
 class relay {
