--- a/tests/unit/view_confirmation_test.cpp
+++ b/tests/unit/view_confirmation_test.cpp
@@ -40,8 +40,9 @@
     wire::link link{pool.executor(), core::make_link_settings(), incarnation_id{random_id()}};
     std::mutex mutex; ///< guards the members below
     std::condition_variable received;
-    std::map<std::string, int> hellos;          ///< received, by the replica's endpoint
-    std::map<std::string, int> confirmed_views; ///< the same of views that a quorum confirmed
+    std::map<std::string, int> hellos;             ///< received, by the replica's endpoint
+    std::map<std::string, int> confirmed_views;    ///< the same of views that a quorum confirmed
+    std::map<std::string, std::uint64_t> versions; ///< of the newest view, by the replica's endpoint
 
     replicas_with_a_subscriber()
     {
@@ -50,6 +51,10 @@
             if (message->has_hello()) {
                 ++hellos[message->hello().sender()];
             }
+            if (message->has_view()) {
+                std::uint64_t& newest = versions[message->view().sender()];
+                newest = std::max(newest, message->view().version());
+            }
             if (message->has_view() && message->view().confirmed()) {
                 ++confirmed_views[message->view().sender()];
             }
@@ -85,10 +90,11 @@
         fs::remove_all(data_root);
     }
 
-    bool publish()
+    bool publish(std::uint64_t version = 1)
     {
         try {
-            asio::co_spawn(replicas.front().pool.executor(), replicas.front().process->publish({1, "1"}),
+            asio::co_spawn(replicas.front().pool.executor(),
+                           replicas.front().process->publish({version, std::to_string(version)}),
                            asio::use_future)
                 .get();
             return true;
@@ -117,6 +123,22 @@
         return confirmed_views[replica] > views_before;
     }
 
+    /// Subscribes as a gateway that has version 1 in force, and waits for the answer.
+    void subscribe_with_version_1(const std::string& replica)
+    {
+        std::unique_lock lock(mutex);
+        const int hellos_before = hellos[replica];
+        while (hellos[replica] == hellos_before) {
+            wire::envelope subscription;
+            subscription.mutable_subscribe()->set_endpoint(endpoint);
+            subscription.mutable_subscribe()->set_role("entry");
+            subscription.mutable_subscribe()->set_revision(1);
+            subscription.mutable_subscribe()->set_version(1);
+            link.send(replica, std::move(subscription));
+            received.wait_for(lock, 50ms);
+        }
+    }
+
     control_replica& find_leader()
     {
         while (true) {
@@ -164,4 +186,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(view_retry_test)
+
+// Guards against gateways that stay behind while changes follow each other: a replica sent a view that the
+// leader's push had not brought only once nothing had been published for 600 ms.
+BOOST_FIXTURE_TEST_CASE(gateway_without_a_path_to_the_leader_gets_a_view_between_two_changes,
+                        replicas_with_a_subscriber)
+{
+    constexpr std::uint64_t last_version = 20;
+    const control_replica& leader = find_leader();
+    const control_replica& follower = &leader == &replicas.front() ? replicas.back() : replicas.front();
+    for (std::uint64_t version = 2; version <= last_version; ++version) {
+        publish(version);
+        subscribe_with_version_1(follower.link);
+    }
+    const std::lock_guard lock(mutex);
+    BOOST_TEST(versions[follower.link] > 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 } // namespace guavawick::tests
