Control: acknowledge an order once a majority of the control processes knows it

Cause: the group has five voters where two disks may be lost, two of them hosted by gateways. One control process and these two are a quorum. It acknowledged while the other two control processes, which reach each other and most gateways, could not know, and gateways that reach only these two had nobody to tell them. Acknowledged by a quorum was taken for known where clients are.

Change: hosted replicas are auxiliary members. The leader returns the result of a command only once a majority of the regular members, which report their commit index with each reply, knows that it is committed. Any gateway that reaches a majority of them then reaches one that has it. What is committed is in force where it arrives, as before.

--- a/src/base/event_type.hpp
+++ b/src/base/event_type.hpp
@@ -59,6 +59,7 @@
     group_has_voters = 2022,
     group_without_leader = 2023,
     group_has_leader = 2024,
+    confirmation_overdue = 2025,
     configuration_published = 3000,
     configuration_refused = 3001,
     configuration_in_force = 3002,
--- a/src/consensus/consensus_func.cpp
+++ b/src/consensus/consensus_func.cpp
@@ -450,6 +450,7 @@
     const log_index match = merge_entries(state, request, pending);
     reply.index = std::max(match, state.base_index);
     state.commit = std::max(state.commit, std::min(request.commit, match));
+    reply.commit = state.commit;
     pending.messages.push_back(std::move(reply));
     collect_committed(state, pending);
 }
@@ -481,6 +482,7 @@
         return;
     }
     peer.match = std::max(peer.match, reply.index);
+    peer.known_commit = std::max(peer.known_commit, reply.commit != 0 ? reply.commit : reply.index);
     peer.next = std::max(peer.next, peer.match + 1);
     peer.snapshot_pending =
         peer.snapshot_pending && peer.match < peer.snapshot_index && peer.next <= state.base_index;
@@ -525,6 +527,7 @@
         pending.truncate_after.reset();
     }
     reply.index = state.commit;
+    reply.commit = state.commit;
     pending.messages.push_back(std::move(reply));
 }
 
--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -43,6 +43,7 @@
     bool voter = false;           ///< false for a learner, which does not count towards the quorum
     log_index learner_target = 0; ///< index that a learner's synced log must reach before its promotion
     std::string data_centre = {}; ///< its data centre; empty if the settings list the replicas
+    bool auxiliary = false;       ///< it adds to the group's redundancy only; no client contacts it at first
 
     bool operator==(const member&) const = default;
 };
@@ -83,7 +84,8 @@
     term_number term = 0;     ///< sender's term, or the term a candidate wants votes for
     log_index index = 0;      ///< entry before `entries`; a candidate's last entry; a reply's match index
     term_number log_term = 0; ///< term of the entry at `index`
-    log_index commit = 0;     ///< leader's commit index; in a rejection, the entry after which to resume
+    log_index commit = 0;     ///< sender's commit index, 0 in replies of version 0.1.0; in a rejection, the
+                              ///< entry after which to resume
     bool reject = false;      ///< reply: the request was rejected
     bool transfer = false;    ///< vote request: the leader initiated this election
     std::int64_t sent_at = 0; ///< ticks of the leader's clock, echoed in the reply to renew its lease
@@ -108,6 +110,7 @@
 /// Replication state of another member, kept by the leader.
 struct progress {
     log_index match = 0;           ///< last entry known to be synced by the member
+    log_index known_commit = 0;    ///< last entry that the member is known to regard as committed
     log_index next = 1;            ///< next entry to send
     time_point acked_sent_at{};    ///< send time of the newest message that it acknowledged
     time_point tracked_since{};    ///< when this leader was elected, or sent the member its first message
--- a/src/consensus/membership_cmd.cpp
+++ b/src/consensus/membership_cmd.cpp
@@ -225,6 +225,7 @@
         encoded_member->set_voter(source.voter);
         encoded_member->set_learner_target(source.learner_target);
         encoded_member->set_data_centre(source.data_centre);
+        encoded_member->set_auxiliary(source.auxiliary);
     }
     return encoded.SerializeAsString();
 }
@@ -238,7 +239,7 @@
     membership members;
     for (const wire::member& source : encoded.members()) {
         members.members.push_back({member_id{source.id()}, source.name(), source.endpoint(), source.voter(),
-                                   source.learner_target(), source.data_centre()});
+                                   source.learner_target(), source.data_centre(), source.auxiliary()});
     }
     return members;
 }
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -52,8 +52,9 @@
                                          disk_.id, std::vector<replica_address>{}, *links_);
     group_->enable_managed_membership(
         consensus::make_membership_policy(settings_.tolerated_failures, settings_.data_centre_count),
-        settings_.data_centre);
+        settings_.data_centre, settings_.hosts_replica);
     group_->expect_membership();
+    group_->await_confirmation();
     client_ = std::make_unique<wire::group_client>(*links_, std::vector<replica_address>{});
 }
 
--- a/src/core/group_metrics.cpp
+++ b/src/core/group_metrics.cpp
@@ -19,6 +19,10 @@
                  [&counters] { return static_cast<double>(counters.term.load()); }, group_number});
     metrics.add({"guavawick_replica_knows_leader", "0 while this replica knows no leader of the group.",
                  false, [&counters] { return counters.knows_leader.load() ? 1.0 : 0.0; }, group_number});
+    metrics.add({"guavawick_replica_unconfirmed",
+                 "Committed commands that are not acknowledged yet, as other replicas may not know them.",
+                 false, [&counters] { return static_cast<double>(counters.unconfirmed.load()); },
+                 group_number});
     metrics.add({"guavawick_replica_syncs_total", "Number of times the log was synced.", true,
                  [&counters] { return static_cast<double>(counters.syncs.load()); }, group_number});
     metrics.add({"guavawick_replica_log_bytes", "Size of the log file.", false,
--- a/src/core/group_serving.cpp
+++ b/src/core/group_serving.cpp
@@ -32,9 +32,9 @@
     if (message.has_join()) {
         const wire::join_request& join = message.join();
         if (join.group() == group.number() && join.id() != 0) {
-            group.handle_join(
-                {consensus::member_id{join.id()}, join.name(), join.endpoint(), false, 0, join.data_centre()},
-                join.forwarded());
+            group.handle_join({consensus::member_id{join.id()}, join.name(), join.endpoint(), false, 0,
+                               join.data_centre(), join.auxiliary()},
+                              join.forwarded());
         }
         return true;
     }
--- a/src/replica/consensus_codec.cpp
+++ b/src/replica/consensus_codec.cpp
@@ -34,6 +34,7 @@
         member_message->set_voter(member.voter);
         member_message->set_learner_target(member.learner_target);
         member_message->set_data_centre(member.data_centre);
+        member_message->set_auxiliary(member.auxiliary);
     }
 }
 
@@ -54,7 +55,7 @@
     for (const wire::member& member : from.members().members()) {
         snapshot->members.members.push_back({consensus::member_id{member.id()}, member.name(),
                                              member.endpoint(), member.voter(), member.learner_target(),
-                                             member.data_centre()});
+                                             member.data_centre(), member.auxiliary()});
     }
     snapshot->state = from.state();
     snapshot->offered_bytes = from.offered_bytes();
--- a/src/replica/group.cpp
+++ b/src/replica/group.cpp
@@ -179,6 +179,7 @@
     consensus::effects effects;
     std::swap(effects, pending_effects_);
     execute_effects(effects);
+    return_confirmed_results(now);
     snapshot_if_due();
     check_leader(now);
     counters_.leads.store(leads());
@@ -265,9 +266,15 @@
     if (found == pending_proposals_.end()) {
         return;
     }
-    const pending_proposal proposal = std::move(found->second);
+    pending_proposal proposal = std::move(found->second);
     pending_proposals_.erase(found);
-    proposal.done(proposal.term == entry.term ? &result : nullptr);
+    const bool is_own = proposal.term == entry.term;
+    if (is_own && awaits_confirmation_) {
+        unconfirmed_results_[entry.index] = {std::make_shared<const wire::envelope>(std::move(result)),
+                                             std::move(proposal.done), runtime_clock::now()};
+        return;
+    }
+    proposal.done(is_own ? &result : nullptr);
 }
 
 void group::fail_pending_proposals()
@@ -277,6 +284,11 @@
     for (const auto& [index, proposal] : failed) {
         proposal.done(nullptr);
     }
+    std::map<consensus::log_index, unconfirmed_result> unconfirmed;
+    unconfirmed.swap(unconfirmed_results_);
+    for (const auto& [index, held] : unconfirmed) {
+        held.done(nullptr);
+    }
 }
 
 void group::propose(std::string command, proposal_callback done)
--- a/src/replica/group.hpp
+++ b/src/replica/group.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/content_type.hpp"
+#include "consensus/confirmation.hpp"
 #include "consensus/consensus_func.hpp"
 #include "replica/log_store.hpp"
 #include "wire/link_type.hpp"
@@ -103,6 +104,7 @@
     std::atomic<std::uint64_t> proposals{0};
     std::atomic<std::uint64_t> syncs{0};
     std::atomic<std::uint64_t> log_bytes{0};
+    std::atomic<std::uint64_t> unconfirmed{0}; ///< committed commands whose results are held back
 };
 
 /// A snapshot that this member copies part by part from the leader.
@@ -138,8 +140,13 @@
     group& operator=(const group&) = delete;
 
     /// Enables managed membership: a policy chooses the members among candidates, and the settings' list of
-    /// replicas is not used. @param data_centre of this replica. @pre called before start().
-    void enable_managed_membership(const consensus::membership_policy& policy, std::string data_centre);
+    /// replicas is not used. @param data_centre of this replica. @param auxiliary whether it is a member for
+    /// redundancy only. @pre called before start().
+    void enable_managed_membership(const consensus::membership_policy& policy, std::string data_centre,
+                                   bool auxiliary = false);
+    /// Makes the leader return the results of proposals only once a majority of the members that are not
+    /// auxiliary knows that they are committed. @pre called before start().
+    void await_confirmation() { awaits_confirmation_ = true; }
     /// Replaces the membership policy. Thread-safe.
     void set_membership_policy(const consensus::membership_policy& policy);
     /// Sets the link endpoints that this replica sends its join requests to. Thread-safe.
@@ -176,7 +183,8 @@
     /// @param done called with the result on the group's thread.
     void remove_member(const std::string& name, std::function<void(consensus::change_result)> done);
 
-    /// Proposes a command. @param done called on the group's thread. @pre called on the group's thread.
+    /// Proposes a command. @param done called on the group's thread once the command is committed, and
+    /// confirmed if await_confirmation() was called. @pre called on the group's thread.
     void propose(std::string command, proposal_callback done);
     /// @return whether this replica is the leader and holds a read lease, so that its applied state is
     /// current. @pre called on the group's thread.
@@ -209,6 +217,13 @@
         proposal_callback done;
     };
 
+    /// The result of a committed command that awaits its confirmation.
+    struct unconfirmed_result {
+        wire::envelope_ptr result;
+        proposal_callback done;
+        time_point applied_at{};
+    };
+
     static consensus::options make_options(const replica_settings& settings);
     void run();
     void process_batch(std::vector<std::function<void()>>& tasks);
@@ -216,6 +231,9 @@
     void send(const std::vector<consensus::message>& messages);
     void apply(const consensus::log_entry& entry);
     void fail_pending_proposals();
+    /// Returns the results that are confirmed by now, and logs whose confirmation is overdue.
+    void return_confirmed_results(time_point now);
+    void log_overdue_confirmation(time_point now);
     void snapshot_if_due();
     void remove_unused_contents();
     [[nodiscard]] consensus::message make_offer(const consensus::message& request);
@@ -249,12 +267,18 @@
     std::map<consensus::log_index, pending_proposal> pending_proposals_;
     std::map<consensus::member_id, std::string> learned_endpoints_; ///< endpoints of senders of messages
     std::map<std::string, consensus::member_id>
-        blank_peers_;                         ///< blank replicas by name, recorded while this one is blank
-    std::string data_centre_;                 ///< of this replica; only with managed membership
-    consensus::term_number applied_term_ = 0; ///< of the newest entry that the state machine has applied
-    bool serving_ = false;                    ///< the state machine was notified that this replica leads
-    bool managed_ = false;                    ///< a policy chooses the members
-    bool bootstraps_with_contacts_ = false;   ///< the contacts become the group's initial members
+        blank_peers_; ///< blank replicas by name, recorded while this one is blank
+    std::map<consensus::log_index, unconfirmed_result> unconfirmed_results_;
+    consensus::regular_members regular_members_; ///< while this replica leads
+    consensus::log_index announced_commit_ = 0;  ///< newest entry whose commit the members were told at once
+    time_point confirmation_logged_at_{};        ///< when an overdue confirmation was last logged
+    std::string data_centre_;                    ///< of this replica; only with managed membership
+    bool auxiliary_ = false;                     ///< the same of its kind of membership
+    bool awaits_confirmation_ = false;           ///< results of proposals wait for the regular members
+    consensus::term_number applied_term_ = 0;    ///< of the newest entry that the state machine has applied
+    bool serving_ = false;                       ///< the state machine was notified that this replica leads
+    bool managed_ = false;                       ///< a policy chooses the members
+    bool bootstraps_with_contacts_ = false;      ///< the contacts become the group's initial members
     consensus::membership_policy policy_;
     std::vector<std::string> contacts_; ///< endpoints that may belong to members of the group
     std::map<std::string, consensus::member>
--- a/src/replica/group_membership.cpp
+++ b/src/replica/group_membership.cpp
@@ -25,13 +25,15 @@
     envelope.mutable_join()->set_endpoint(joining.endpoint);
     envelope.mutable_join()->set_data_centre(joining.data_centre);
     envelope.mutable_join()->set_forwarded(forwarded);
+    envelope.mutable_join()->set_auxiliary(joining.auxiliary);
     return envelope;
 }
 
 void group::send_join_request(const std::string& endpoint)
 {
-    links_.send(endpoint, make_join_message(
-                              {state_.self, settings_.name, settings_.link, false, 0, data_centre_}, false));
+    links_.send(endpoint, make_join_message({state_.self, settings_.name, settings_.link, false, 0,
+                                             data_centre_, auxiliary_},
+                                            false));
 }
 
 void group::bootstrap_or_join(time_point now)
@@ -53,10 +55,12 @@
     }
 }
 
-void group::enable_managed_membership(const consensus::membership_policy& policy, std::string data_centre)
+void group::enable_managed_membership(const consensus::membership_policy& policy, std::string data_centre,
+                                      bool auxiliary)
 {
     managed_ = true;
     data_centre_ = std::move(data_centre);
+    auxiliary_ = auxiliary;
     policy_ = policy;
 }
 
@@ -146,7 +150,7 @@
             const auto candidate = blank_candidates_.find(endpoint);
             if (endpoint == settings_.link) {
                 members.members.push_back(
-                    {state_.self, settings_.name, settings_.link, true, 0, data_centre_});
+                    {state_.self, settings_.name, settings_.link, true, 0, data_centre_, auxiliary_});
             }
             else if (candidate != blank_candidates_.end()) {
                 members.members.push_back(candidate->second);
--- a/src/table/event_table.hpp
+++ b/src/table/event_table.hpp
@@ -110,6 +110,9 @@
               "A replica knows no leader of its group; the fields say what it knows of the other voters."},
     event_row{event::group_has_leader, "group_has_leader", severity::info,
               "A replica that had logged the lack of a leader knows one again."},
+    event_row{
+        event::confirmation_overdue, "confirmation_overdue", severity::warning,
+        "Committed commands are not acknowledged, as most regular members of the group don't know them."},
     event_row{event::configuration_published, "configuration_published", severity::info,
               "A new revision of the configuration was accepted."},
     event_row{event::configuration_refused, "configuration_refused", severity::warning,
