Gateways: ask for a view that a replica has and nobody has pushed

A replica sent a view that a gateway lacked only once nothing had been published for 600 ms. While changes followed each other faster, the leader's single push was the only way to a gateway; if it was late, lost or left out for lack of a read lease, the gateway stayed behind until the series ended. The delay was measured from the newest publication instead of the moment at which the gateway first lacked something.

Now each answer to a subscription names the replica's revision. A gateway that lacks one for 200 ms more asks one replica for its view, the next one after 400 ms. So only one document at a time is on its way, the newest, from any replica that has it.

--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -282,6 +282,9 @@
     const std::uint64_t digest = hash_bytes(hello->SerializeAsString());
     hello->set_sender(settings_.link);
     hello->set_digest(digest);
+    const std::uint64_t revision = view_.load()->revision;
+    hello->set_revision(revision);
+    prepared->unchanged.mutable_hello()->set_revision(revision);
     prepared->unchanged.mutable_hello()->set_unchanged(true);
     prepared->unchanged.mutable_hello()->set_sender(settings_.link);
     prepared->unchanged.mutable_hello()->set_digest(digest);
@@ -293,7 +296,6 @@
     const fleet_view view = view_.load();
     wire::envelope message;
     wire::control_hello* hello = message.mutable_hello();
-    hello->set_revision(view->revision);
     const std::lock_guard lock(mutex_);
     hello->set_entries(static_cast<std::uint32_t>(subscribers_.size()));
     for (const std::string& endpoint : member_endpoints_) {
--- a/src/core/control_views.cpp
+++ b/src/core/control_views.cpp
@@ -9,9 +9,6 @@
 
 namespace {
 
-constexpr duration push_retry_delay =
-    600ms; ///< a gateway that still lacks the view after this gets it from any replica; plus a subscription
-           ///< interval, this is half of the time in which a plan must take effect
 constexpr duration behind_log_delay = 2s;    ///< most of the time in which a plan must take effect
 constexpr duration behind_log_interval = 5s; ///< between two lines on one gateway
 
@@ -178,10 +175,9 @@
     if (!is_store && request.version() > 0 && request.revision() < view->revision) {
         report_gateway_behind(request, *view, now);
     }
-    // The leader pushes a new view itself; a full document from every replica would saturate the links.
-    const bool has_plan = request.version() > 0;
-    const bool push_missed = !has_plan || now - view_published_at_.load() > push_retry_delay;
-    if (!is_store && request.revision() < view->revision && push_missed) {
+    // A gateway asks one replica at a time: a document from every replica would saturate its link.
+    const bool wants_view = !request.has_wants_view() || request.wants_view();
+    if (!is_store && request.revision() < view->revision && wants_view) {
         schedule_push(request.endpoint(), request.version());
     }
 }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -72,6 +72,9 @@
                       "Revisions by the time until they were in force here, up to a number of milliseconds.",
                       true, [&value] { return static_cast<double>(value.load()); }, bound});
     }
+    add("guavawick_gateway_view_requests_total",
+        "Requests for a view that a control replica has and that no push has brought.", true,
+        counters.view_requests);
     add("guavawick_gateway_incomplete_views_total", "Views that lacked the document of their version.", true,
         counters.incomplete_views);
     add("guavawick_gateway_slowest_percent",
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -327,6 +327,7 @@
     const time_point now = runtime_clock::now();
     record_reply(state_->control_dependency, now);
     record_report(control_roster_, hello, now);
+    record_reported_revision(hello, now);
     if (hello.unchanged()) {
         return;
     }
@@ -338,6 +339,7 @@
             if (state_->control_endpoints.size() > max_control_endpoints) {
                 hello_digests_.erase(state_->control_endpoints.front());
                 reported_stores_.erase(state_->control_endpoints.front());
+                reported_revisions_.erase(state_->control_endpoints.front());
                 control_roster_.reports.erase(state_->control_endpoints.front());
                 state_->control_endpoints.erase(state_->control_endpoints.begin());
             }
@@ -384,14 +386,9 @@
 
 void gateway_process::subscribe(directory_request request)
 {
-    wire::envelope envelope;
+    // Only a leader that holds a lease may send a view to a gateway without a plan, so each replica is asked.
+    wire::envelope envelope = make_subscription(!state_->plan);
     wire::subscribe_request* message = envelope.mutable_subscribe();
-    message->set_endpoint(state_->settings.link);
-    message->set_name(state_->settings.node);
-    message->set_role("entry");
-    message->set_data_centre(state_->settings.data_centre);
-    message->set_revision(state_->revision);
-    message->set_version(state_->plan ? state_->plan->plan.version.value : 0);
     for (std::size_t i = 0; i < state_->control_endpoints.size(); ++i) {
         const std::string& endpoint = state_->control_endpoints[i];
         const auto digest = hello_digests_.find(endpoint);
--- a/src/gateway/gateway_process.hpp
+++ b/src/gateway/gateway_process.hpp
@@ -96,6 +96,7 @@
     std::array<std::atomic<std::uint64_t>, plan_delay_bounds.size() + 1>
         plan_delays{};                              ///< revisions, by delay
     std::atomic<std::uint64_t> incomplete_views{0}; ///< that lacked the document of their version
+    std::atomic<std::uint64_t> view_requests{0};    ///< for views that a replica has and nobody pushed
     std::atomic<std::uint64_t> instances{0};
     std::atomic<std::uint64_t> slowest_percent{100}; ///< learned slowness of the slowest candidate
     std::atomic<std::uint64_t> report_age_ms{0};     ///< mean age of the candidates' load reports
@@ -171,6 +172,15 @@
     /// Which control replicas are asked for their complete directory, besides its changes.
     enum class directory_request : std::uint8_t { none, from_one, from_all };
     void subscribe(directory_request request);
+    /// @return a subscription with what the gateway has. @param wants_view whether the replica shall send its
+    /// view if that is newer.
+    wire::envelope make_subscription(bool wants_view) const;
+    /// Starts to ask for a newer view if a replica reports one.
+    void record_reported_revision(const wire::control_hello& hello, time_point now);
+    /// Asks one replica at a time for its view, until no replica that answers has a newer one.
+    boost::asio::awaitable<void> fetch_missing_view();
+    /// @return the replica to ask for a newer view; empty if none that answers reports one.
+    [[nodiscard]] std::string choose_view_source(time_point now) const;
     boost::asio::awaitable<void> subscribe_loop();
     boost::asio::awaitable<void> report_rollouts_loop();
     boost::asio::awaitable<void> handle_readiness_check(http::request& request, http::responder& out);
@@ -197,6 +207,14 @@
     std::unique_ptr<control_host> control_host_;
     control_roster control_roster_;
     std::map<std::string, std::uint64_t> hello_digests_; ///< of the last hello, by control replica
+    /// What a control replica has according to its last hello.
+    struct reported_revision {
+        std::uint64_t revision = 0;
+        time_point reported_at{};
+    };
+    std::map<std::string, reported_revision> reported_revisions_; ///< by control replica
+    std::string asked_for_view_;                                  ///< the replica that was asked last
+    bool fetches_view_ = false;                                   ///< fetch_missing_view() runs
     std::map<std::string, std::map<std::string, std::string>>
         reported_stores_; ///< by control replica: store names by endpoint
     std::size_t next_directory_replica_ =
--- a/src/gateway/view_intake.cpp
+++ b/src/gateway/view_intake.cpp
@@ -1,4 +1,5 @@
-// Pace at which a gateway takes over the plans that control pushes.
+// How a gateway takes over the views of control: the pace of the plans that are pushed, and requests for
+// views that no push has brought.
 #include "gateway/gateway_process.hpp"
 
 #include "wire.pb.h"
@@ -17,6 +18,9 @@
 /// this interval, so a gateway keeps up with any number of versions. Longer intervals add to the time for
 /// which gateways have different versions.
 constexpr duration min_plan_interval = 100ms;
+constexpr duration push_allowance = 200ms;        ///< for the leader's push of a view that a replica reports
+constexpr duration view_request_interval = 400ms; ///< until another replica is asked
+constexpr duration report_validity = 1500ms;      ///< three subscriptions
 
 } // namespace
 
@@ -74,4 +78,59 @@
     state_->counters.plan_delay_ms.store(view.age_ms());
 }
 
+wire::envelope gateway_process::make_subscription(bool wants_view) const
+{
+    wire::envelope envelope;
+    wire::subscribe_request* message = envelope.mutable_subscribe();
+    message->set_endpoint(state_->settings.link);
+    message->set_name(state_->settings.node);
+    message->set_role("entry");
+    message->set_data_centre(state_->settings.data_centre);
+    message->set_revision(state_->revision);
+    message->set_version(state_->plan ? state_->plan->plan.version.value : 0);
+    message->set_wants_view(wants_view);
+    return envelope;
+}
+
+void gateway_process::record_reported_revision(const wire::control_hello& hello, time_point now)
+{
+    reported_revisions_[hello.sender()] = {hello.revision(), now};
+    if (state_->plan && !fetches_view_ && !choose_view_source(now).empty()) {
+        fetches_view_ = true;
+        pool_.spawn(fetch_missing_view());
+    }
+}
+
+std::string gateway_process::choose_view_source(time_point now) const
+{
+    const std::uint64_t own = std::max(state_->revision, pending_view_ ? pending_view_->revision() : 0);
+    std::string first;
+    for (const auto& [endpoint, reported] : reported_revisions_) {
+        if (reported.revision <= own || now - reported.reported_at > report_validity) {
+            continue;
+        }
+        if (endpoint > asked_for_view_) {
+            return endpoint;
+        }
+        first = first.empty() ? endpoint : first;
+    }
+    return first;
+}
+
+asio::awaitable<void> gateway_process::fetch_missing_view()
+{
+    co_await runtime::wait_for(push_allowance);
+    std::string source = choose_view_source(runtime_clock::now());
+    while (!source.empty() && running_.load()) {
+        asked_for_view_ = source;
+        state_->counters.view_requests.fetch_add(1);
+        wire::envelope request = make_subscription(true);
+        request.mutable_subscribe()->set_hello_digest(hello_digests_[source]);
+        link_->send(source, std::move(request));
+        co_await runtime::wait_for(view_request_interval);
+        source = choose_view_source(runtime_clock::now());
+    }
+    fetches_view_ = false;
+}
+
 } // namespace guavawick::gateway
--- a/tests/unit/plan_source_test.cpp
+++ b/tests/unit/plan_source_test.cpp
@@ -25,6 +25,8 @@
     std::condition_variable received;
     wire::envelope view;
     wire::envelope redirect;
+    bool answers_requests_only = false;  ///< a gateway with a plan gets the view once it asks for it
+    int requests = 0;                    ///< for a view, of a gateway with a plan
     std::vector<std::uint64_t> versions; ///< that the gateway had in force when it subscribed
 
     scripted_control()
@@ -34,7 +36,14 @@
             if (message->has_subscribe()) {
                 versions.push_back(message->subscribe().version());
                 received.notify_all();
-                if (message->subscribe().revision() < view.view().revision()) {
+                const bool has_plan = message->subscribe().version() > 0;
+                const bool is_request = has_plan && message->subscribe().wants_view();
+                requests += is_request ? 1 : 0;
+                if (answers_requests_only) {
+                    send_hello(message->subscribe().endpoint());
+                }
+                if (message->subscribe().revision() < view.view().revision() &&
+                    (!answers_requests_only || !has_plan || is_request)) {
                     link.send(message->subscribe().endpoint(), view);
                 }
             }
@@ -50,6 +59,15 @@
         link.close();
     }
 
+    void send_hello(const std::string& gateway)
+    {
+        wire::envelope hello;
+        hello.mutable_hello()->set_sender(endpoint);
+        hello.mutable_hello()->set_unchanged(true);
+        hello.mutable_hello()->set_revision(view.view().revision());
+        link.send(gateway, std::move(hello));
+    }
+
     void set_view(std::uint64_t version, bool confirmed)
     {
         const std::lock_guard lock(mutex);
@@ -161,6 +179,20 @@
     BOOST_TEST(control.collect_versions(many_subscriptions, 4).back() == 4);
 }
 
+// Guards against a gateway that waits for a push which the leader did not send, or which was lost.
+BOOST_FIXTURE_TEST_CASE(gateway_asks_for_a_view_that_a_replica_has_and_nobody_pushes,
+                        gateway_beside_scripted_control)
+{
+    control.answers_requests_only = true;
+    control.set_view(3, true);
+    start();
+    BOOST_TEST_REQUIRE(control.collect_versions(many_subscriptions, 3).back() == 3);
+    control.set_view(4, false);
+    BOOST_TEST(control.collect_versions(many_subscriptions, 4).back() == 4);
+    const std::lock_guard lock(control.mutex);
+    BOOST_TEST(control.requests >= 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(delayed_plan_test)
