Directory: push a planned stop again with each heartbeat

A gateway that lost the connection on which the stop of an upstream was pushed got routine heartbeats only, and learned of the stop with the next complete directory, up to 5 s later. Heartbeats of an upstream that stops are now pushed whole. planned_stop_test, 'check !repeated.routine() has failed' before.

--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -169,7 +169,11 @@
         wire::instance_record* batch_entry = batch_.add_instances();
         to_wire(current, now, batch_entry);
         const bool forward = announcement.sequence % peer_forward_interval == 0;
-        if (result == directory::merge_result::renewed && !forward && !stops) {
+        // A gateway that lost the connection on which a planned stop was pushed gets it with the next
+        // heartbeat.
+        const bool is_routine = result == directory::merge_result::renewed && !forward && !stops &&
+                                current.state == directory::instance_state::serving;
+        if (is_routine) {
             batch_entry->set_routine(true);
             batch_entry->clear_service();
             batch_entry->clear_address();
--- a/tests/unit/planned_stop_test.cpp
+++ b/tests/unit/planned_stop_test.cpp
@@ -4,11 +4,16 @@
 #include "wire.pb.h"
 
 #include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
 
 namespace guavawick::tests {
 
 namespace {
 
+constexpr int yields_per_subscription = 10000; ///< before a subscription that may be lost is repeated
+
 /// A control replica whose only peer confirms directory updates when the test allows it.
 struct replica_with_a_peer {
     fs::path data_root = fs::temp_directory_path() / ("guavawick-test-" + to_hex(random_id()));
@@ -17,13 +22,24 @@
     std::string peer_endpoint = "tcp://" + find_free_address();
     wire::link peer{peer_pool.executor(), core::make_link_settings(), incarnation_id{random_id()}};
     std::atomic<bool> confirms{false};
-    std::atomic<int> updates{0}; ///< that asked for a confirmation
+    std::atomic<int> updates{0};                           ///< that asked for a confirmation
+    std::atomic<int> hellos{0};                            ///< answers to subscriptions
+    std::mutex mutex;                                      ///< guards the member below
+    std::map<std::uint64_t, wire::instance_record> pushed; ///< to the peer as a gateway, by sequence
     std::string control_link = "tcp://" + find_free_address();
     std::unique_ptr<core::control_process> control;
 
     replica_with_a_peer()
     {
         peer.listen(peer_endpoint, [this](const wire::reply_target&, const wire::envelope_ptr& message) {
+            hellos += message->has_hello() ? 1 : 0;
+            if (message->has_directory() && message->directory().confirm() == 0 &&
+                message->directory().endpoint().empty()) {
+                const std::lock_guard lock(mutex);
+                for (const wire::instance_record& record : message->directory().instances()) {
+                    pushed[record.sequence()] = record;
+                }
+            }
             if (message->has_directory() && message->directory().confirm() != 0) {
                 ++updates;
                 if (confirms) {
@@ -78,6 +94,32 @@
         return is_acknowledged(control->announce(record));
     }
 
+    /// Makes the peer a gateway that gets directory updates.
+    void subscribe_peer()
+    {
+        while (hellos == 0) {
+            wire::envelope subscription;
+            subscription.mutable_subscribe()->set_endpoint(peer_endpoint);
+            subscription.mutable_subscribe()->set_role("entry");
+            peer.send(control_link, std::move(subscription));
+            for (int i = 0; i < yields_per_subscription && hellos == 0; ++i) {
+                std::this_thread::yield();
+            }
+        }
+    }
+
+    /// @return what was pushed to the gateway with a heartbeat.
+    wire::instance_record await_push(std::uint64_t sequence)
+    {
+        while (true) {
+            const std::lock_guard lock(mutex);
+            const auto found = pushed.find(sequence);
+            if (found != pushed.end()) {
+                return found->second;
+            }
+        }
+    }
+
     bool deregister() { return is_acknowledged(control->deregister(directory::instance_id{"u"}, 1)); }
 };
 
@@ -130,6 +172,20 @@
     }
 }
 
+// Guards against calls to an upstream that stops, from a gateway that lost the connection on which the
+// change was pushed.
+BOOST_FIXTURE_TEST_CASE(gateway_gets_a_planned_stop_again_with_each_heartbeat, replica_with_a_peer)
+{
+    confirms = true;
+    subscribe_peer();
+    while (!announce(2, directory::instance_state::draining)) {
+    }
+    BOOST_TEST(announce(3, directory::instance_state::draining));
+    const wire::instance_record repeated = await_push(3);
+    BOOST_TEST(!repeated.routine());
+    BOOST_TEST(repeated.state() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
