--- a/src/consensus/consensus_type.hpp
+++ b/src/consensus/consensus_type.hpp
@@ -43,7 +43,7 @@
     bool voter = false;           ///< false for a learner, which does not count towards the quorum
     log_index learner_target = 0; ///< index that a learner's synced log must reach before its promotion
     std::string data_centre = {}; ///< its data centre; empty if the settings list the replicas
-    bool auxiliary = false;       ///< a member for redundancy only: no acknowledgement waits for it
+    bool auxiliary = false;       ///< it adds to the group's redundancy only; no client contacts it at first
 
     bool operator==(const member&) const = default;
 };
