--- a/review/standin-2/kit.cpp
+++ b/review/standin-2/kit.cpp
@@ -473,6 +473,25 @@
     }
 }
 
+void fleet::kill_all()
+{
+    for (const process& each : processes_) {
+        if (each.pid > 0) {
+            ::kill(each.pid, SIGKILL);
+        }
+    }
+    for (process& each : processes_) {
+        kill(each);
+    }
+}
+
+void fleet::start_again()
+{
+    for (process& each : processes_) {
+        start(each, false);
+    }
+}
+
 bool fleet::has_lost_process()
 {
     bool lost = false;
--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -125,6 +125,10 @@
     void start(process& started, bool bootstrap);
     void signal(process& target, int number) const;
     void kill(process& target);
+    /// Kills all processes at the same moment.
+    void kill_all();
+    /// Starts all processes after kill_all().
+    void start_again();
     process& find(const std::string& name);
     /// @return whether a process that was not ended here has ended. Writes it to the record.
     bool has_lost_process();
