Directory: one record that is not text no longer spoils the message that it travels in

Instances of another writer sent heartbeats whose ids hold bytes of Latin-1. The id became a `string` of protobuf, which demands UTF-8, and gateways and replicas dropped each message with such a record whole: batches of renewals, what was pushed with them, and answers to requests for the whole directory.

A directory holds at most 8,192 instances. Log lines and problem bodies are UTF-8. GW1101 gives the size of a message that can't be decoded; a metric counts them.

--- a/src/base/event_func.cpp
+++ b/src/base/event_func.cpp
@@ -1,6 +1,7 @@
 // Writes numbered events with easylogging++.
 #include "base/event_type.hpp"
 #include "base/line_budget.hpp"
+#include "base/text_func.hpp"
 #include "table/event_table.hpp"
 
 #include <atomic>
@@ -89,9 +90,10 @@
     for (const event_field& field : fields) {
         line += " " + std::string(field.name) + "=" + quote_if_needed(field.value);
     }
-    if (line.size() > max_line_bytes) {
-        line.resize(max_line_bytes);
+    if (!is_utf8(line)) { // readers of the log demand valid text
+        line = escape_invalid_utf8(line);
     }
+    line.resize(truncate_utf8(line, max_line_bytes).size());
     switch (row.level) {
     case severity::warning:
         LOG(WARNING) << line;
--- a/src/caller/problem.cpp
+++ b/src/caller/problem.cpp
@@ -1,6 +1,8 @@
 // Responses for refusals, as `application/problem+json`.
 #include "caller/problem.hpp"
 
+#include "base/text_func.hpp"
+
 #include <boost/json.hpp>
 
 namespace guavawick::caller {
@@ -11,10 +13,10 @@
     boost::json::object body{{"type", std::string("urn:guavawick:failure:") + row.name},
                              {"title", row.meaning},
                              {"status", row.status},
-                             {"detail", refusal.what()},
+                             {"detail", escape_invalid_utf8(refusal.what())},
                              {"ran", to_string(refusal.ran)}};
     if (!request_id.empty()) {
-        body["request_id"] = request_id;
+        body["request_id"] = escape_invalid_utf8(request_id);
     }
     return boost::json::serialize(body);
 }
--- a/src/core/control_directory.cpp
+++ b/src/core/control_directory.cpp
@@ -155,6 +155,9 @@
         const std::lock_guard lock(mutex_);
         const time_point now = runtime_clock::now();
         const directory::merge_result result = directory::merge(instances_, announcement, now);
+        if (result == directory::merge_result::invalid) {
+            throw decode_error(directory::describe_fault(announcement));
+        }
         const directory::instance_record current = instances_.instances.at(announcement.id);
         changed = result == directory::merge_result::changed;
         // One that was announced before is replicated again until another replica has it.
@@ -203,6 +206,9 @@
     {
         const std::lock_guard lock(mutex_);
         const time_point now = runtime_clock::now();
+        if (std::string fault = directory::describe_fault(id); !fault.empty()) {
+            throw decode_error(fault);
+        }
         directory::mark_gone(instances_, id, started_ms, now);
         const directory::instance_record current = instances_.instances.at(id);
         if (current.state != directory::instance_state::gone) {
@@ -225,6 +231,11 @@
         const time_point now = runtime_clock::now();
         for (const wire::instance_record& encoded : update.instances()) {
             const directory::instance_record record = from_wire(encoded, now);
+            if (std::string fault = directory::describe_fault(record); !fault.empty()) {
+                log_event(event::instance_ignored,
+                          {{"instance", record.id.value}, {"reason", fault}, {"told_by", update.endpoint()}});
+                continue;
+            }
             const bool is_new =
                 record.state == directory::instance_state::gone
                     ? directory::mark_gone(instances_, record.id, record.started_ms, now)
--- a/src/core/control_process.cpp
+++ b/src/core/control_process.cpp
@@ -99,6 +99,7 @@
             memory, http::derive_reserved_limits(settings_.max_descriptors));
         http::add_guard_metrics(metrics_, operator_limits.guard);
         add_group_metrics(metrics_, *group_);
+        add_link_metrics(metrics_, *links_);
         metrics_.add({"guavawick_control_plan_version", "Version of the last applied plan.", false,
                       [this] { return static_cast<double>(view_.load()->document_version); }, ""});
         metrics_.add({"guavawick_control_evacuated_data_centres", "Data centres that get no new calls.",
--- a/src/core/control_process.hpp
+++ b/src/core/control_process.hpp
@@ -84,6 +84,7 @@
     /// Merges an instance's announcement into the directory and distributes it. The announcement of a planned
     /// stop is acknowledged only after another replica has confirmed it, unless there is no other replica.
     /// @throw link_error if none confirms it before the timeout; the instance then asks another replica.
+    /// @throw decode_error if the announcement names no instance, see directory::describe_fault().
     boost::asio::awaitable<void> announce(directory::instance_record announcement);
     /// Marks an instance as gone and distributes that as announce() does.
     boost::asio::awaitable<void> deregister(directory::instance_id id, std::uint64_t started_ms);
--- a/src/core/group_metrics.cpp
+++ b/src/core/group_metrics.cpp
@@ -29,4 +29,10 @@
                  [&counters] { return static_cast<double>(counters.log_bytes.load()); }, group_number});
 }
 
+void add_link_metrics(http::metric_set& metrics, const wire::link& link)
+{
+    metrics.add({"guavawick_link_undecodable_total", "Messages of other processes that could not be decoded.",
+                 true, [&link] { return static_cast<double>(link.undecodable_count()); }, ""});
+}
+
 } // namespace guavawick::core
--- a/src/core/store_process.cpp
+++ b/src/core/store_process.cpp
@@ -60,6 +60,7 @@
         metrics_limits.guard = std::make_shared<http::request_guard>(
             std::make_shared<http::memory_budget>(make_byte_limits(settings_)),
             http::derive_reserved_limits(settings_.max_descriptors));
+        add_link_metrics(metrics_, *links_);
         metrics_server_ = std::make_unique<http::server>(
             pool_.executor(), settings_.metrics_listen, metrics_limits, http::make_metrics_handler(metrics_));
     }
--- a/src/directory/directory_func.cpp
+++ b/src/directory/directory_func.cpp
@@ -1,7 +1,10 @@
 // Merging of instance announcements, and the quarantine of requests that crash instances.
 #include "directory/directory_func.hpp"
 
+#include "base/text_func.hpp"
+
 #include <algorithm>
+#include <array>
 
 namespace guavawick::directory {
 namespace {
@@ -45,10 +48,64 @@
            left.version == right.version && !cold_differs;
 }
 
+/// Makes room for one more instance: announcements may come from any number of senders with any number of
+/// ids.
+void evict_if_full(directory& known)
+{
+    if (known.instances.size() < max_instances) {
+        return;
+    }
+    const auto oldest = std::min_element(known.instances.begin(), known.instances.end(),
+                                         [](const auto& left, const auto& right) {
+                                             return left.second.last_seen_at < right.second.last_seen_at;
+                                         });
+    known.instances.erase(oldest);
+    ++known.version;
+}
+
+const char* describe_text_fault(const std::string& text)
+{
+    return text.size() > max_field_bytes ? "is too long" : is_utf8(text) ? "" : "is not UTF-8";
+}
+
 } // namespace
 
+std::string describe_fault(const instance_id& id)
+{
+    if (id.value.empty()) {
+        return "the id is empty";
+    }
+    if (has_control_character(id.value)) {
+        return "the id holds a control character";
+    }
+    const std::string fault = describe_text_fault(id.value);
+    return fault.empty() ? "" : "the id " + fault;
+}
+
+std::string describe_fault(const instance_record& record)
+{
+    if (std::string fault = describe_fault(record.id); !fault.empty()) {
+        return fault;
+    }
+    const std::array<std::pair<const char*, const std::string*>, 4> texts{
+        {{"service", &record.service},
+         {"address", &record.address},
+         {"data centre", &record.data_centre.value},
+         {"version", &record.version}}};
+    for (const auto& [name, text] : texts) {
+        const std::string fault = describe_text_fault(*text);
+        if (!fault.empty()) {
+            return std::string("the ") + name + " " + fault;
+        }
+    }
+    return "";
+}
+
 merge_result merge(directory& known, const instance_record& announcement, time_point now)
 {
+    if (!describe_fault(announcement).empty()) {
+        return merge_result::invalid;
+    }
     const auto found = known.instances.find(announcement.id);
     if (found != known.instances.end()) {
         instance_record& existing = found->second;
@@ -78,6 +135,7 @@
         if (is_displaced(known, announced)) {
             announced.state = instance_state::gone;
         }
+        evict_if_full(known);
         known.instances.emplace(announcement.id, announced);
     }
     displace_older_instances(known, announcement, now);
@@ -87,6 +145,9 @@
 
 bool mark_gone(directory& known, const instance_id& id, std::uint64_t started_ms, time_point now)
 {
+    if (!describe_fault(id).empty()) {
+        return false;
+    }
     const auto found = known.instances.find(id);
     if (found == known.instances.end()) {
         instance_record gone_instance;
@@ -94,6 +155,7 @@
         gone_instance.state = instance_state::gone;
         gone_instance.started_ms = started_ms;
         gone_instance.last_seen_at = now;
+        evict_if_full(known);
         known.instances.emplace(id, gone_instance);
         ++known.version;
         return true;
--- a/src/directory/directory_func.hpp
+++ b/src/directory/directory_func.hpp
@@ -6,11 +6,18 @@
 
 namespace guavawick::directory {
 
+/// @return why an id names no instance; empty if it may name one. Ids become fields of messages, of log lines
+/// and of headers, so one that these can't hold is refused wherever it arrives.
+std::string describe_fault(const instance_id& id);
+/// @return why an announcement names no instance; empty if it may name one.
+std::string describe_fault(const instance_record& record);
+
 /// Merges the announcement of an instance. The later start wins, then the higher sequence number; an
-/// incarnation that is gone stays gone. An address belongs to the instance that started there last.
+/// incarnation that is gone stays gone. An address belongs to the instance that started there last. A full
+/// directory forgets the instance that it has not heard for the longest time.
 merge_result merge(directory& known, const instance_record& announcement, time_point now);
 /// Marks an instance as gone. @param started_ms start of the incarnation that is gone; 0 for any.
-/// @return whether the state changed.
+/// @return whether the state changed; false if the id is invalid.
 bool mark_gone(directory& known, const instance_id& id, std::uint64_t started_ms, time_point now);
 /// Removes instances without an announcement for longer than gone_retention.
 void remove_expired(directory& known, time_point now);
--- a/src/directory/directory_type.hpp
+++ b/src/directory/directory_type.hpp
@@ -17,6 +17,9 @@
 
 using instance_id = strong_name<struct instance_tag>;
 
+constexpr std::size_t max_field_bytes = 255; ///< of an id and of each text in an announcement
+constexpr std::size_t max_instances = 8192;  ///< in one directory; the one heard longest ago is evicted
+
 /// Whether an instance accepts new calls.
 enum class instance_state : std::uint8_t { serving, draining, gone };
 
@@ -44,6 +47,7 @@
 
 /// Result of a merge.
 enum class merge_result : std::uint8_t {
+    invalid, ///< the announcement names no instance, see describe_fault(); nothing changed
     stale,   ///< the announcement is not newer; nothing changed
     renewed, ///< newer announcement with the same content
     changed, ///< new instance, or changed state, address, service or cold start
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -1,6 +1,7 @@
 // Metrics of the gateway process.
 #include "gateway/gateway_process.hpp"
 
+#include "core/group_metrics.hpp"
 #include "gateway/call_run.hpp"
 
 #include <map>
@@ -10,6 +11,7 @@
 void gateway_process::add_metrics()
 {
     http::add_guard_metrics(metrics_, callers_->guard);
+    core::add_link_metrics(metrics_, *link_);
     const auto add = [this](const char* name, const char* help, bool counter,
                             const std::atomic<std::uint64_t>& value) {
         metrics_.add({name, help, counter, [&value] { return static_cast<double>(value.load()); }, ""});
--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -295,6 +295,10 @@
             continue;
         }
         const directory::instance_record announced = core::from_wire(record, now);
+        if (std::string fault = directory::describe_fault(announced); !fault.empty()) {
+            log_event(event::instance_ignored, {{"instance", record.id()}, {"reason", fault}});
+            continue;
+        }
         const bool changed =
             announced.state == directory::instance_state::gone
                 ? directory::mark_gone(state_->instances, id, announced.started_ms, now)
--- a/src/wire/link.cpp
+++ b/src/wire/link.cpp
@@ -111,6 +111,7 @@
     receive_handler handler; ///< set before the router socket exists
     std::atomic<std::uint64_t> next_call_id{1};
     std::atomic<std::uint64_t> reconnect_count{0};
+    std::atomic<std::uint64_t> undecodable_count{0};
     std::thread thread;
 
     // The members below are used by the link's thread only.
@@ -290,13 +291,21 @@
         }
     }
 
+    /// @param endpoint of the peer; empty if it opened the connection.
+    void report_undecodable(const std::string& endpoint, std::size_t bytes)
+    {
+        undecodable_count.fetch_add(1);
+        log_event(event::link_refused_peer,
+                  {{"endpoint", endpoint}, {"reason", "undecodable"}, {"bytes", std::uint64_t{bytes}}});
+    }
+
     void receive_replies(const std::string& endpoint, peer_connection& peer, time_point now)
     {
         zmq::message_t frame;
         while (peer.socket.recv(frame, zmq::recv_flags::dontwait)) {
             auto message = std::make_shared<envelope>();
             if (!message->ParseFromArray(frame.data(), static_cast<int>(frame.size()))) {
-                log_event(event::link_refused_peer, {{"endpoint", endpoint}, {"reason", "undecodable"}});
+                report_undecodable(endpoint, frame.size());
                 continue;
             }
             peer.last_received_at = now;
@@ -326,7 +335,7 @@
             }
             auto message = std::make_shared<envelope>();
             if (has_more_frames || !message->ParseFromArray(frame.data(), static_cast<int>(frame.size()))) {
-                log_event(event::link_refused_peer, {{"reason", "undecodable"}});
+                report_undecodable("", frame.size());
                 continue;
             }
             dispatch({identity.to_string(), message->call()}, message);
@@ -667,6 +676,11 @@
            runtime_clock::now() - found->second.received_at <= span + found->second.margin;
 }
 
+std::uint64_t link::undecodable_count() const
+{
+    return core_->undecodable_count.load();
+}
+
 std::uint64_t link::reconnect_count() const
 {
     return core_->reconnect_count.load();
--- a/src/wire/link_type.hpp
+++ b/src/wire/link_type.hpp
@@ -81,6 +81,8 @@
     /// @return whether a message from a peer arrived, or a connection to it was first opened, within a span;
     /// true for a peer without a connection.
     [[nodiscard]] bool active_within(const std::string& endpoint, duration span) const;
+    /// @return number of received messages that could not be decoded.
+    [[nodiscard]] std::uint64_t undecodable_count() const;
     /// @return number of connections that were reopened because nothing arrived within the silence limit.
     [[nodiscard]] std::uint64_t reconnect_count() const;
 
