Gateways: an error that the sending of a request meets ends the answer too

A caller got part of an answer as a complete one: the upstream had answered a long upload at once, without a length, and reset the connection while the upload was still being written.

The request is sent while the answer is read. The kernel reports the error that ends a connection once, to the operation that comes first. Where that was the sending, the reading found an end in order, which completes an answer without a length. The same happened when the connection timed out. The sending is now stopped at the end of such an answer, and the answer is complete only if the sending met no error either. Answers with a length or chunks are framed and not affected.

Five checks of hostile_upstream_test failed before (200 for 502, 500 for 502, a whole stream for an aborted one, 200 for 502 after a timeout) and pass. The relay of the scenario runner passed a reset on as an end in order; it resets now.

--- a/src/gateway/call_attempt.cpp
+++ b/src/gateway/call_attempt.cpp
@@ -369,7 +369,7 @@
     log_failed_attempt(*call, target,
                        cancelled                   ? "stopped"
                        : state.given_up != nullptr ? state.given_up
-                       : state.has_head            ? "the answer broke off"
+                       : state.has_head            ? state.exchange.describe_break()
                        : rejected_status           ? state.exchange.last_head.describe()
                                                    : "no answer",
                        state.has_head ? state.head.status : rejected_status.value_or(0));
--- a/src/gateway/upstream_connection.cpp
+++ b/src/gateway/upstream_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -47,8 +48,8 @@
 
 /// Progress of sending a request, which runs concurrently with reading the response.
 struct send_state {
-    bool done = false;
-    bool failed = false;
+    bool ended = false;
+    boost::system::error_code error; ///< that ended it; unset if the whole request was sent
 };
 
 asio::awaitable<void> send_request(connection_ptr connection, std::shared_ptr<const std::string> request,
@@ -57,8 +58,24 @@
     boost::system::error_code error;
     co_await asio::async_write(connection->socket, asio::buffer(*request),
                                asio::redirect_error(asio::use_awaitable, error));
-    state->done = !error;
-    state->failed = static_cast<bool>(error);
+    state->error = error;
+    state->ended = true;
+}
+
+/// Ends the sending of a request after the end of the connection was read.
+/// @return the error of the connection, if the sending has met one. The kernel reports an error once, to the
+/// operation that comes first. One that reads after the sending has met it finds an end in order.
+asio::awaitable<boost::system::error_code> stop_sending(connection_ptr connection,
+                                                        std::shared_ptr<send_state> sending)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    while (!sending->ended) {
+        boost::system::error_code ignored;
+        connection->socket.cancel(ignored);
+        co_await asio::post(executor, asio::use_awaitable);
+    }
+    const bool cancelled = sending->error == asio::error::operation_aborted;
+    co_return cancelled ? boost::system::error_code() : sending->error;
 }
 
 void remember_request(upstream_connection& connection, const std::string& request_id)
@@ -230,15 +247,23 @@
                 }
             }
             if (error) {
+                report.connection_error = error;
                 co_return connection->socket.is_open() ? exchange_result::truncated_body
                                                        : exchange_result::cancelled;
             }
         }
+        if (own && head.ends_with_connection) {
+            report.connection_error = co_await stop_sending(connection, sending);
+            if (report.connection_error) {
+                co_return exchange_result::truncated_body;
+            }
+        }
         if (own) {
             // Surplus bytes of the response, or missing bytes of the request, would corrupt the next exchange
             // on this connection.
-            report.reusable = sending->done && parser.keep_alive() && !head.ends_with_connection &&
-                              connection->buffer.size() == 0;
+            const bool sent = sending->ended && !sending->error;
+            report.reusable =
+                sent && parser.keep_alive() && !head.ends_with_connection && connection->buffer.size() == 0;
             co_return exchange_result::complete;
         }
         if (!parser.keep_alive()) {
--- a/src/gateway/upstream_connection.hpp
+++ b/src/gateway/upstream_connection.hpp
@@ -83,12 +83,21 @@
 
 /// What is known about a connection after an exchange.
 struct exchange_report {
-    bool reusable = false;          ///< the connection may be used for another call
-    http::head_outcome last_head{}; ///< tells why there was no response
+    bool reusable = false;                      ///< the connection may be used for another call
+    http::head_outcome last_head{};             ///< tells why there was no response
+    boost::system::error_code connection_error; ///< that ended a response early, also if the sending met it
+
+    /// @return why a response that had begun ended early.
+    [[nodiscard]] std::string describe_break() const
+    {
+        return connection_error ? "the answer broke off: " + connection_error.message()
+                                : "the answer broke off";
+    }
 };
 
 /// Sends a request and reads its response. Responses to other requests are read and discarded, and so are
-/// interim ones, whose headers no callback gets.
+/// interim ones, whose headers no callback gets. A response that ends with its connection is complete only if
+/// neither reading it nor sending the request met an error.
 /// @param request the complete request, head and body.
 /// @param request_id accepted are responses with this id or none.
 /// @param head_only the request is HEAD, so the response has no body.
--- a/tests/scenarios/relay.cpp
+++ b/tests/scenarios/relay.cpp
@@ -103,6 +103,10 @@
         }
     }
     boost::system::error_code ignored;
+    if (error != asio::error::eof) { // the other side must not see an end in order
+        connection->client_socket.set_option(tcp::socket::linger(true, 0), ignored);
+        connection->owner_socket.set_option(tcp::socket::linger(true, 0), ignored);
+    }
     connection->client_socket.close(ignored);
     connection->owner_socket.close(ignored);
 }
--- a/tests/unit/hostile_upstream_test.cpp
+++ b/tests/unit/hostile_upstream_test.cpp
@@ -1,4 +1,5 @@
 // Upstreams that misbehave byte by byte: answers without end, and second copies of answers.
+#include "http/http_error_type.hpp"
 #include "raw_upstream.hpp"
 #include "small_fleet.hpp"
 
@@ -43,10 +44,20 @@
     }
 };
 
+/// How the connection of an answer without a length ends.
+enum class connection_end : std::uint8_t {
+    in_order,
+    half_in_order, ///< the upstream ends its direction, and keeps the connection without reading
+    reset,
+    none, ///< the upstream keeps the connection without reading, so that the gateway's data is never
+          ///< acknowledged
+};
+
 /// A fleet with an upstream whose next answer is given byte by byte and ends with its connection.
 struct answer_without_length : small_fleet {
     raw_upstream raw;
-    bool resets = false; ///< the connection ends with a reset
+    connection_end end = connection_end::in_order;
+    std::string request_body = "x";
     std::string head = "HTTP/1.1 200 OK\r\nSignature: s\r\n";
 
     /// Makes the raw upstream the only one and calls until the call reaches it.
@@ -57,20 +68,22 @@
             read_request(socket);
             write(socket, answer);
             boost::system::error_code ignored;
-            if (resets) {
+            if (end == connection_end::reset) {
                 socket.set_option(tcp::socket::linger(true, 0), ignored);
             }
-            else {
+            if (end == connection_end::in_order || end == connection_end::half_in_order) {
                 socket.shutdown(tcp::socket::shutdown_send, ignored);
             }
-            socket.close(ignored);
+            if (end == connection_end::in_order || end == connection_end::reset) {
+                socket.close(ignored);
+            }
         };
         announce(upstream, "u1", 2, directory::instance_state::gone);
         announce_address(raw.address, "u2", 1);
         raw.start();
         http::response response;
         while (!raw.accepted.load()) {
-            response = call("POST", target, headers, "x");
+            response = call("POST", target, headers, request_body);
         }
         raw.thread.join();
         boost::system::error_code ignored;
@@ -78,6 +91,15 @@
         return response;
     }
 
+    /// Makes the request larger than what the connection takes while the upstream doesn't read, so that it is
+    /// still being sent when the connection ends.
+    void send_large_request()
+    {
+        raw.acceptor.set_option(
+            tcp::acceptor::receive_buffer_size(4096)); // the window of accepted connections
+        request_body = std::string(4U << 20U, 'x');
+    }
+
     std::string events(const std::string& body) const
     {
         return head + "Content-Type: text/event-stream\r\n\r\n" + body;
@@ -209,7 +231,7 @@
 
 BOOST_FIXTURE_TEST_CASE(plain_answer_that_ends_with_a_reset_is_not_passed_on, answer_without_length)
 {
-    resets = true;
+    end = connection_end::reset;
     BOOST_TEST(call_raw("/once/x", head + "\r\nhalf").status == 502);
 }
 
@@ -247,10 +269,86 @@
 
 BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_a_reset_is_broken_off, answer_without_length)
 {
-    resets = true;
+    end = connection_end::reset;
     BOOST_TEST(call_raw("/turn/x", events(two_events)).status != 200);
 }
 
+// Guards against a part of an answer that is passed on as a whole one: the sending of the request met the
+// reset, and the reading found an end in order.
+BOOST_FIXTURE_TEST_CASE(answer_that_ends_with_a_reset_while_the_request_is_sent_is_not_passed_on,
+                        answer_without_length)
+{
+    send_large_request();
+    end = connection_end::reset;
+    BOOST_TEST(call_raw("/once/x", head + "\r\nhalf").status == 502);
+}
+
+BOOST_FIXTURE_TEST_CASE(error_that_ends_with_a_reset_while_the_request_is_sent_is_not_passed_on,
+                        answer_without_length)
+{
+    send_large_request();
+    end = connection_end::reset;
+    BOOST_TEST(call_raw("/safe/x", "HTTP/1.0 500 Failed\r\n\r\nhalf").status == 502);
+}
+
+BOOST_FIXTURE_TEST_CASE(stream_that_ends_with_a_reset_while_the_request_is_sent_is_broken_off,
+                        answer_without_length)
+{
+    send_large_request();
+    end = connection_end::reset;
+    BOOST_TEST(call_raw("/turn/x", events(two_events), {{"Call", "t1"}}).status != 200);
+    BOOST_TEST(call("POST", "/turn/x", {{"Previous", "t1"}}, "y").status == 404); // nothing was kept
+}
+
+// As before, where the connection ends because the upstream acknowledges nothing.
+BOOST_FIXTURE_TEST_CASE(answer_whose_connection_times_out_while_the_request_is_sent_is_not_passed_on,
+                        answer_without_length)
+{
+    send_large_request();
+    end = connection_end::none;
+    BOOST_TEST(call_raw("/once/x", head + "\r\nhalf").status == 502);
+}
+
+BOOST_FIXTURE_TEST_CASE(answer_that_ends_in_order_while_the_request_is_sent_is_whole, answer_without_length)
+{
+    send_large_request();
+    end = connection_end::half_in_order;
+    const http::response response = call_raw("/once/x", head + "\r\nwhole");
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == "whole");
+}
+
+// The framing of an answer tells that it is whole, however its connection ends.
+BOOST_FIXTURE_TEST_CASE(answer_with_a_length_is_whole_though_its_connection_is_reset, answer_without_length)
+{
+    send_large_request();
+    end = connection_end::reset;
+    const http::response response = call_raw("/once/x", head + "Content-Length: 5\r\n\r\nwhole");
+    BOOST_TEST(response.status == 200);
+    BOOST_TEST(response.body == "whole");
+}
+
+// The client writes the whole request before it reads, so the answer is lost. The request may have run.
+BOOST_FIXTURE_TEST_CASE(client_whose_request_meets_a_reset_reports_it_as_sent, answer_without_length)
+{
+    send_large_request();
+    raw.serve = [this](tcp::socket& socket) {
+        read_request(socket);
+        write(socket, head + "\r\nhalf");
+        boost::system::error_code ignored;
+        socket.set_option(tcp::socket::linger(true, 0), ignored);
+        socket.close(ignored);
+    };
+    raw.start();
+    http::request request;
+    request.method = "POST";
+    request.target = "/";
+    request.body = request_body;
+    BOOST_CHECK_EXCEPTION(
+        run(http::fetch_response("http://" + raw.address, request, call_timeout)), http::client_error,
+        [](const http::client_error& error) { return error.sent == http::sent_state::maybe_sent; });
+}
+
 // Guards against a request that crashes one upstream after the other: crashes in the middle of a stream were
 // not counted.
 BOOST_FIXTURE_TEST_CASE(request_that_crashes_upstreams_in_the_middle_of_its_stream_is_refused,
