--- a/src/gateway/gateway_process.cpp
+++ b/src/gateway/gateway_process.cpp
@@ -194,7 +194,9 @@
     recorded.get_future().wait();
     control_host_->stop();
     running_.store(false);
-    readiness_server_->drain();
+    if (readiness_server_) { // null if the start failed
+        readiness_server_->drain();
+    }
 }
 
 void gateway_process::close()
--- a/tests/unit/listen_test.cpp
+++ b/tests/unit/listen_test.cpp
@@ -3,6 +3,7 @@
 #include "base/hash_func.hpp"
 #include "core/control_process.hpp"
 #include "free_address.hpp"
+#include "gateway/gateway_process.hpp"
 #include "http/http_type.hpp"
 #include "runtime/worker_pool.hpp"
 #include "store_folder.hpp"
@@ -144,6 +145,29 @@
     }
 }
 
+// Guards against a crash that hides why a gateway could not start.
+BOOST_FIXTURE_TEST_CASE(gateway_that_could_not_start_can_be_stopped, temporary_folder)
+{
+    asio::io_context io;
+    core::fleet_settings settings;
+    settings.node = "node";
+    settings.data_centre = "a";
+    settings.stop_grace = 1s;
+    settings.link = "tcp://" + find_free_address();
+    settings.seeds = {"tcp://" + find_free_address()};
+    settings.caller_listen = find_free_address();
+    settings.readiness_listen = find_free_address();
+    settings.data_folder = path.string();
+    const tcp::acceptor holder(io, to_endpoint(settings.readiness_listen));
+    runtime::worker_pool pool(1);
+    auto process = std::make_unique<gateway::gateway_process>(settings, gateway::platform_adapter{}, pool);
+    BOOST_CHECK_THROW(process->start(), link_error);
+    process->stop();
+    pool.stop();
+    process->close();
+    process.reset();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace guavawick::tests
