--- a/tests/unit/unreadable_text_test.cpp
+++ b/tests/unit/unreadable_text_test.cpp
@@ -90,6 +90,14 @@
     BOOST_TEST(read_metric("guavawick_gateway_instances") == 2);
 }
 
+BOOST_FIXTURE_TEST_CASE(turn_whose_ids_are_not_text_is_kept_and_continued, small_fleet)
+{
+    upstream.respond = respond_with_events;
+    BOOST_TEST(call("POST", "/turn/x", {{"Call", latin1_id}, {"Program", latin1_id}}, "x").status == 200);
+    BOOST_TEST(call("POST", "/turn/x", {{"Previous", latin1_id}, {"Program", latin1_id}}, "y").status == 200);
+    BOOST_TEST(upstream.last_body == "xone\ntwo\ny");
+}
+
 // Guards against messages, log entries and snapshots that can't be decoded for one field's bytes.
 BOOST_AUTO_TEST_CASE(message_with_bytes_that_are_not_text_decodes)
 {
